--- /dev/null
+++ b/src/adapters/Rendezvous.ts
@@ -0,0 +1,22 @@
+import xxhash from 'xxhash-wasm';
+
+const { h64 } = await xxhash();
+
+/**
+ * Tells whether `self` is among the `count` members that rank highest for `key`, by rendezvous hashing.
+ * @param members - all members, `self` included or not
+ */
+export function ranksAmong(
+  key: string,
+  self: string,
+  members: readonly string[],
+  count: number,
+): boolean {
+  const own = h64(`${key}/${self}`);
+  let above = 0;
+  for (const member of members) {
+    if (member !== self && h64(`${key}/${member}`) > own) above += 1;
+    if (above >= count) return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/src/adapters/SystemRandom.ts
@@ -0,0 +1,13 @@
+import { randomBytes } from 'node:crypto';
+import type { Random } from '../ports/Types.js';
+
+/** The machine's random numbers. */
+export class SystemRandom implements Random {
+  public next(): number {
+    return Math.random();
+  }
+
+  public id(bytes: number): string {
+    return randomBytes(bytes).toString('hex');
+  }
+}
--- /dev/null
+++ b/src/adapters/grpc/PeerClient.ts
@@ -0,0 +1,109 @@
+import { credentials, Metadata, type Client } from '@grpc/grpc-js';
+import { Failure, FailureKind } from '../../core/Failure.js';
+import type { Snapshot } from '../../core/tickets/Types.js';
+import type {
+  ForwardedAnswer,
+  ForwardedCall,
+  HandOver,
+  PeerExchange,
+  PeerLink,
+} from '../../ports/Peer.js';
+import { decode, encode, MAX_MESSAGE_BYTES, PEER, type ExchangeMessage } from './PeerProtocol.js';
+
+type Method = (
+  request: unknown,
+  metadata: Metadata,
+  options: { deadline: number },
+  callback: (error: Error | null, reply: unknown) => void,
+) => void;
+
+const DEADLINE_MS = 1000;
+const FORWARD_DEADLINE_MS = 60_000;
+
+/** Calls peers over gRPC. */
+export class PeerClient implements PeerLink {
+  private readonly clients = new Map<string, Client>();
+
+  private readonly metadata = new Metadata();
+
+  public constructor(secret: string) {
+    this.metadata.set('authorization', `Bearer ${secret}`);
+  }
+
+  public dispose(): void {
+    for (const client of this.clients.values()) client.close();
+    this.clients.clear();
+  }
+
+  public async exchange(address: string, message: PeerExchange): Promise<PeerExchange> {
+    return decode(
+      (await this.call(address, 'Exchange', encode(message), DEADLINE_MS)) as ExchangeMessage,
+    );
+  }
+
+  public async snapshot(address: string): Promise<Snapshot> {
+    const { json } = (await this.call(address, 'Snapshot', {}, DEADLINE_MS)) as { json: string };
+    return JSON.parse(json) as Snapshot;
+  }
+
+  public async isRunning(address: string, attempt: string): Promise<boolean> {
+    return (
+      (await this.call(address, 'IsRunning', { attempt }, DEADLINE_MS)) as { running: boolean }
+    ).running;
+  }
+
+  public async forward(address: string, call: ForwardedCall): Promise<ForwardedAnswer> {
+    const { json } = (await this.call(
+      address,
+      'Forward',
+      { json: JSON.stringify(call) },
+      FORWARD_DEADLINE_MS,
+    )) as { json: string };
+    return JSON.parse(json) as ForwardedAnswer;
+  }
+
+  public async handOver(address: string, keys: HandOver): Promise<void> {
+    await this.call(address, 'HandOver', { json: JSON.stringify(keys) }, DEADLINE_MS);
+  }
+
+  private call(
+    address: string,
+    method: string,
+    request: unknown,
+    timeoutMs: number,
+  ): Promise<unknown> {
+    const client = this.client(address);
+    return new Promise((resolve, reject) => {
+      const invoke = (client as unknown as Record<string, Method>)[method];
+      invoke.call(
+        client,
+        request,
+        this.metadata,
+        { deadline: Date.now() + timeoutMs },
+        (error, reply) => {
+          if (error === null) resolve(reply);
+          else
+            reject(
+              new Failure(
+                FailureKind.PeerUnavailable,
+                `Peer ${address}: ${error.message}. It is tried again.`,
+              ),
+            );
+        },
+      );
+    });
+  }
+
+  private client(address: string): Client {
+    let client = this.clients.get(address);
+    if (client === undefined) {
+      client = new PEER(address, credentials.createInsecure(), {
+        'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+        'grpc.initial_reconnect_backoff_ms': 200,
+        'grpc.max_reconnect_backoff_ms': 1000,
+      });
+      this.clients.set(address, client);
+    }
+    return client;
+  }
+}
--- /dev/null
+++ b/src/adapters/grpc/PeerServer.ts
@@ -0,0 +1,85 @@
+import { createHash, timingSafeEqual } from 'node:crypto';
+import {
+  Server,
+  ServerCredentials,
+  status,
+  type Metadata,
+  type sendUnaryData,
+  type ServerUnaryCall,
+} from '@grpc/grpc-js';
+import type { ForwardedCall, HandOver, PeerService } from '../../ports/Peer.js';
+import { decode, encode, MAX_MESSAGE_BYTES, PEER, type ExchangeMessage } from './PeerProtocol.js';
+
+type Handler = (request: unknown) => unknown;
+
+/** Serves peers over gRPC. */
+export class PeerServer {
+  private readonly server = new Server({ 'grpc.max_receive_message_length': MAX_MESSAGE_BYTES });
+
+  private readonly secretHash: Buffer;
+
+  public constructor(
+    service: PeerService,
+    secret: string,
+    private readonly onBadPeer: () => void = () => {},
+  ) {
+    this.secretHash = createHash('sha256').update(`Bearer ${secret}`).digest();
+    this.server.addService(PEER.service, {
+      Exchange: this.unary((request) =>
+        encode(service.exchange(decode(request as ExchangeMessage))),
+      ),
+      Snapshot: this.unary(() => ({ json: JSON.stringify(service.snapshot()) })),
+      IsRunning: this.unary((request) => ({
+        running: service.isRunning((request as { attempt: string }).attempt),
+      })),
+      Forward: this.unary(async (request) => ({
+        json: JSON.stringify(
+          await service.forward(JSON.parse((request as { json: string }).json) as ForwardedCall),
+        ),
+      })),
+      HandOver: this.unary((request) => {
+        service.handOver(JSON.parse((request as { json: string }).json) as HandOver);
+        return {};
+      }),
+    });
+  }
+
+  /** Listens; resolves to the address with the port that was given. */
+  public listen(address: string): Promise<string> {
+    const host = address.slice(0, address.lastIndexOf(':'));
+    return new Promise((resolve, reject) => {
+      this.server.bindAsync(address, ServerCredentials.createInsecure(), (error, port) => {
+        if (error) reject(error);
+        else resolve(`${host}:${port}`);
+      });
+    });
+  }
+
+  public close(): void {
+    this.server.forceShutdown();
+  }
+
+  private unary(handler: Handler) {
+    return (call: ServerUnaryCall<unknown, unknown>, callback: sendUnaryData<unknown>) => {
+      if (!this.isAllowed(call.metadata)) {
+        this.onBadPeer();
+        callback({
+          code: status.UNAUTHENTICATED,
+          details: 'The peer secret is wrong. Check peers.secret in the settings.',
+        });
+        return;
+      }
+      Promise.resolve()
+        .then(() => handler(call.request))
+        .then(
+          (reply) => callback(null, reply),
+          (error: Error) => callback({ code: status.INVALID_ARGUMENT, details: error.message }),
+        );
+    };
+  }
+
+  private isAllowed(metadata: Metadata): boolean {
+    const given = String(metadata.get('authorization')[0] ?? '');
+    return timingSafeEqual(createHash('sha256').update(given).digest(), this.secretHash);
+  }
+}
--- /dev/null
+++ b/src/adapters/http/AnswerFormat.ts
@@ -0,0 +1,112 @@
+/** The JSON that OpenAI-compatible client libraries read. */
+import { Outcome, type Refusal } from '../../core/Outcome.js';
+import type { FinishReason } from '../../core/streams/Types.js';
+import { CompletionShape, type CompletionBody } from './CompletionBody.js';
+
+/** Identifies one answer. */
+export interface AnswerHead {
+  readonly id: string;
+  /** Seconds since the epoch. */
+  readonly created: number;
+  readonly body: CompletionBody;
+  readonly promptTokens: number;
+}
+
+/** Builds the parts of one answer. */
+export interface AnswerFormat {
+  /** One token as a server-sent event. */
+  chunk(text: string): string;
+  /** The last event: finish reason, token count and outcome. */
+  last(finish: FinishReason, tokens: number): string;
+  /** The whole answer as one JSON object. */
+  whole(text: string, finish: FinishReason, tokens: number): string;
+}
+
+/** Ends every stream that is whole. */
+export const DONE = 'data: [DONE]\n\n';
+
+const usage = (head: AnswerHead, tokens: number) => ({
+  prompt_tokens: head.promptTokens,
+  completion_tokens: tokens,
+  total_tokens: head.promptTokens + tokens,
+});
+
+const outcome = (tokens: number) => ({ outcome: Outcome.Complete, tokens });
+
+const FORMATS: Readonly<Record<CompletionShape, (head: AnswerHead) => AnswerFormat>> = {
+  [CompletionShape.Text]: (head) => {
+    const base = {
+      id: head.id,
+      object: 'text_completion',
+      created: head.created,
+      model: head.body.pipeline,
+    };
+    const prefix = `data: ${JSON.stringify(base).slice(0, -1)},"choices":[{"index":0,"text":`;
+    return {
+      chunk: (text) =>
+        `${prefix}${JSON.stringify(text)},"logprobs":null,"finish_reason":null}]}\n\n`,
+      last: (finish, tokens) =>
+        `data: ${JSON.stringify({
+          ...base,
+          choices: [{ index: 0, text: '', logprobs: null, finish_reason: finish }],
+          usage: usage(head, tokens),
+          acaciadrum: outcome(tokens),
+        })}\n\n`,
+      whole: (text, finish, tokens) =>
+        JSON.stringify({
+          ...base,
+          choices: [{ index: 0, text, logprobs: null, finish_reason: finish }],
+          usage: usage(head, tokens),
+        }),
+    };
+  },
+  [CompletionShape.Chat]: (head) => {
+    const base = {
+      id: head.id,
+      object: 'chat.completion.chunk',
+      created: head.created,
+      model: head.body.pipeline,
+    };
+    const prefix = `data: ${JSON.stringify(base).slice(0, -1)},"choices":[{"index":0,"delta":{"role":"assistant","content":`;
+    return {
+      chunk: (text) => `${prefix}${JSON.stringify(text)}},"finish_reason":null}]}\n\n`,
+      last: (finish, tokens) =>
+        `data: ${JSON.stringify({
+          ...base,
+          choices: [{ index: 0, delta: {}, finish_reason: finish }],
+          usage: usage(head, tokens),
+          acaciadrum: outcome(tokens),
+        })}\n\n`,
+      whole: (content, finish, tokens) =>
+        JSON.stringify({
+          ...base,
+          object: 'chat.completion',
+          choices: [{ index: 0, message: { role: 'assistant', content }, finish_reason: finish }],
+          usage: usage(head, tokens),
+        }),
+    };
+  },
+};
+
+/** Builds the format of an answer. */
+export function formatFor(head: AnswerHead): AnswerFormat {
+  return FORMATS[head.body.shape](head);
+}
+
+/** The JSON body of a refusal. */
+export function refusalBody(refused: Refusal): string {
+  return JSON.stringify({
+    error: {
+      message: refused.message,
+      type: refused.outcome,
+      code: refused.reason,
+      outcome: refused.outcome,
+      retry_after_ms: refused.retryAfterMs,
+    },
+  });
+}
+
+/** A refusal as the last event of a stream that is not whole. */
+export function refusalEvent(refused: Refusal): string {
+  return `event: error\ndata: ${refusalBody(refused)}\n\n`;
+}
--- /dev/null
+++ b/src/adapters/http/CallerServer.ts
@@ -0,0 +1,349 @@
+/** The callers' listener. */
+import { createHash, timingSafeEqual } from 'node:crypto';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { RunResult } from '../../core/claims/KeyedCalls.js';
+import type { StoredAnswer } from '../../core/claims/Types.js';
+import { Outcome, refusal, RefusalReason, type Refusal } from '../../core/Outcome.js';
+import { ObjectKind } from '../../core/tickets/Types.js';
+import type { ForwardedAnswer, ForwardedCall } from '../../ports/Peer.js';
+import { Timing } from '../metrics/Metrics.js';
+import { CompletionExchange } from './CompletionExchange.js';
+import { CompletionShape, parseCompletion, type CompletionBody } from './CompletionBody.js';
+import { closeServer, createLimitedServer, listen } from './JsonServer.js';
+import { PlainExchange } from './PlainExchange.js';
+import { RefusedRequest } from './RefusedRequest.js';
+import { sendRefusal } from './Refusals.js';
+import type { CallerParts, CallerRequest } from './Types.js';
+
+type Handler = (request: CallerRequest) => Promise<void>;
+
+const MAX_KEY_LENGTH = 200;
+const BODY_IDLE_MS = 5000;
+
+const SHAPES: Readonly<Record<string, CompletionShape>> = {
+  '/v1/completions': CompletionShape.Text,
+  '/v1/chat/completions': CompletionShape.Chat,
+};
+
+const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex');
+
+/** SHA-256 over everything that makes two requests the same. */
+export function digestOf(
+  method: string,
+  path: string,
+  contentType: string,
+  body: Uint8Array,
+): string {
+  return createHash('sha256')
+    .update(`${method}\n${path}\n${contentType}\n`)
+    .update(body)
+    .digest('hex');
+}
+
+export class CallerServer {
+  private readonly server: Server;
+
+  private accountByHash = new Map<string, string>();
+
+  private indexedNumber = -1;
+
+  private open = 0;
+
+  private readonly handlers: Readonly<Record<string, Handler>> = {
+    'POST /v1/completions': (request) => this.complete(request),
+    'POST /v1/chat/completions': (request) => this.complete(request),
+    'POST /v1/request-keys': (request) => this.mintKey(request),
+    'GET /v1/models': (request) => this.listModels(request),
+  };
+
+  public constructor(private readonly parts: CallerParts) {
+    this.server = createLimitedServer((message, response) => {
+      this.serve(message, response).catch(() => response.destroy());
+    });
+  }
+
+  public listen(address: string): Promise<string> {
+    return listen(this.server, address);
+  }
+
+  /** Requests in progress. */
+  public get active(): number {
+    return this.open;
+  }
+
+  public close(): Promise<void> {
+    return closeServer(this.server);
+  }
+
+  /** Runs a keyed request that a peer forwarded because its key was minted here. */
+  public async runForwarded(call: ForwardedCall): Promise<ForwardedAnswer> {
+    const body = Buffer.from(call.body, 'base64');
+    const keyed = { account: call.account, key: call.key, digest: call.digest };
+    const shape = SHAPES[call.path];
+    const parsed = shape === undefined ? undefined : parseCompletion(shape, body);
+    const result = await this.parts.keyed.executeHere(keyed, () => {
+      if (parsed?.isOk)
+        return new CompletionExchange(
+          this.parts,
+          undefined,
+          call.account,
+          parsed.value,
+          body.length,
+        ).runWhole();
+      return new PlainExchange(this.parts).runBuffered(
+        call.account,
+        call.method,
+        call.path,
+        { 'content-type': call.contentType },
+        body,
+      );
+    });
+    return result ?? {};
+  }
+
+  private async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = (message.url ?? '/').split('?')[0];
+    if (path === '/healthz' || path === '/readyz') {
+      const good = path === '/healthz' || (this.parts.isReady() && !this.parts.isLeaving());
+      response.writeHead(good ? 200 : 503, { 'content-type': 'text/plain' });
+      response.end(good ? 'ok\n' : 'not ready\n');
+      return;
+    }
+    this.open += 1;
+    try {
+      await this.serveCaller(message, response, path);
+    } catch (error) {
+      if (!(error instanceof RefusedRequest)) throw error;
+      this.refuse(response, error.refused);
+    } finally {
+      this.open -= 1;
+    }
+  }
+
+  private async serveCaller(
+    message: IncomingMessage,
+    response: ServerResponse,
+    path: string,
+  ): Promise<void> {
+    const early = this.refuseEarly();
+    if (early !== undefined) throw new RefusedRequest(early);
+    const account = this.authenticate(message);
+    if (account === undefined) {
+      throw new RefusedRequest(
+        refusal(
+          Outcome.NotRun,
+          RefusalReason.Unauthorized,
+          'The bearer key is missing or unknown. Ask your operators for a key.',
+        ),
+      );
+    }
+    if (path.startsWith('/services/')) {
+      await this.callService({ message, response, path, account, body: Buffer.alloc(0) });
+      return;
+    }
+    const handler = this.handlers[`${message.method} ${path}`];
+    if (handler === undefined) {
+      throw new RefusedRequest(
+        refusal(
+          Outcome.NotRun,
+          RefusalReason.BadRequest,
+          `${message.method} ${path} is not served. See the README for the paths.`,
+        ),
+      );
+    }
+    const body = await this.readBody(message);
+    await handler({ message, response, path, account, body });
+  }
+
+  private refuseEarly(): Refusal | undefined {
+    if (this.parts.isStopping()) {
+      return refusal(
+        Outcome.NotRun,
+        RefusalReason.Stopping,
+        'This instance is stopping. Send the request again; the balancer picks another.',
+      );
+    }
+    if (!this.parts.isReady()) {
+      return refusal(
+        Outcome.NotRun,
+        RefusalReason.NotReady,
+        'This instance has not confirmed its configuration yet. Send the request again.',
+      );
+    }
+    return undefined;
+  }
+
+  private authenticate(message: IncomingMessage): string | undefined {
+    const header = message.headers.authorization ?? '';
+    if (!header.startsWith('Bearer ')) return undefined;
+    this.indexKeys();
+    const hash = sha256(header.slice('Bearer '.length));
+    const account = this.accountByHash.get(hash);
+    if (account === undefined) return undefined;
+    const known =
+      this.parts.configuration.state(ObjectKind.ClientAccount, account)?.keyHashes ?? [];
+    let matches = false;
+    for (const candidate of known) {
+      if (timingSafeEqual(Buffer.from(candidate, 'hex'), Buffer.from(hash, 'hex'))) matches = true;
+    }
+    return matches ? account : undefined;
+  }
+
+  private indexKeys(): void {
+    if (this.indexedNumber === this.parts.configuration.number) return;
+    this.indexedNumber = this.parts.configuration.number;
+    this.accountByHash = new Map();
+    for (const { name, state } of this.parts.configuration.list(ObjectKind.ClientAccount)) {
+      for (const hash of state.keyHashes) this.accountByHash.set(hash, name);
+    }
+  }
+
+  /** Reads a body within the size and idle limits. */
+  private async readBody(message: IncomingMessage): Promise<Buffer> {
+    const { maxBodyBytes } = this.parts;
+    const chunks: Buffer[] = [];
+    let size = 0;
+    message.setTimeout(BODY_IDLE_MS, () => message.destroy());
+    for await (const chunk of message) {
+      size += (chunk as Buffer).length;
+      if (size > maxBodyBytes) {
+        throw new RefusedRequest(
+          refusal(
+            Outcome.NotRun,
+            RefusalReason.BodyTooLarge,
+            `The body passes ${maxBodyBytes} bytes. Send a smaller one.`,
+          ),
+        );
+      }
+      chunks.push(chunk as Buffer);
+    }
+    message.setTimeout(0);
+    return Buffer.concat(chunks, size);
+  }
+
+  private async complete(request: CallerRequest): Promise<void> {
+    const shape = SHAPES[request.path];
+    const parsed = parseCompletion(shape, request.body);
+    if (parsed.isErr)
+      throw new RefusedRequest(refusal(Outcome.NotRun, RefusalReason.BadRequest, parsed.error));
+    const exchange = new CompletionExchange(
+      this.parts,
+      request.response,
+      request.account,
+      parsed.value,
+      request.body.length,
+    );
+    const key = this.keyOf(request.message);
+    if (key === undefined) {
+      await exchange.runLive();
+      return;
+    }
+    await this.completeKeyed(request, key, parsed.value, exchange);
+  }
+
+  private async completeKeyed(
+    request: CallerRequest,
+    key: string,
+    body: CompletionBody,
+    exchange: CompletionExchange,
+  ): Promise<void> {
+    const result = await this.runKeyed(request, key, () => exchange.runWhole());
+    if (result.refusal !== undefined) this.refuse(request.response, result.refusal);
+    else this.sendStored(request.response, result.answer as StoredAnswer, body.stream);
+  }
+
+  private runKeyed(
+    request: CallerRequest,
+    key: string,
+    run: () => Promise<RunResult>,
+  ): Promise<RunResult> {
+    const { message, path, account, body } = request;
+    const contentType = message.headers['content-type'] ?? '';
+    const url = message.url ?? path;
+    const digest = digestOf(message.method ?? '', url, contentType, body);
+    const keyed = {
+      account,
+      key,
+      digest,
+      path: url,
+      method: message.method ?? '',
+      contentType,
+      body: body.toString('base64'),
+    };
+    return this.parts.keyed.execute(keyed, run);
+  }
+
+  private keyOf(message: IncomingMessage): string | undefined {
+    const header = message.headers['idempotency-key'];
+    if (header === undefined) return undefined;
+    const key = Array.isArray(header) ? header.join(',') : header;
+    if (key.length === 0 || key.length > MAX_KEY_LENGTH || !/^[\x21-\x7e]+$/.test(key)) {
+      throw new RefusedRequest(
+        refusal(
+          Outcome.NotRun,
+          RefusalReason.BadRequest,
+          `Idempotency-Key takes 1 to ${MAX_KEY_LENGTH} printable characters. Send another key.`,
+        ),
+      );
+    }
+    return key;
+  }
+
+  private async callService(request: CallerRequest): Promise<void> {
+    const exchange = new PlainExchange(this.parts);
+    const startedAt = this.parts.clock.now();
+    const key = this.keyOf(request.message);
+    if (key === undefined) {
+      await exchange.runLive(request);
+    } else {
+      const body = await this.readBody(request.message);
+      const { message, account } = request;
+      const method = message.method ?? 'GET';
+      const result = await this.runKeyed({ ...request, body }, key, () =>
+        exchange.runBuffered(account, method, message.url ?? '/', message.headers, body),
+      );
+      if (result.refusal !== undefined) this.refuse(request.response, result.refusal);
+      else this.sendStored(request.response, result.answer as StoredAnswer, false);
+    }
+    this.parts.metrics.time(Timing.PlainCall, this.parts.clock.now() - startedAt);
+  }
+
+  private async mintKey(request: CallerRequest): Promise<void> {
+    const key = this.parts.mint.mint(request.account, this.parts.clock.now());
+    if (key === undefined) {
+      throw new RefusedRequest(
+        refusal(
+          Outcome.NotRun,
+          RefusalReason.Stopping,
+          'This instance mints no keys now. Ask again.',
+        ),
+      );
+    }
+    this.sendJson(request.response, 201, { key });
+  }
+
+  private async listModels(request: CallerRequest): Promise<void> {
+    const data = this.parts.configuration
+      .list(ObjectKind.Pipeline)
+      .map(({ name }) => ({ id: name, object: 'model', created: 0, owned_by: 'operators' }));
+    this.sendJson(request.response, 200, { object: 'list', data });
+  }
+
+  private sendJson(response: ServerResponse, status: number, value: unknown): void {
+    response.writeHead(status, { 'content-type': 'application/json' });
+    response.end(JSON.stringify(value));
+  }
+
+  private sendStored(response: ServerResponse, answer: StoredAnswer, stream: boolean): void {
+    const headers = { 'content-type': answer.contentType, 'acaciadrum-outcome': Outcome.Complete };
+    response.writeHead(
+      answer.status,
+      stream ? { ...headers, 'cache-control': 'no-cache' } : headers,
+    );
+    response.end(Buffer.from(answer.body, 'base64'));
+  }
+
+  private refuse(response: ServerResponse, refused: Refusal): void {
+    sendRefusal(response, refused, this.parts.metrics);
+  }
+}
--- /dev/null
+++ b/src/adapters/http/CompletionBody.ts
@@ -0,0 +1,109 @@
+/** Reads the bodies that OpenAI-compatible client libraries send. */
+import { err, ok, type Result } from 'true-myth/result';
+import { z } from 'zod';
+
+/** Which of the two shapes a caller uses. */
+export enum CompletionShape {
+  Text = 'text',
+  Chat = 'chat',
+}
+
+/** A completion request in one shape. */
+export interface CompletionBody {
+  readonly shape: CompletionShape;
+  readonly pipeline: string;
+  readonly prompt: string;
+  /** 0 when the caller sets none. */
+  readonly maxTokens: number;
+  readonly stream: boolean;
+  readonly priority: number;
+}
+
+const MAX_PRIORITY = 9;
+const tokens = z.number().int().positive().nullish();
+const common = {
+  model: z.string().min(1),
+  stream: z.boolean().nullish(),
+  max_tokens: tokens,
+  priority: z.number().int().min(0).max(MAX_PRIORITY).nullish(),
+  n: z.literal(1, 'only n: 1 is served').nullish(),
+};
+
+const textBody = z.looseObject({
+  ...common,
+  prompt: z.union([z.string(), z.array(z.string()).length(1, 'send one prompt a request')]),
+});
+
+const part = z.looseObject({ type: z.string(), text: z.string().optional() });
+
+const chatBody = z.looseObject({
+  ...common,
+  max_completion_tokens: tokens,
+  messages: z
+    .array(
+      z.looseObject({ role: z.string(), content: z.union([z.string(), z.array(part)]).nullish() }),
+    )
+    .min(1),
+});
+
+type Parse = (value: unknown) => Result<CompletionBody, string>;
+
+function describe(error: z.ZodError): string {
+  const [issue] = error.issues;
+  return `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'not valid'}. Correct the body and send it again.`;
+}
+
+function chatPrompt(messages: z.output<typeof chatBody>['messages']): string {
+  const lines: string[] = [];
+  for (const { role, content } of messages) {
+    const text = Array.isArray(content)
+      ? content.map((item) => item.text ?? '').join('')
+      : (content ?? '');
+    lines.push(`${role}: ${text}`);
+  }
+  return lines.join('\n');
+}
+
+const PARSERS: Readonly<Record<CompletionShape, Parse>> = {
+  [CompletionShape.Text]: (value) => {
+    const parsed = textBody.safeParse(value);
+    if (!parsed.success) return err(describe(parsed.error));
+    const { data } = parsed;
+    const prompt = Array.isArray(data.prompt) ? data.prompt[0] : data.prompt;
+    return ok({
+      shape: CompletionShape.Text,
+      pipeline: data.model,
+      prompt,
+      maxTokens: data.max_tokens ?? 0,
+      stream: data.stream ?? false,
+      priority: data.priority ?? 0,
+    });
+  },
+  [CompletionShape.Chat]: (value) => {
+    const parsed = chatBody.safeParse(value);
+    if (!parsed.success) return err(describe(parsed.error));
+    const { data } = parsed;
+    return ok({
+      shape: CompletionShape.Chat,
+      pipeline: data.model,
+      prompt: chatPrompt(data.messages),
+      maxTokens: data.max_completion_tokens ?? data.max_tokens ?? 0,
+      stream: data.stream ?? false,
+      priority: data.priority ?? 0,
+    });
+  },
+};
+
+/** Parses a body; the error says what is wrong. */
+export function parseCompletion(
+  shape: CompletionShape,
+  body: Buffer,
+): Result<CompletionBody, string> {
+  let value: unknown;
+  try {
+    value = JSON.parse(body.toString());
+  } catch {
+    return err('The body is not JSON. Send a JSON object.');
+  }
+  return PARSERS[shape](value);
+}
--- /dev/null
+++ b/src/adapters/http/CompletionExchange.ts
@@ -0,0 +1,165 @@
+import type { ServerResponse } from 'node:http';
+import type { RunResult } from '../../core/claims/KeyedCalls.js';
+import { Outcome, type Refusal } from '../../core/Outcome.js';
+import type { CompletionListener, CompletionRequest } from '../../core/requests/CompletionDesk.js';
+import type { FinishReason } from '../../core/streams/Types.js';
+import { Timing } from '../metrics/Metrics.js';
+import { DONE, formatFor, refusalEvent, type AnswerFormat } from './AnswerFormat.js';
+import type { CompletionBody } from './CompletionBody.js';
+import { sendRefusal } from './Refusals.js';
+import type { CallerParts } from './Types.js';
+
+const ID_BYTES = 12;
+const CHARACTERS_PER_TOKEN = 4;
+const SSE_TYPE = 'text/event-stream';
+const JSON_TYPE = 'application/json';
+
+/** One completion between a caller and the desk. */
+export class CompletionExchange {
+  private readonly request: CompletionRequest;
+
+  private readonly format: AnswerFormat;
+
+  private startedAt = 0;
+
+  private lastTokenAt = 0;
+
+  private corked = false;
+
+  public constructor(
+    private readonly parts: CallerParts,
+    private readonly response: ServerResponse | undefined,
+    account: string,
+    private readonly body: CompletionBody,
+    bytes: number,
+  ) {
+    const id = `cmpl-${parts.random.id(ID_BYTES)}`;
+    const { pipeline, prompt, maxTokens, priority } = body;
+    this.request = { id, account, pipeline, prompt, maxTokens, priority, bytes };
+    const promptTokens = Math.ceil(prompt.length / CHARACTERS_PER_TOKEN);
+    this.format = formatFor({ id, created: Math.floor(Date.now() / 1000), body, promptTokens });
+    this.startedAt = parts.clock.now();
+  }
+
+  /** Answers the caller as tokens arrive. The stream is cancelled when the caller hangs up. */
+  public runLive(): Promise<void> {
+    const response = this.response as ServerResponse;
+    return new Promise((resolve) => {
+      const listener = this.body.stream
+        ? this.streamListener(response)
+        : this.wholeListener(response);
+      const handle = this.parts.completions.submit(this.request, listener);
+      response.once('close', () => {
+        handle.dispose();
+        resolve();
+      });
+    });
+  }
+
+  /** Runs to the end whatever the caller does, and returns the answer whole. */
+  public runWhole(): Promise<RunResult> {
+    let text = '';
+    let events = '';
+    return new Promise((resolve) => {
+      this.parts.completions.submit(this.request, {
+        onDispatch: () => {},
+        onToken: (token) => {
+          this.recordToken();
+          if (this.body.stream) events += this.format.chunk(token);
+          else text += token;
+        },
+        onEnd: (finish, tokens) => {
+          this.parts.metrics.complete('completion');
+          const content = this.body.stream
+            ? events + this.format.last(finish, tokens) + DONE
+            : this.format.whole(text, finish, tokens);
+          const contentType = this.body.stream ? SSE_TYPE : JSON_TYPE;
+          resolve({
+            answer: { status: 200, contentType, body: Buffer.from(content).toString('base64') },
+          });
+        },
+        onRefusal: (refused) => resolve({ refusal: refused }),
+      });
+    });
+  }
+
+  private streamListener(response: ServerResponse): CompletionListener {
+    return {
+      onDispatch: () => {},
+      onToken: (text) => {
+        this.recordToken();
+        if (!response.headersSent) this.beginStream(response);
+        this.write(response, this.format.chunk(text));
+      },
+      onEnd: (finish: FinishReason, tokens: number) => {
+        this.parts.metrics.complete('completion');
+        if (!response.headersSent) this.beginStream(response);
+        response.addTrailers({ 'Acaciadrum-Outcome': Outcome.Complete });
+        response.end(this.format.last(finish, tokens) + DONE);
+      },
+      onRefusal: (refused: Refusal) => this.refuse(response, refused),
+    };
+  }
+
+  private wholeListener(response: ServerResponse): CompletionListener {
+    let answer = '';
+    return {
+      onDispatch: () => {},
+      onToken: (text) => {
+        this.recordToken();
+        answer += text;
+      },
+      onEnd: (finish: FinishReason, tokens: number) => {
+        this.parts.metrics.complete('completion');
+        const text = this.format.whole(answer, finish, tokens);
+        response.writeHead(200, {
+          'content-type': JSON_TYPE,
+          'acaciadrum-outcome': Outcome.Complete,
+        });
+        response.end(text);
+      },
+      onRefusal: (refused: Refusal) => this.refuse(response, refused),
+    };
+  }
+
+  private refuse(response: ServerResponse, refused: Refusal): void {
+    if (!response.headersSent || response.destroyed) {
+      sendRefusal(response, refused, this.parts.metrics);
+      return;
+    }
+    this.parts.metrics.refuse(refused.reason, refused.outcome);
+    response.addTrailers({
+      'Acaciadrum-Outcome': refused.outcome,
+      'Acaciadrum-Reason': refused.reason,
+    });
+    response.end(refusalEvent(refused));
+  }
+
+  private beginStream(response: ServerResponse): void {
+    response.writeHead(200, {
+      'content-type': SSE_TYPE,
+      'cache-control': 'no-cache',
+      trailer: 'Acaciadrum-Outcome, Acaciadrum-Reason',
+    });
+  }
+
+  /** Sends the tokens of one engine chunk in one write. */
+  private write(response: ServerResponse, chunk: string): void {
+    if (!this.corked) {
+      this.corked = true;
+      response.cork();
+      process.nextTick(() => {
+        this.corked = false;
+        response.uncork();
+      });
+    }
+    response.write(chunk);
+  }
+
+  private recordToken(): void {
+    const now = this.parts.clock.now();
+    if (this.lastTokenAt === 0) this.parts.metrics.time(Timing.FirstToken, now - this.startedAt);
+    else this.parts.metrics.time(Timing.TokenGap, now - this.lastTokenAt);
+    this.lastTokenAt = now;
+  }
+}
--- /dev/null
+++ b/src/adapters/http/HttpEngine.ts
@@ -0,0 +1,110 @@
+/** Model engines over HTTP. */
+import { request as httpRequest } from 'node:http';
+import {
+  EngineFailureKind,
+  type Engine,
+  type EngineListener,
+  type ServerReport,
+  type StreamOpening,
+} from '../../core/streams/Types.js';
+import type { Disposable } from '../../ports/Types.js';
+import { HttpClient, hostAndPort } from './HttpClient.js';
+import { FrameDecoder } from './TokenFrames.js';
+
+const STATUS_FAILURES: Readonly<Record<number, EngineFailureKind>> = {
+  409: EngineFailureKind.StaleEpoch,
+  410: EngineFailureKind.Leaving,
+};
+
+/** Time to connect to a head stage, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 500;
+
+export class HttpEngine implements Engine {
+  public constructor(private readonly client: HttpClient) {}
+
+  public open(opening: StreamOpening, listener: EngineListener): Disposable {
+    const head = opening.stages[0];
+    const body = JSON.stringify(opening);
+    let connected = false;
+    let over = false;
+    const fail = (kind: EngineFailureKind) => {
+      if (over) return;
+      over = true;
+      listener.onFailure({ kind, server: head.server });
+    };
+    const decoder = new FrameDecoder({
+      onToken: (frame) => {
+        if (!over) listener.onToken(frame);
+      },
+      onEnd: (finish, tokens) => {
+        if (over) return;
+        over = true;
+        listener.onEnd(finish, tokens);
+      },
+      onFailure: (failure) => {
+        if (over) return;
+        over = true;
+        listener.onFailure(failure);
+      },
+    });
+    const outgoing = httpRequest({
+      ...hostAndPort(head.address),
+      method: 'POST',
+      path: '/v1/streams',
+      agent: this.client.agent,
+      headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) },
+    });
+    outgoing.on('socket', (socket) => {
+      if (!socket.connecting) {
+        connected = true;
+        return;
+      }
+      const timer = setTimeout(
+        () => outgoing.destroy(new Error('connect timeout')),
+        CONNECT_TIMEOUT_MS,
+      );
+      socket.once('connect', () => {
+        connected = true;
+        clearTimeout(timer);
+      });
+      socket.once('close', () => clearTimeout(timer));
+    });
+    outgoing.on('error', () =>
+      fail(connected ? EngineFailureKind.Reset : EngineFailureKind.NotConnected),
+    );
+    outgoing.on('response', (message) => {
+      if (message.statusCode !== 200) {
+        message.resume();
+        fail(STATUS_FAILURES[message.statusCode ?? 0] ?? EngineFailureKind.StageFailed);
+        return;
+      }
+      message.on('data', (chunk: Buffer) => {
+        try {
+          decoder.push(chunk);
+        } catch {
+          outgoing.destroy();
+          fail(EngineFailureKind.Reset);
+        }
+      });
+      message.on('end', () => fail(EngineFailureKind.Reset));
+      message.on('error', () => fail(EngineFailureKind.Reset));
+    });
+    outgoing.end(body);
+    return {
+      dispose: () => {
+        if (!over) outgoing.destroy();
+        over = true;
+      },
+    };
+  }
+
+  public async probe(address: string, timeoutMs: number): Promise<ServerReport> {
+    const answer = await this.client.json<ServerReport>({
+      address,
+      method: 'GET',
+      path: '/v1/status',
+      timeoutMs,
+    });
+    return answer.value;
+  }
+}
--- /dev/null
+++ b/src/adapters/http/HttpPlainTransport.ts
@@ -0,0 +1,106 @@
+/** Calls plain services over HTTP with streaming bodies. */
+import { once } from 'node:events';
+import { request as httpRequest, type ClientRequest, type IncomingHttpHeaders } from 'node:http';
+import { Failure, FailureKind } from '../../core/Failure.js';
+import type {
+  PlainCall,
+  PlainResponse,
+  PlainTransport,
+} from '../../core/requests/PlainTransport.js';
+import { hostAndPort } from './HttpClient.js';
+
+/** A server sets this header to say that it did not run the call. */
+const NOT_RUN_HEADER = 'acaciadrum-not-run';
+
+const CONNECT_TIMEOUT_MS = 500;
+
+const HOP_BY_HOP: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'host',
+  'expect',
+]);
+
+/** Drops hop-by-hop headers and those that `Connection` names. */
+export function endToEndHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
+  const named = new Set(
+    (headers.connection ?? '').split(',').map((name) => name.trim().toLowerCase()),
+  );
+  const kept: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || HOP_BY_HOP.has(name) || named.has(name)) continue;
+    kept[name] = value;
+  }
+  return kept;
+}
+
+async function sendBody(outgoing: ClientRequest, body: PlainCall['body']): Promise<void> {
+  if (body instanceof Uint8Array) {
+    outgoing.end(body);
+    return;
+  }
+  for await (const chunk of body) {
+    if (!outgoing.write(chunk)) await once(outgoing, 'drain');
+  }
+  outgoing.end();
+}
+
+export class HttpPlainTransport implements PlainTransport {
+  public send(address: string, call: PlainCall): Promise<PlainResponse> {
+    return new Promise((resolve, reject) => {
+      let connected = false;
+      const headers = { ...call.headers };
+      if (call.body instanceof Uint8Array) headers['content-length'] = String(call.body.length);
+      const outgoing = httpRequest({
+        ...hostAndPort(address),
+        method: call.method,
+        path: call.path,
+        // A kept connection may close under a call that then cannot be told from one that ran.
+        agent: false,
+        headers,
+      });
+      let timer = setTimeout(
+        () => outgoing.destroy(new Error('connect timeout')),
+        CONNECT_TIMEOUT_MS,
+      );
+      const fail = (error: Error) => {
+        clearTimeout(timer);
+        const kind = connected ? FailureKind.ConnectionLost : FailureKind.NotConnected;
+        reject(
+          new Failure(
+            kind,
+            `${call.method} to ${address} failed: ${error.message}. Check the server.`,
+          ),
+        );
+      };
+      outgoing.on('error', fail);
+      outgoing.on('socket', (socket) => {
+        socket.once('connect', () => {
+          connected = true;
+          clearTimeout(timer);
+          timer = setTimeout(
+            () => outgoing.destroy(new Error('no response in time')),
+            call.timeoutMs,
+          );
+          sendBody(outgoing, call.body).catch((error: Error) => outgoing.destroy(error));
+        });
+      });
+      outgoing.on('response', (message) => {
+        clearTimeout(timer);
+        resolve({
+          status: message.statusCode ?? 502,
+          headers: endToEndHeaders(message.headers),
+          body: message,
+          notRun: message.headers[NOT_RUN_HEADER] !== undefined,
+        });
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/adapters/http/JsonServer.ts
@@ -0,0 +1,109 @@
+/** A small HTTP server for JSON endpoints, with size and time limits. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { hostAndPort, readBody } from './HttpClient.js';
+
+/** A request to a JSON endpoint. */
+export interface JsonRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly query: URLSearchParams;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: Buffer;
+}
+
+/** An answer of a JSON endpoint; strings are sent as text. */
+export interface JsonReply {
+  readonly status: number;
+  readonly value: unknown;
+}
+
+export type JsonHandler = (request: JsonRequest) => Promise<JsonReply> | JsonReply;
+
+const HEADERS_TIMEOUT_MS = 5000;
+const REQUEST_TIMEOUT_MS = 30_000;
+const MAX_HEADER_BYTES = 16 * 1024;
+
+/** Creates a server with the limits that every listener of ours has. */
+export function createLimitedServer(
+  listener: (request: IncomingMessage, response: ServerResponse) => void,
+): Server {
+  const server = createServer(
+    {
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      connectionsCheckingInterval: 1000,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      insecureHTTPParser: false,
+      requireHostHeader: true,
+    },
+    listener,
+  );
+  return server;
+}
+
+/** Listens on `address`; resolves to the address with the port that was given. */
+export function listen(server: Server, address: string): Promise<string> {
+  const { host, port } = hostAndPort(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      const bound = server.address() as { port: number };
+      resolve(`${host}:${bound.port}`);
+    });
+  });
+}
+
+/** Closes a server and every connection that is left. */
+export function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
+
+export class JsonServer {
+  public readonly server: Server;
+
+  public readonly sockets = new Set<Socket>();
+
+  public constructor(
+    private readonly handler: JsonHandler,
+    private readonly maxBodyBytes: number,
+  ) {
+    this.server = createLimitedServer((request, response) => {
+      this.serve(request, response).catch(() => response.destroy());
+    });
+  }
+
+  public listen(address: string): Promise<string> {
+    return listen(this.server, address);
+  }
+
+  public close(): Promise<void> {
+    return closeServer(this.server);
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://localhost');
+    let reply: JsonReply;
+    try {
+      const body = await readBody(request, this.maxBodyBytes);
+      reply = await this.handler({
+        method: request.method ?? 'GET',
+        path: url.pathname,
+        query: url.searchParams,
+        headers: request.headers,
+        body,
+      });
+    } catch (error) {
+      reply = { status: 400, value: { error: { message: (error as Error).message } } };
+    }
+    if (response.destroyed) return;
+    const text = typeof reply.value === 'string';
+    response.writeHead(reply.status, {
+      'content-type': text ? 'text/plain; version=0.0.4' : 'application/json',
+    });
+    response.end(text ? (reply.value as string) : JSON.stringify(reply.value));
+  }
+}
--- /dev/null
+++ b/src/adapters/http/PlainExchange.ts
@@ -0,0 +1,173 @@
+import { once } from 'node:events';
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
+import type { RunResult } from '../../core/claims/KeyedCalls.js';
+import { Outcome, refusal, RefusalReason } from '../../core/Outcome.js';
+import type { PlainRequest, PlainResult } from '../../core/requests/PlainDesk.js';
+import type { PlainResponse } from '../../core/requests/PlainTransport.js';
+import { endToEndHeaders } from './HttpPlainTransport.js';
+import { sendRefusal } from './Refusals.js';
+import type { CallerParts, CallerRequest } from './Types.js';
+
+/** Bodies up to this size are held, so that a call can move to another server. */
+const HELD_BODY_BYTES = 256 * 1024;
+
+const MAX_STORED_BYTES = 1024 * 1024;
+
+/** Headers that are ours and are not passed on. */
+const OUR_HEADERS: ReadonlySet<string> = new Set(['authorization', 'content-length']);
+
+interface ServicePath {
+  readonly service: string;
+  readonly servicePath: string;
+}
+
+function splitPath(url: string): ServicePath {
+  const path = url.split('?')[0];
+  const [, , service = '', ...rest] = path.split('/');
+  return { service, servicePath: `/${rest.join('/')}` };
+}
+
+function forwardedHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
+  const kept: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(endToEndHeaders(headers))) {
+    if (!OUR_HEADERS.has(name)) kept[name] = value;
+  }
+  return kept;
+}
+
+async function* chain(
+  first: readonly Buffer[],
+  rest: AsyncIterator<Buffer>,
+): AsyncGenerator<Buffer> {
+  yield* first;
+  for (;;) {
+    const { value, done } = await rest.next();
+    if (done) return;
+    yield value;
+  }
+}
+
+/** Reads a small body whole; a larger one is passed on as it comes. */
+async function holdBody(
+  message: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | AsyncIterable<Uint8Array>> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  const iterator = message[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+  for (;;) {
+    const { value, done } = await iterator.next();
+    if (done) return Buffer.concat(chunks, size);
+    chunks.push(value);
+    size += value.length;
+    if (size > maxBytes) return chain(chunks, iterator);
+  }
+}
+
+async function pipeBody(from: PlainResponse, to: ServerResponse): Promise<boolean> {
+  try {
+    for await (const chunk of from.body) {
+      if (to.destroyed) return false;
+      if (!to.write(chunk)) await Promise.race([once(to, 'drain'), once(to, 'close')]);
+    }
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+async function collect(response: PlainResponse): Promise<Buffer | undefined> {
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of response.body) {
+      size += chunk.length;
+      if (size > MAX_STORED_BYTES) return undefined;
+      chunks.push(chunk);
+    }
+  } catch {
+    return undefined;
+  }
+  return Buffer.concat(chunks, size);
+}
+
+/** One call between a caller and a plain service. */
+export class PlainExchange {
+  public constructor(private readonly parts: CallerParts) {}
+
+  /** Passes a call and its response through with backpressure. */
+  public async runLive(caller: CallerRequest): Promise<void> {
+    const { message, response, account } = caller;
+    const url = message.url ?? '/';
+    const body = await holdBody(message, HELD_BODY_BYTES);
+    const request = this.request(account, message.method ?? 'GET', url, message.headers, body);
+    await this.parts.plain.send(request, (result) => this.pass(result, response));
+  }
+
+  /** Sends a call and returns its response whole, for a keyed request. */
+  public async runBuffered(
+    account: string,
+    method: string,
+    url: string,
+    headers: IncomingHttpHeaders,
+    body: Buffer,
+  ): Promise<RunResult> {
+    let result: RunResult = {};
+    await this.parts.plain.send(this.request(account, method, url, headers, body), async (sent) => {
+      result = await this.toRunResult(sent);
+    });
+    return result;
+  }
+
+  private request(
+    account: string,
+    method: string,
+    url: string,
+    headers: IncomingHttpHeaders,
+    body: PlainRequest['call']['body'],
+  ): PlainRequest {
+    const { service, servicePath } = splitPath(url);
+    return {
+      account,
+      service,
+      servicePath,
+      call: { method, path: url, headers: forwardedHeaders(headers), body },
+    };
+  }
+
+  private async toRunResult(sent: PlainResult): Promise<RunResult> {
+    if (sent.response === undefined)
+      return sent.refusal === undefined ? {} : { refusal: sent.refusal };
+    const body = await collect(sent.response);
+    if (body === undefined) {
+      return {
+        refusal: refusal(
+          Outcome.Unknown,
+          RefusalReason.ServerLost,
+          `The response of ${sent.server ?? 'the server'} broke off or passes ${MAX_STORED_BYTES} bytes. Look up the call's effect.`,
+        ),
+      };
+    }
+    this.parts.metrics.complete('plain');
+    const contentType = String(sent.response.headers['content-type'] ?? 'application/octet-stream');
+    return { answer: { status: sent.response.status, contentType, body: body.toString('base64') } };
+  }
+
+  private async pass(result: PlainResult, response: ServerResponse): Promise<void> {
+    if (result.response === undefined) {
+      if (result.refusal !== undefined) sendRefusal(response, result.refusal, this.parts.metrics);
+      return;
+    }
+    response.writeHead(result.response.status, {
+      ...result.response.headers,
+      'acaciadrum-outcome': Outcome.Complete,
+    });
+    if (await pipeBody(result.response, response)) {
+      this.parts.metrics.complete('plain');
+      response.end();
+    } else {
+      this.parts.metrics.refuse(RefusalReason.ServerLost, Outcome.Unknown);
+      response.destroy();
+    }
+  }
+}
--- /dev/null
+++ b/src/adapters/http/Types.ts
@@ -0,0 +1,36 @@
+/** Types shared by the parts of the callers' listener. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { KeyedCalls } from '../../core/claims/KeyedCalls.js';
+import type { KeyMint } from '../../core/claims/KeyMint.js';
+import type { CompletionDesk } from '../../core/requests/CompletionDesk.js';
+import type { PlainDesk } from '../../core/requests/PlainDesk.js';
+import type { Configuration } from '../../core/tickets/Configuration.js';
+import type { Clock, Random } from '../../ports/Types.js';
+import type { Metrics } from '../metrics/Metrics.js';
+
+/** What the listener works with. */
+export interface CallerParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly configuration: Configuration;
+  readonly completions: CompletionDesk;
+  readonly plain: PlainDesk;
+  readonly keyed: KeyedCalls;
+  readonly mint: KeyMint;
+  readonly metrics: Metrics;
+  readonly isReady: () => boolean;
+  /** Whether the balancer should send no more. */
+  readonly isLeaving: () => boolean;
+  /** Whether new work is refused. */
+  readonly isStopping: () => boolean;
+  readonly maxBodyBytes: number;
+}
+
+/** A request whose caller is known. */
+export interface CallerRequest {
+  readonly message: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly path: string;
+  readonly account: string;
+  readonly body: Buffer;
+}
--- /dev/null
+++ b/src/adapters/metrics/Metrics.ts
@@ -0,0 +1,126 @@
+/** Counters and histograms of one entry instance. */
+import { build, type Histogram } from 'hdr-histogram-js';
+import { Counter, Gauge, Registry } from 'prom-client';
+import { InvariantKind, type Invariants } from '../../core/Invariant.js';
+import type { Outcome, RefusalReason, RetryReason } from '../../core/Outcome.js';
+import type { StreamCounters } from '../../core/streams/StreamSession.js';
+import { TokenVerdict } from '../../core/streams/TokenAssembler.js';
+
+/** Times that are recorded, in milliseconds. */
+export enum Timing {
+  FirstToken = 'first_token_ms',
+  TokenGap = 'token_gap_ms',
+  PlainCall = 'plain_call_ms',
+}
+
+const HIGHEST_MS = 3_600_000;
+const PERCENTILES = [50, 95, 99];
+
+const newHistogram = (): Histogram =>
+  build({ highestTrackableValue: HIGHEST_MS, numberOfSignificantValueDigits: 2 });
+
+export class Metrics implements StreamCounters {
+  public readonly registry = new Registry();
+
+  private readonly refusals = this.counter(
+    'acaciadrum_refusals_total',
+    'Requests refused or ended early.',
+    ['reason', 'outcome'],
+  );
+
+  private readonly retries = this.counter(
+    'acaciadrum_retries_total',
+    'Streams and calls moved to another server.',
+    ['reason'],
+  );
+
+  private readonly tokens = this.counter(
+    'acaciadrum_tokens_total',
+    'Tokens from engines by what became of them.',
+    ['verdict'],
+  );
+
+  private readonly requests = this.counter(
+    'acaciadrum_requests_total',
+    'Requests answered whole.',
+    ['kind'],
+  );
+
+  private readonly invariantChecks = new Gauge({
+    name: 'acaciadrum_invariant_violations',
+    help: 'Violations of invariants.',
+    labelNames: ['kind'],
+    registers: [this.registry],
+  });
+
+  private readonly histograms = new Map<Timing, Histogram>();
+
+  private readonly delivered = this.tokens.labels(TokenVerdict.Delivered);
+
+  /** Adds a gauge that is read when the metrics are. */
+  public gauge(name: string, help: string, read: () => number): void {
+    this.registry.registerMetric(
+      new Gauge({
+        name,
+        help,
+        registers: [],
+        collect() {
+          this.set(read());
+        },
+      }),
+    );
+  }
+
+  public refuse(reason: RefusalReason, outcome: Outcome): void {
+    this.refusals.labels(reason, outcome).inc();
+  }
+
+  public retry(reason: RetryReason): void {
+    this.retries.labels(reason).inc();
+  }
+
+  public token(verdict: TokenVerdict): void {
+    if (verdict === TokenVerdict.Delivered) this.delivered.inc();
+    else this.tokens.labels(verdict).inc();
+  }
+
+  public complete(kind: string): void {
+    this.requests.labels(kind).inc();
+  }
+
+  /** Records a time in milliseconds. */
+  public time(timing: Timing, valueMs: number): void {
+    let histogram = this.histograms.get(timing);
+    if (histogram === undefined) {
+      histogram = newHistogram();
+      this.histograms.set(timing, histogram);
+    }
+    histogram.recordValue(Math.min(HIGHEST_MS, Math.max(0, Math.round(valueMs))));
+  }
+
+  /** The exposition text. */
+  public async text(invariants: Invariants): Promise<string> {
+    for (const kind of Object.values(InvariantKind)) {
+      this.invariantChecks.labels(kind).set(invariants.violations.get(kind) ?? 0);
+    }
+    return (await this.registry.metrics()) + this.histogramText();
+  }
+
+  private histogramText(): string {
+    const lines: string[] = [];
+    for (const [timing, histogram] of this.histograms) {
+      lines.push(`# TYPE acaciadrum_${timing} summary`);
+      for (const percentile of PERCENTILES) {
+        lines.push(
+          `acaciadrum_${timing}{quantile="${percentile / 100}"} ${histogram.getValueAtPercentile(percentile)}`,
+        );
+      }
+      lines.push(`acaciadrum_${timing}_count ${histogram.totalCount}`);
+    }
+    return `${lines.join('\n')}\n`;
+  }
+
+  private counter(name: string, help: string, labelNames: string[]): Counter {
+    return new Counter({ name, help, labelNames, registers: [this.registry] });
+  }
+}
--- /dev/null
+++ b/src/cli/DemoRun.ts
@@ -0,0 +1,235 @@
+/** Sends mixed requests through real sockets and judges every answer. */
+import { build, type Histogram } from 'hdr-histogram-js';
+import { request as httpRequest, Agent, type IncomingMessage } from 'node:http';
+import { hostAndPort } from '../adapters/http/HttpClient.js';
+import { Outcome } from '../core/Outcome.js';
+import { answerText } from '../fakes/TokenText.js';
+import { DEMO_KEYS, DEMO_PIPELINE, DEMO_SERVICE, type DemoFleet } from '../fakes/DemoFleet.js';
+
+/** Percentiles of a time, in milliseconds. */
+export interface Percentiles {
+  readonly p50: number;
+  readonly p95: number;
+  readonly p99: number;
+}
+
+/** What a run of the demo came to. */
+export interface DemoReport {
+  readonly requests: number;
+  readonly complete: number;
+  readonly notRun: number;
+  readonly unknown: number;
+  readonly broken: number;
+  readonly layerViolations: number;
+  readonly doubleRuns: number;
+  readonly tokens: number;
+  readonly ttftMs: Percentiles;
+  readonly tokenGapMs: Percentiles;
+  readonly seconds: number;
+}
+
+/** One answer as its caller sees it. */
+interface Judged {
+  readonly outcome: Outcome;
+  readonly whole: boolean;
+  readonly tokens: number;
+}
+
+type Job = (index: number) => Promise<Judged>;
+
+const CONCURRENCY = 32;
+const TOKENS = 24;
+const US_PER_MS = 1000;
+const KEY = DEMO_KEYS.workshop;
+
+const newHistogram = (): Histogram =>
+  build({ highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3 });
+
+function percentiles(histogram: Histogram): Percentiles {
+  const at = (percentile: number) =>
+    Math.round(histogram.getValueAtPercentile(percentile) / 10) / 100;
+  return { p50: at(50), p95: at(95), p99: at(99) };
+}
+
+export class DemoRun {
+  private readonly agent = new Agent({ keepAlive: true });
+
+  private readonly ttft = newHistogram();
+
+  private readonly gaps = newHistogram();
+
+  public constructor(private readonly fleet: DemoFleet) {}
+
+  /** Sends `count` requests of all kinds. */
+  public async send(count: number): Promise<DemoReport> {
+    const startedAt = performance.now();
+    const jobs: readonly Job[] = [
+      (index) => this.streamed(index),
+      (index) => this.whole(index),
+      (index) => this.plainRead(index),
+      (index) => this.booking(index),
+    ];
+    const results: Judged[] = [];
+    let next = 0;
+    const worker = async (): Promise<void> => {
+      while (next < count) {
+        const index = next;
+        next += 1;
+        results.push(await jobs[index % jobs.length](index));
+      }
+    };
+    await Promise.all(Array.from({ length: CONCURRENCY }, worker));
+    this.agent.destroy();
+    return this.report(results, (performance.now() - startedAt) / 1000);
+  }
+
+  private report(results: readonly Judged[], seconds: number): DemoReport {
+    const countOf = (outcome: Outcome) =>
+      results.filter((result) => result.outcome === outcome).length;
+    let doubleRuns = 0;
+    for (const { daemon } of this.fleet.servers) {
+      for (const runs of daemon.runs.values()) doubleRuns += runs - 1;
+    }
+    return {
+      requests: results.length,
+      complete: countOf(Outcome.Complete),
+      notRun: countOf(Outcome.NotRun),
+      unknown: countOf(Outcome.Unknown),
+      broken: results.filter((result) => !result.whole).length,
+      layerViolations: this.fleet.violations(),
+      doubleRuns,
+      tokens: results.reduce((sum, result) => sum + result.tokens, 0),
+      ttftMs: percentiles(this.ttft),
+      tokenGapMs: percentiles(this.gaps),
+      seconds: Math.round(seconds * 100) / 100,
+    };
+  }
+
+  private entryFor(index: number): string {
+    const { entries } = this.fleet;
+    return entries[index % entries.length].addresses.callers;
+  }
+
+  private async streamed(index: number): Promise<Judged> {
+    const prompt = `Draft the glue schedule of frame ${index}.`;
+    const startedAt = performance.now();
+    const message = await this.open(index, 'POST', '/v1/completions', {
+      model: DEMO_PIPELINE,
+      prompt,
+      max_tokens: TOKENS,
+      stream: true,
+    });
+    let text = '';
+    let buffered = '';
+    let lastAt = 0;
+    let done = false;
+    for await (const chunk of message) {
+      const now = performance.now();
+      buffered += String(chunk);
+      const events = buffered.split('\n\n');
+      buffered = events.pop() as string;
+      for (const event of events) {
+        if (event === 'data: [DONE]') done = true;
+        else if (event.startsWith('data: ')) {
+          const { choices } = JSON.parse(event.slice('data: '.length)) as {
+            choices?: { text: string; finish_reason: string | null }[];
+          };
+          const [choice] = choices ?? [];
+          if (choice === undefined || choice.finish_reason !== null) continue;
+          text += choice.text;
+          if (lastAt === 0) this.ttft.recordValue(Math.round((now - startedAt) * US_PER_MS));
+          else this.gaps.recordValue(Math.round((now - lastAt) * US_PER_MS));
+          lastAt = now;
+        }
+      }
+    }
+    const whole = done && text === answerText(prompt, TOKENS);
+    return { outcome: whole ? Outcome.Complete : Outcome.Unknown, whole, tokens: TOKENS };
+  }
+
+  private async whole(index: number): Promise<Judged> {
+    const content = `Where is order ${index}?`;
+    const message = await this.open(index, 'POST', '/v1/chat/completions', {
+      model: DEMO_PIPELINE,
+      max_tokens: TOKENS,
+      messages: [{ role: 'user', content }],
+    });
+    const body = JSON.parse(await bodyOf(message)) as {
+      choices?: { message: { content: string } }[];
+    };
+    const whole = body.choices?.[0]?.message.content === answerText(`user: ${content}`, TOKENS);
+    return { outcome: outcomeOf(message), whole, tokens: TOKENS };
+  }
+
+  private async plainRead(index: number): Promise<Judged> {
+    const message = await this.open(
+      index,
+      'GET',
+      `/services/${DEMO_SERVICE}/stock/${index}`,
+      undefined,
+      { 'x-call-id': `read-${index}` },
+    );
+    const body = JSON.parse(await bodyOf(message)) as { call?: string };
+    return { outcome: outcomeOf(message), whole: body.call === `read-${index}`, tokens: 0 };
+  }
+
+  private async booking(index: number): Promise<Judged> {
+    const call = `booking-${index}`;
+    const headers = { 'x-call-id': call, 'idempotency-key': `demo-${call}` };
+    const message = await this.open(
+      index,
+      'POST',
+      `/services/${DEMO_SERVICE}/bookings`,
+      { lids: index },
+      headers,
+    );
+    const first = await bodyOf(message);
+    const again = await this.open(
+      index + 1,
+      'POST',
+      `/services/${DEMO_SERVICE}/bookings`,
+      { lids: index },
+      headers,
+    );
+    const second = await bodyOf(again);
+    const whole = first === second && (JSON.parse(first) as { call?: string }).call === call;
+    return { outcome: outcomeOf(message), whole, tokens: 0 };
+  }
+
+  private open(
+    index: number,
+    method: string,
+    path: string,
+    body: unknown,
+    headers: Record<string, string> = {},
+  ): Promise<IncomingMessage> {
+    return new Promise((resolve, reject) => {
+      const outgoing = httpRequest(
+        {
+          ...hostAndPort(this.entryFor(index)),
+          method,
+          path,
+          agent: this.agent,
+          headers: {
+            authorization: `Bearer ${KEY}`,
+            'content-type': 'application/json',
+            ...headers,
+          },
+        },
+        resolve,
+      );
+      outgoing.on('error', reject);
+      outgoing.end(body === undefined ? undefined : JSON.stringify(body));
+    });
+  }
+}
+
+async function bodyOf(message: IncomingMessage): Promise<string> {
+  let all = '';
+  for await (const chunk of message) all += String(chunk);
+  return all;
+}
+
+function outcomeOf(message: IncomingMessage): Outcome {
+  return (message.headers['acaciadrum-outcome'] as Outcome | undefined) ?? Outcome.Unknown;
+}
--- /dev/null
+++ b/src/cli/Table.ts
@@ -0,0 +1,17 @@
+/** Renders rows as a table for people. */
+export function table(
+  heads: readonly string[],
+  rows: readonly (readonly (string | number | boolean)[])[],
+): string {
+  const cells = [heads, ...rows].map((row) => row.map(String));
+  const widths = heads.map((_, column) =>
+    Math.max(...cells.map((row) => row[column]?.length ?? 0)),
+  );
+  const lines = cells.map((row) =>
+    row
+      .map((cell, column) => cell.padEnd(widths[column]))
+      .join('  ')
+      .trimEnd(),
+  );
+  return `${lines.join('\n')}\n`;
+}
--- /dev/null
+++ b/src/core/Outcome.ts
@@ -0,0 +1,96 @@
+/** What a caller is told about the fate of its request. */
+export enum Outcome {
+  /** The whole answer was delivered. */
+  Complete = 'complete',
+  /** Nothing of the request ran, nor will it ever run. */
+  NotRun = 'not-run',
+  /** The request may have run. */
+  Unknown = 'unknown',
+}
+
+/** Why a request was refused or ended early. Each has a counter of its own. */
+export enum RefusalReason {
+  BadRequest = 'bad-request',
+  BodyTooLarge = 'body-too-large',
+  Unauthorized = 'unauthorized',
+  UnknownPipeline = 'unknown-pipeline',
+  UnknownService = 'unknown-service',
+  NotReady = 'not-ready',
+  Stopping = 'stopping',
+  QueueFull = 'queue-full',
+  DeadlineUnreachable = 'deadline-unreachable',
+  RateLimited = 'rate-limited',
+  ConcurrencyLimited = 'concurrency-limited',
+  NoRoute = 'no-route',
+  RetryBudgetSpent = 'retry-budget-spent',
+  ClaimUnavailable = 'claim-unavailable',
+  ClaimMismatch = 'claim-mismatch',
+  ClaimHolderGone = 'claim-holder-gone',
+  ServerLost = 'server-lost',
+  CallerGone = 'caller-gone',
+  DeadlinePassed = 'deadline-passed',
+}
+
+/** Why a stream was moved to a new route. */
+export enum RetryReason {
+  Reset = 'reset',
+  StageFailed = 'stage-failed',
+  Silence = 'silence',
+  Leaving = 'leaving',
+  NotConnected = 'not-connected',
+}
+
+/** A refusal: the outcome, the reason and how the caller can go on. */
+export interface Refusal {
+  readonly outcome: Outcome;
+  readonly reason: RefusalReason;
+  /** HTTP status for the caller. */
+  readonly status: number;
+  /** Says what is wrong and names the remedy. */
+  readonly message: string;
+  /** When trying again can help; 0 when waiting does not help. */
+  readonly retryAfterMs: number;
+}
+
+interface RefusalDefaults {
+  readonly status: number;
+  readonly retryAfterMs: number;
+}
+
+const DEFAULTS: Readonly<Record<RefusalReason, RefusalDefaults>> = {
+  [RefusalReason.BadRequest]: { status: 400, retryAfterMs: 0 },
+  [RefusalReason.BodyTooLarge]: { status: 413, retryAfterMs: 0 },
+  [RefusalReason.Unauthorized]: { status: 401, retryAfterMs: 0 },
+  [RefusalReason.UnknownPipeline]: { status: 404, retryAfterMs: 0 },
+  [RefusalReason.UnknownService]: { status: 404, retryAfterMs: 0 },
+  [RefusalReason.NotReady]: { status: 503, retryAfterMs: 1000 },
+  [RefusalReason.Stopping]: { status: 503, retryAfterMs: 1000 },
+  [RefusalReason.QueueFull]: { status: 429, retryAfterMs: 1000 },
+  [RefusalReason.DeadlineUnreachable]: { status: 503, retryAfterMs: 2000 },
+  [RefusalReason.RateLimited]: { status: 429, retryAfterMs: 1000 },
+  [RefusalReason.ConcurrencyLimited]: { status: 429, retryAfterMs: 1000 },
+  [RefusalReason.NoRoute]: { status: 503, retryAfterMs: 3000 },
+  [RefusalReason.RetryBudgetSpent]: { status: 503, retryAfterMs: 5000 },
+  [RefusalReason.ClaimUnavailable]: { status: 503, retryAfterMs: 2000 },
+  [RefusalReason.ClaimMismatch]: { status: 422, retryAfterMs: 0 },
+  [RefusalReason.ClaimHolderGone]: { status: 409, retryAfterMs: 0 },
+  [RefusalReason.ServerLost]: { status: 502, retryAfterMs: 1000 },
+  [RefusalReason.CallerGone]: { status: 499, retryAfterMs: 0 },
+  [RefusalReason.DeadlinePassed]: { status: 504, retryAfterMs: 0 },
+};
+
+/**
+ * Builds a refusal with the reason's usual status and retry delay.
+ * @param outcome - what is known of the request's fate
+ * @param reason - why it is refused
+ * @param message - what is wrong, with the remedy
+ * @param retryAfterMs - overrides the usual delay, in milliseconds
+ */
+export function refusal(
+  outcome: Outcome,
+  reason: RefusalReason,
+  message: string,
+  retryAfterMs: number = DEFAULTS[reason].retryAfterMs,
+): Refusal {
+  return { outcome, reason, message, retryAfterMs, status: DEFAULTS[reason].status };
+}
--- /dev/null
+++ b/src/core/claims/ClaimDriver.ts
@@ -0,0 +1,163 @@
+import {
+  Settlement,
+  writeSettled,
+  type SettlePorts,
+  type SettledWrite,
+} from '../settle/SettledWrite.js';
+import {
+  ClaimState,
+  ClaimVerdict,
+  type ClaimAnswer,
+  type ClaimRow,
+  type StoredAnswer,
+} from './Types.js';
+import type { Row } from '../../ports/Types.js';
+
+/** Key of a claim's row. */
+export const claimKey = (account: string, key: string): string => `claim/${account}/${key}`;
+
+/** A request that wants to be claimed. */
+export interface ClaimRequest {
+  readonly account: string;
+  readonly key: string;
+  readonly digest: string;
+  readonly attempt: string;
+}
+
+/** A claim in hand. */
+export interface HeldClaim {
+  readonly request: ClaimRequest;
+  readonly version: number;
+}
+
+/** Rounds of reading and inserting before a contended claim is given up. */
+const MAX_ROUNDS = 8;
+
+/**
+ * Says what a row means for a request that wants its key.
+ * @returns undefined when the key can be claimed at the row's version
+ */
+export function readClaim(
+  row: ClaimRow | undefined,
+  request: ClaimRequest,
+): ClaimVerdict | undefined {
+  if (row === undefined) return undefined;
+  if (row.state === ClaimState.Running && row.attempt === request.attempt) return ClaimVerdict.Held;
+  if (row.digest !== request.digest) return ClaimVerdict.Mismatch;
+  if (row.state === ClaimState.Done) return ClaimVerdict.Replay;
+  if (row.state === ClaimState.Running) return ClaimVerdict.Running;
+  return undefined;
+}
+
+/** Makes, completes and releases claims in the table service. A claim is never taken over. */
+export class ClaimDriver {
+  public constructor(
+    private readonly ports: SettlePorts,
+    private readonly holder: string,
+    private readonly timeLimitMs: number,
+  ) {}
+
+  /** Claims a key before dispatch. */
+  public async claim(request: ClaimRequest): Promise<ClaimAnswer> {
+    for (let round = 0; round < MAX_ROUNDS; round += 1) {
+      const answer = await this.claimOnce(request);
+      if (answer !== undefined) return answer;
+    }
+    return { verdict: ClaimVerdict.NotMade, version: 0 };
+  }
+
+  /** Reads what is recorded of a key; rejects while the table service is down. */
+  public async look(request: ClaimRequest): Promise<ClaimRow | undefined> {
+    const [row] = await this.ports.table.read([claimKey(request.account, request.key)]);
+    return row?.value as ClaimRow | undefined;
+  }
+
+  /**
+   * Stores the answer of a claim in hand.
+   * @returns false when the table service stayed silent or another write came first
+   */
+  public complete(claim: HeldClaim, answer: StoredAnswer): Promise<boolean> {
+    return this.finish(claim, ClaimState.Done, answer);
+  }
+
+  /**
+   * Releases a claim whose request was never dispatched.
+   * @returns whether the release landed; only then may the key be claimed again
+   */
+  public release(claim: HeldClaim): Promise<boolean> {
+    return this.finish(claim, ClaimState.Released);
+  }
+
+  private async claimOnce(request: ClaimRequest): Promise<ClaimAnswer | undefined> {
+    let row: Row | undefined;
+    try {
+      [row] = await this.ports.table.read([claimKey(request.account, request.key)]);
+    } catch {
+      return { verdict: ClaimVerdict.NotMade, version: 0 };
+    }
+    const current = row?.value as ClaimRow | undefined;
+    const verdict = readClaim(current, request);
+    if (verdict !== undefined)
+      return { verdict, version: row?.version ?? 0, ...(current && { row: current }) };
+    const settled = await writeSettled(this.ports, this.claimWrite(request, row), this.timeLimitMs);
+    if (settled.settlement === Settlement.Cancelled)
+      return { verdict: ClaimVerdict.NotMade, version: 0 };
+    if (settled.settlement === Settlement.Unknown)
+      return { verdict: ClaimVerdict.Silent, version: 0 };
+    // Committed: the next round reads the version. Conflict: the next round reads the winner.
+    return undefined;
+  }
+
+  private claimWrite(request: ClaimRequest, row: Row | undefined): SettledWrite {
+    const key = claimKey(request.account, request.key);
+    const value: ClaimRow = {
+      state: ClaimState.Running,
+      holder: this.holder,
+      attempt: request.attempt,
+      digest: request.digest,
+    };
+    const expectedVersion = row?.version ?? 0;
+    return {
+      transaction: { conditions: [{ key, version: expectedVersion }], writes: [{ key, value }] },
+      marker: key,
+      expectedVersion,
+      isOurs: (found) => (found.value as ClaimRow).attempt === request.attempt,
+      cancelValue: {
+        ...value,
+        state: ClaimState.Released,
+        attempt: `${request.attempt}/cancelled`,
+      } satisfies ClaimRow,
+    };
+  }
+
+  private async finish(
+    claim: HeldClaim,
+    state: ClaimState,
+    answer?: StoredAnswer,
+  ): Promise<boolean> {
+    const { request, version } = claim;
+    const key = claimKey(request.account, request.key);
+    const value: ClaimRow = {
+      state,
+      holder: this.holder,
+      attempt: request.attempt,
+      digest: request.digest,
+      ...(answer && { answer }),
+    };
+    const settled = await writeSettled(
+      this.ports,
+      {
+        transaction: { conditions: [{ key, version }], writes: [{ key, value }] },
+        marker: key,
+        expectedVersion: version,
+        isOurs: (found) => (found.value as ClaimRow).state === state,
+        // Settling repeats the same write: both copies mean the same.
+        cancelValue: value,
+      },
+      this.timeLimitMs,
+    );
+    return (
+      settled.settlement === Settlement.Committed || settled.settlement === Settlement.Cancelled
+    );
+  }
+}
--- /dev/null
+++ b/src/core/gossip/Gossip.ts
@@ -0,0 +1,173 @@
+/** Exchanges state with one peer at a time. */
+import type { Clock, Disposable, InstanceList } from '../../ports/Types.js';
+import type { PeerExchange, PeerLink, PeerState } from '../../ports/Peer.js';
+import type { AccountLimiter } from '../limits/AccountLimiter.js';
+import type { ServerHealth } from '../membership/ServerHealth.js';
+import type { LoadTable } from '../routing/LoadTable.js';
+import type { Configuration } from '../tickets/Configuration.js';
+import type { TicketFeed } from '../tickets/TicketFeed.js';
+import type { KnownPeer, Peers } from './Peers.js';
+
+/** What gossip works with. */
+export interface GossipParts {
+  readonly clock: Clock;
+  readonly link: PeerLink;
+  readonly list: InstanceList;
+  readonly peers: Peers;
+  readonly configuration: Configuration;
+  readonly feed: TicketFeed;
+  readonly load: LoadTable;
+  readonly health: ServerHealth;
+  readonly limiter: AccountLimiter;
+  readonly identity: Pick<PeerState, 'instance' | 'incarnation' | 'failureDomain'> & {
+    address: string;
+  };
+  readonly isLeaving: () => boolean;
+  readonly log: (message: string) => void;
+}
+
+/** Time between exchanges with peers at home, in milliseconds. */
+export const EXCHANGE_MS = 500;
+
+/** Every so many exchanges another one goes to a peer elsewhere. */
+const ELSEWHERE_EVERY = 2;
+
+/** Time between reads of the platform's list, in milliseconds. */
+const LIST_MS = 1000;
+
+/** Tickets passed on in one exchange. */
+const MAX_TICKETS = 16;
+
+/** A peer behind by more than this loads a snapshot. */
+const SNAPSHOT_LAG = 256;
+
+export class Gossip {
+  private readonly timers: Disposable[] = [];
+
+  private disposed = false;
+
+  private rounds = 0;
+
+  public constructor(private readonly parts: GossipParts) {}
+
+  /** Starts exchanging. */
+  public start(): void {
+    this.repeat(LIST_MS, () => this.readList());
+    this.repeat(EXCHANGE_MS, () => this.round());
+  }
+
+  public dispose(): void {
+    this.disposed = true;
+    for (const timer of this.timers) timer.dispose();
+  }
+
+  /** What this instance says of itself. */
+  public state(): PeerState {
+    const now = this.parts.clock.now();
+    const { identity } = this.parts;
+    return {
+      ...identity,
+      applied: this.parts.configuration.number,
+      headAgeMs: this.parts.feed.headAgeMs,
+      ready: this.parts.feed.isReady,
+      leaving: this.parts.isLeaving(),
+      guarantee: this.parts.limiter.guarantee,
+      busy: [...this.parts.load.own()].map(([server, busyMs]) => ({ server, busyMs })),
+      marks: this.parts.health.list(now),
+      demands: this.parts.limiter.demands(now),
+      heirs: this.parts.peers.heirList(),
+    };
+  }
+
+  /** Answers a peer's exchange. */
+  public answer(message: PeerExchange): PeerExchange {
+    this.take(message);
+    return {
+      state: this.state(),
+      tickets: this.parts.feed.after(message.state.applied, MAX_TICKETS),
+    };
+  }
+
+  /** Exchanges with one peer now. */
+  public async exchangeWith(peer: KnownPeer): Promise<void> {
+    const now = this.parts.clock.now();
+    const known = this.parts.peers.find(peer.name) ?? peer;
+    known.triedAt = now;
+    const tickets =
+      peer.state === undefined ? [] : this.parts.feed.after(peer.state.applied, MAX_TICKETS);
+    try {
+      const reply = await this.parts.link.exchange(peer.address, { state: this.state(), tickets });
+      this.take(reply);
+      if (reply.state.applied - this.parts.configuration.number > SNAPSHOT_LAG) {
+        this.parts.feed.takeSnapshot(await this.parts.link.snapshot(peer.address));
+      }
+    } catch {
+      this.parts.load.forget(peer.name);
+    }
+  }
+
+  /** Sends the state to every peer heard of lately; for news that must not wait. */
+  public async broadcast(): Promise<void> {
+    const live = this.parts.peers.live(this.parts.clock.now());
+    await Promise.all(live.map((peer) => this.exchangeWith(peer)));
+  }
+
+  /** Reads the platform's list once. */
+  public async readList(): Promise<void> {
+    try {
+      this.parts.peers.takeList(await this.parts.list.list(), this.parts.clock.now());
+    } catch {
+      this.parts.log('The platform gives no instance list; the known peers stay.');
+    }
+  }
+
+  private take(message: PeerExchange): void {
+    const now = this.parts.clock.now();
+    const { state } = message;
+    if (state.instance === this.parts.identity.instance) return;
+    this.parts.peers.hear(state, now);
+    this.parts.feed.take(message.tickets);
+    if (state.ready) this.parts.feed.hearHead(state.applied, state.headAgeMs);
+    this.parts.load.hear(
+      state.instance,
+      new Map(state.busy.map(({ server, busyMs }) => [server, busyMs])),
+      now,
+    );
+    for (const { server, mark, remainingMs } of state.marks)
+      this.parts.health.mark(server, mark, now, remainingMs);
+    this.parts.limiter.hear(state.instance, state.guarantee, state.demands, now);
+    this.refreshShares(now);
+  }
+
+  private refreshShares(now: number): void {
+    const { peers, identity, limiter } = this.parts;
+    limiter.setContext({
+      domains: peers.domains(identity.failureDomain),
+      homeInstances: 1 + peers.liveIn(identity.failureDomain, now),
+    });
+  }
+
+  private async round(): Promise<void> {
+    this.rounds += 1;
+    this.refreshShares(this.parts.clock.now());
+    const home = this.parts.peers.nextPartner(this.parts.identity.failureDomain, true);
+    const elsewhere =
+      this.rounds % ELSEWHERE_EVERY === 0 || home === undefined
+        ? this.parts.peers.nextPartner(this.parts.identity.failureDomain, false)
+        : undefined;
+    for (const partner of [home, elsewhere]) {
+      if (partner !== undefined) this.exchangeWith(partner);
+    }
+  }
+
+  private repeat(everyMs: number, action: () => Promise<void>): void {
+    const index = this.timers.length;
+    const run = () => {
+      if (this.disposed) return;
+      action();
+      this.timers[index] = this.parts.clock.schedule(everyMs, run);
+    };
+    this.timers.push({ dispose: () => {} });
+    run();
+  }
+}
--- /dev/null
+++ b/src/core/limits/AccountLimiter.ts
@@ -0,0 +1,190 @@
+/** Holds an account's rate and concurrency over all instances without a shared counter. */
+import { RefusalReason } from '../Outcome.js';
+
+/** An account's use at one instance. */
+export interface AccountDemand {
+  readonly account: string;
+  /** Requests a second that callers want. */
+  readonly rate: number;
+  /** Requests in progress and refused for concurrency lately. */
+  readonly inFlight: number;
+}
+
+/** An instance's place among those that share a limit. */
+export interface ShareContext {
+  /** Failure domains that have instances, cut off or not. */
+  readonly domains: number;
+  /** Live instances in the own failure domain. */
+  readonly homeInstances: number;
+}
+
+/** Limits over all instances. */
+export interface AccountLimit {
+  readonly requestsPerSecond: number;
+  readonly concurrency: number;
+}
+
+interface PeerDemand {
+  readonly at: number;
+  readonly guarantee: number;
+  readonly demands: ReadonlyMap<string, AccountDemand>;
+}
+
+interface AccountUse {
+  tokens: number;
+  refilledAt: number;
+  inFlight: number;
+  wantedRate: number;
+  wantedInFlight: number;
+  arrivals: number;
+  windowStart: number;
+}
+
+/** A peer's demand report lends its spare share for this long, in milliseconds. */
+export const LENT_SHARE_MS = 3000;
+
+/** Window over which arrivals are counted, in milliseconds. */
+const WINDOW_MS = 500;
+
+/** Spare that an owner keeps for itself, as a multiple of its demand. */
+const OWNER_HEADROOM = 1.2;
+
+/** Rate tokens that may be saved up, in seconds of the share. */
+const BURST_S = 1;
+
+type Quantity = (demand: AccountDemand) => number;
+
+const rateOf: Quantity = (demand) => demand.rate;
+const inFlightOf: Quantity = (demand) => demand.inFlight;
+
+export class AccountLimiter {
+  private readonly peers = new Map<string, PeerDemand>();
+
+  private readonly uses = new Map<string, AccountUse>();
+
+  public constructor(private context: ShareContext) {}
+
+  public setContext(context: ShareContext): void {
+    this.context = context;
+  }
+
+  /** Fraction of every limit that this instance owns. */
+  public get guarantee(): number {
+    return 1 / (Math.max(1, this.context.domains) * Math.max(1, this.context.homeInstances));
+  }
+
+  /** Takes a peer's demand report. */
+  public hear(
+    peer: string,
+    guarantee: number,
+    demands: readonly AccountDemand[],
+    now: number,
+  ): void {
+    const byAccount = new Map(demands.map((demand) => [demand.account, demand]));
+    this.peers.set(peer, { at: now, guarantee, demands: byAccount });
+  }
+
+  /**
+   * Takes a place for one request.
+   * @returns why the request is refused, or undefined when it has its place
+   */
+  public enter(account: string, limit: AccountLimit, now: number): RefusalReason | undefined {
+    const use = this.use(account, limit, now);
+    this.countArrival(use, now);
+    const places = Math.max(
+      1,
+      this.share(account, limit.concurrency, inFlightOf, use.wantedInFlight, now),
+    );
+    if (use.inFlight + 1 > places) {
+      use.wantedInFlight = Math.max(use.wantedInFlight, use.inFlight + 1);
+      return RefusalReason.ConcurrencyLimited;
+    }
+    const rate = this.share(account, limit.requestsPerSecond, rateOf, use.wantedRate, now);
+    use.tokens = Math.min(
+      Math.max(1, rate * BURST_S),
+      use.tokens + ((now - use.refilledAt) / 1000) * rate,
+    );
+    use.refilledAt = now;
+    if (use.tokens < 1) return RefusalReason.RateLimited;
+    use.tokens -= 1;
+    use.inFlight += 1;
+    use.wantedInFlight = Math.max(use.wantedInFlight, use.inFlight);
+    return undefined;
+  }
+
+  /** Frees the place of a request that `enter` let in. */
+  public leave(account: string): void {
+    const use = this.uses.get(account);
+    if (use !== undefined) use.inFlight = Math.max(0, use.inFlight - 1);
+  }
+
+  /** Demand of every account in use, for the peers. Idle accounts are forgotten. */
+  public demands(now: number): AccountDemand[] {
+    const found: AccountDemand[] = [];
+    for (const [account, use] of this.uses) {
+      this.rollWindow(use, now);
+      if (use.inFlight === 0 && use.wantedRate < 0.01) {
+        this.uses.delete(account);
+        continue;
+      }
+      found.push({ account, rate: use.wantedRate, inFlight: use.wantedInFlight });
+      use.wantedInFlight = use.inFlight;
+    }
+    return found;
+  }
+
+  /** This instance's part of a limit: its guarantee less what it lends, plus what it borrows. */
+  private share(
+    account: string,
+    limit: number,
+    quantity: Quantity,
+    wanted: number,
+    now: number,
+  ): number {
+    const own = limit * this.guarantee;
+    let spare = 0;
+    let excess = 0;
+    for (const peer of this.peers.values()) {
+      if (now - peer.at > LENT_SHARE_MS) continue;
+      const theirs = limit * peer.guarantee;
+      const demand = peer.demands.get(account);
+      const needed = demand === undefined ? 0 : quantity(demand) * OWNER_HEADROOM;
+      spare += Math.max(0, theirs - needed);
+      excess += Math.max(0, needed - theirs);
+    }
+    const ownExcess = Math.max(0, wanted * OWNER_HEADROOM - own);
+    if (ownExcess === 0) return own;
+    return own + spare * (ownExcess / (ownExcess + excess));
+  }
+
+  private use(account: string, limit: AccountLimit, now: number): AccountUse {
+    let use = this.uses.get(account);
+    if (use === undefined) {
+      const tokens = Math.max(1, limit.requestsPerSecond * this.guarantee * BURST_S);
+      use = {
+        tokens,
+        refilledAt: now,
+        inFlight: 0,
+        wantedRate: 0,
+        wantedInFlight: 0,
+        arrivals: 0,
+        windowStart: now,
+      };
+      this.uses.set(account, use);
+    }
+    return use;
+  }
+
+  private countArrival(use: AccountUse, now: number): void {
+    this.rollWindow(use, now);
+    use.arrivals += 1;
+  }
+
+  private rollWindow(use: AccountUse, now: number): void {
+    const elapsed = now - use.windowStart;
+    if (elapsed < WINDOW_MS) return;
+    use.wantedRate = (use.wantedRate + (use.arrivals * 1000) / elapsed) / 2;
+    use.arrivals = 0;
+    use.windowStart = now;
+  }
+}
--- /dev/null
+++ b/src/core/membership/Prober.ts
@@ -0,0 +1,88 @@
+/** Probes this instance's share of the servers, takes their load reports and finds suspects. */
+import type { Clock, Disposable } from '../../ports/Types.js';
+import type { LoadTable } from '../routing/LoadTable.js';
+import type { Engine } from '../streams/Types.js';
+import type { Configuration } from '../tickets/Configuration.js';
+import { ObjectKind } from '../tickets/Types.js';
+import { ServerMark, type ServerHealth } from './ServerHealth.js';
+
+/** What the prober works with. */
+export interface ProberParts {
+  readonly clock: Clock;
+  readonly engine: Engine;
+  readonly configuration: Configuration;
+  readonly load: LoadTable;
+  readonly health: ServerHealth;
+  /** Whether this instance probes a server of a failure domain. */
+  readonly isMine: (server: string, failureDomain: string) => boolean;
+  readonly log: (message: string) => void;
+}
+
+/** Time between two probes of a server, in milliseconds. */
+const PROBE_EVERY_MS = 1000;
+
+/** A suspect is probed back in this often, in milliseconds. */
+const SUSPECT_EVERY_MS = 500;
+
+const PROBE_TIMEOUT_MS = 800;
+
+/** Probes that must fail in a row before a server is suspect. */
+const FAILURES_TO_SUSPECT = 2;
+
+export class Prober {
+  private readonly failures = new Map<string, number>();
+
+  private readonly probing = new Set<string>();
+
+  private timer: Disposable | undefined;
+
+  private rounds = 0;
+
+  public constructor(private readonly parts: ProberParts) {}
+
+  public start(): void {
+    this.round();
+  }
+
+  public dispose(): void {
+    this.timer?.dispose();
+  }
+
+  private round(): void {
+    this.rounds += 1;
+    const now = this.parts.clock.now();
+    const everyServer = this.rounds % (PROBE_EVERY_MS / SUSPECT_EVERY_MS) === 0;
+    for (const { name, state } of this.parts.configuration.list(ObjectKind.BackendServer)) {
+      const suspect = this.parts.health.markOf(name, now) === ServerMark.Suspect;
+      if (suspect || (everyServer && this.parts.isMine(name, state.failureDomain)))
+        this.probe(name, state.address);
+    }
+    this.timer = this.parts.clock.schedule(SUSPECT_EVERY_MS, () => this.round());
+  }
+
+  private async probe(server: string, address: string): Promise<void> {
+    if (this.probing.has(server)) return;
+    this.probing.add(server);
+    try {
+      const report = await this.parts.engine.probe(address, PROBE_TIMEOUT_MS);
+      this.failures.delete(server);
+      this.parts.health.clearSuspect(server);
+      this.parts.load.report(server, report.busyMs, this.parts.clock.now());
+      if (report.leaving)
+        this.parts.health.mark(server, ServerMark.Leaving, this.parts.clock.now());
+    } catch {
+      this.countFailure(server);
+    } finally {
+      this.probing.delete(server);
+    }
+  }
+
+  private countFailure(server: string): void {
+    const count = (this.failures.get(server) ?? 0) + 1;
+    this.failures.set(server, count);
+    if (count < FAILURES_TO_SUSPECT) return;
+    if (count === FAILURES_TO_SUSPECT)
+      this.parts.log(`Server ${server} does not answer; it is suspect.`);
+    this.parts.health.mark(server, ServerMark.Suspect, this.parts.clock.now());
+  }
+}
--- /dev/null
+++ b/src/core/requests/CompletionDesk.ts
@@ -0,0 +1,255 @@
+/** Takes completion requests through limits and admission into a stream session. */
+import type { Clock, Disposable } from '../../ports/Types.js';
+import { Admission, type Applicant } from '../admission/Admission.js';
+import type { AccountLimiter } from '../limits/AccountLimiter.js';
+import type { RetryBudget } from '../limits/RetryBudget.js';
+import { Outcome, refusal, RefusalReason, type Refusal } from '../Outcome.js';
+import { planFlow } from '../routing/FlowPlan.js';
+import type { Topology } from '../routing/Topology.js';
+import { PendingRequest } from './PendingRequest.js';
+import {
+  StreamSession,
+  type AnswerListener,
+  type SessionPorts,
+  type StreamRequest,
+} from '../streams/StreamSession.js';
+import type { FinishReason } from '../streams/Types.js';
+import type { Configuration } from '../tickets/Configuration.js';
+import { ObjectKind, type Pipeline } from '../tickets/Types.js';
+
+/** A completion as a caller asks for it. */
+export interface CompletionRequest {
+  readonly id: string;
+  readonly account: string;
+  readonly pipeline: string;
+  readonly prompt: string;
+  /** Tokens wanted; 0 for the pipeline's most. */
+  readonly maxTokens: number;
+  readonly priority: number;
+  /** Size of the request, in bytes. */
+  readonly bytes: number;
+}
+
+/** Listens to an answer; `onDispatch` comes before anything of the request can run. */
+export interface CompletionListener extends AnswerListener {
+  onDispatch(): void;
+}
+
+/** What the desk works with. */
+export interface DeskParts {
+  readonly session: SessionPorts;
+  readonly clock: Clock;
+  readonly configuration: Configuration;
+  readonly topology: Topology;
+  readonly limiter: AccountLimiter;
+  readonly budget: RetryBudget;
+  /** Live instances that share the pipelines with this one, itself included. */
+  readonly instances: () => number;
+}
+
+const MAX_QUEUED = 2000;
+const MAX_QUEUED_BYTES = 64 * 1024 * 1024;
+
+/** Running streams beyond the ideal number keep servers busy while others wait at a stage. */
+const CONCURRENCY_HEADROOM = 1.25;
+
+/** Minimum of running streams an instance may have. */
+const MIN_CONCURRENCY = 4;
+
+interface PipelineQueue {
+  readonly admission: Admission;
+  /** Ticket for which the concurrency was computed. */
+  number: number;
+  instances: number;
+  tokensPerMs: number;
+}
+
+export class CompletionDesk {
+  private readonly queues = new Map<string, PipelineQueue>();
+
+  private readonly sessions = new Set<StreamSession>();
+
+  private open = 0;
+
+  public constructor(private readonly parts: DeskParts) {}
+
+  /** Requests queued and running. */
+  public get active(): number {
+    return this.open;
+  }
+
+  /** Queue lengths by pipeline. */
+  public queueLengths(): { pipeline: string; waiting: number; running: number }[] {
+    return [...this.queues].map(([pipeline, { admission }]) => ({
+      pipeline,
+      waiting: admission.waiting,
+      running: admission.running,
+    }));
+  }
+
+  /**
+   * Takes a request.
+   * @returns a handle that cancels the request when its caller is gone
+   */
+  public submit(request: CompletionRequest, listener: CompletionListener): Disposable {
+    const pipeline = this.parts.configuration.state(ObjectKind.Pipeline, request.pipeline);
+    const account = this.parts.configuration.state(ObjectKind.ClientAccount, request.account);
+    const refused = this.refuseEarly(request, pipeline, account !== undefined);
+    if (refused !== undefined || pipeline === undefined || account === undefined) {
+      if (refused !== undefined) listener.onRefusal(refused);
+      return { dispose: () => {} };
+    }
+    const now = this.parts.clock.now();
+    const limited = this.parts.limiter.enter(request.account, account, now);
+    if (limited !== undefined) {
+      listener.onRefusal(
+        refusal(
+          Outcome.NotRun,
+          limited,
+          `Account ${request.account} is at its limit. Send the request again after the time in Retry-After.`,
+        ),
+      );
+      return { dispose: () => {} };
+    }
+    return this.enqueue(request, pipeline, account.weight, listener);
+  }
+
+  /** Moves every stream that uses a leaving server to another route. */
+  public moveFrom(server: string): void {
+    for (const session of [...this.sessions]) session.moveFrom(server);
+  }
+
+  private refuseEarly(
+    request: CompletionRequest,
+    pipeline: Pipeline | undefined,
+    knownAccount: boolean,
+  ): Refusal | undefined {
+    if (pipeline === undefined) {
+      return refusal(
+        Outcome.NotRun,
+        RefusalReason.UnknownPipeline,
+        `No pipeline is named ${request.pipeline}. Name one from GET /v1/models.`,
+      );
+    }
+    if (!knownAccount) {
+      return refusal(
+        Outcome.NotRun,
+        RefusalReason.Unauthorized,
+        'The account is gone. Ask your operators for a key.',
+      );
+    }
+    return undefined;
+  }
+
+  private enqueue(
+    request: CompletionRequest,
+    pipeline: Pipeline,
+    weight: number,
+    listener: CompletionListener,
+  ): Disposable {
+    const now = this.parts.clock.now();
+    const maxTokens =
+      request.maxTokens > 0 ? Math.min(request.maxTokens, pipeline.maxTokens) : pipeline.maxTokens;
+    const { admission } = this.queueOf(request.pipeline, pipeline);
+    const applicant: Applicant = {
+      ...request,
+      weight,
+      deadline: now + pipeline.deadlineMs,
+      cost: maxTokens,
+      runMs: 0,
+    };
+    this.open += 1;
+    const end = () => {
+      this.open -= 1;
+      this.parts.limiter.leave(request.account);
+    };
+    const handle = new PendingRequest(() => {
+      admission.withdraw(applicant);
+      end();
+      listener.onRefusal(
+        refusal(
+          Outcome.NotRun,
+          RefusalReason.CallerGone,
+          'The caller hung up. Send the request again.',
+        ),
+      );
+    });
+    const streamRequest: StreamRequest = {
+      ...request,
+      maxTokens,
+      layers: pipeline.layers,
+      idempotent: pipeline.idempotent,
+      deadline: applicant.deadline,
+    };
+    const refused = admission.submit(applicant, () =>
+      this.run(streamRequest, handle, listener, end),
+    );
+    if (refused !== undefined) {
+      end();
+      listener.onRefusal(refused);
+    }
+    return handle;
+  }
+
+  private run(
+    request: StreamRequest,
+    handle: PendingRequest,
+    listener: CompletionListener,
+    end: () => void,
+  ): Promise<void> {
+    if (handle.gone) return Promise.resolve();
+    return new Promise((resolve) => {
+      let session: StreamSession | undefined;
+      const finish = () => {
+        if (session !== undefined) this.sessions.delete(session);
+        end();
+        resolve();
+      };
+      session = new StreamSession(this.parts.session, request, {
+        onToken: (text, index) => listener.onToken(text, index),
+        onEnd: (reason: FinishReason, tokens) => {
+          this.parts.budget.succeed(`${request.account}/${request.pipeline}`);
+          finish();
+          listener.onEnd(reason, tokens);
+        },
+        onRefusal: (refused) => {
+          finish();
+          listener.onRefusal(refused);
+        },
+      });
+      handle.session = session;
+      this.sessions.add(session);
+      listener.onDispatch();
+      session.start();
+    });
+  }
+
+  private queueOf(name: string, pipeline: Pipeline): PipelineQueue {
+    let queue = this.queues.get(name);
+    if (queue === undefined) {
+      const bounds = { maxEntries: MAX_QUEUED, maxBytes: MAX_QUEUED_BYTES };
+      queue = {
+        admission: new Admission(MIN_CONCURRENCY, bounds, () => this.parts.clock.now()),
+        number: -1,
+        instances: 0,
+        tokensPerMs: 0,
+      };
+      this.queues.set(name, queue);
+    }
+    this.resize(name, pipeline, queue);
+    return queue;
+  }
+
+  /** Sets the running streams so that, by Little's law, the servers' token rate gives the wanted gap. */
+  private resize(name: string, pipeline: Pipeline, queue: PipelineQueue): void {
+    const { number } = this.parts.configuration;
+    const instances = this.parts.instances();
+    if (queue.number === number && queue.instances === instances) return;
+    if (queue.number !== number)
+      queue.tokensPerMs = planFlow(this.parts.topology.of(name), pipeline.layers).tokensPerMs;
+    queue.number = number;
+    queue.instances = instances;
+    const streams = (queue.tokensPerMs * pipeline.tokenGapMs * CONCURRENCY_HEADROOM) / instances;
+    queue.admission.setConcurrency(Math.max(MIN_CONCURRENCY, streams));
+  }
+}
--- /dev/null
+++ b/src/core/requests/PlainDesk.ts
@@ -0,0 +1,222 @@
+/** Sends calls to plain services, never repeating one that may not be repeated. */
+import { Failure, FailureKind } from '../Failure.js';
+import type { Clock, Random } from '../../ports/Types.js';
+import type { AccountLimiter } from '../limits/AccountLimiter.js';
+import type { RetryBudget } from '../limits/RetryBudget.js';
+import { ServerMark, type ServerHealth } from '../membership/ServerHealth.js';
+import { Outcome, refusal, RefusalReason, RetryReason, type Refusal } from '../Outcome.js';
+import type { Configuration } from '../tickets/Configuration.js';
+import {
+  ObjectKind,
+  type BackendServer,
+  type ObjectInForce,
+  type PlainService,
+} from '../tickets/Types.js';
+import type { PlainCall, PlainResponse, PlainTransport } from './PlainTransport.js';
+
+/** A call as its caller makes it. */
+export interface PlainRequest {
+  readonly account: string;
+  readonly service: string;
+  readonly call: Omit<PlainCall, 'timeoutMs'>;
+  /** Path below the service, without query. */
+  readonly servicePath: string;
+}
+
+/** What a call came to. Exactly one of the two is set. */
+export interface PlainResult {
+  readonly response?: PlainResponse;
+  readonly refusal?: Refusal;
+  readonly server?: string;
+}
+
+/** What the desk works with. */
+export interface PlainParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly configuration: Configuration;
+  readonly transport: PlainTransport;
+  readonly limiter: AccountLimiter;
+  readonly budget: RetryBudget;
+  readonly health: ServerHealth;
+  readonly homeDomain: string;
+  readonly countRetry: (reason: RetryReason) => void;
+}
+
+type Server = ObjectInForce<ObjectKind.BackendServer>;
+
+/** Whether a call may be repeated. Calls that no rule names may not. */
+export function isRepeatable(service: PlainService, method: string, path: string): boolean {
+  for (const rule of service.rules) {
+    if (rule.method === method && path.startsWith(rule.path)) return rule.repeatable;
+  }
+  return false;
+}
+
+export class PlainDesk {
+  private readonly inFlight = new Map<string, number>();
+
+  private open = 0;
+
+  public constructor(private readonly parts: PlainParts) {}
+
+  /** Calls in progress. */
+  public get active(): number {
+    return this.open;
+  }
+
+  /**
+   * Sends a call.
+   * @param whole - reads the response while the call still counts as in progress
+   */
+  public async send(
+    request: PlainRequest,
+    whole: (result: PlainResult) => Promise<void>,
+  ): Promise<void> {
+    const refused = this.enter(request);
+    if (refused !== undefined) {
+      await whole({ refusal: refused });
+      return;
+    }
+    this.open += 1;
+    try {
+      await whole(await this.trySend(request));
+    } finally {
+      this.open -= 1;
+      this.parts.limiter.leave(request.account);
+    }
+  }
+
+  private enter(request: PlainRequest): Refusal | undefined {
+    const { configuration, limiter, clock } = this.parts;
+    if (configuration.state(ObjectKind.PlainService, request.service) === undefined) {
+      return refusal(
+        Outcome.NotRun,
+        RefusalReason.UnknownService,
+        `No service is named ${request.service}. Check the path.`,
+      );
+    }
+    const account = configuration.state(ObjectKind.ClientAccount, request.account);
+    if (account === undefined) {
+      return refusal(
+        Outcome.NotRun,
+        RefusalReason.Unauthorized,
+        'The account is gone. Ask your operators for a key.',
+      );
+    }
+    const limited = limiter.enter(request.account, account, clock.now());
+    if (limited === undefined) return undefined;
+    return refusal(
+      Outcome.NotRun,
+      limited,
+      `Account ${request.account} is at its limit. Send the request again after the time in Retry-After.`,
+    );
+  }
+
+  private async trySend(request: PlainRequest): Promise<PlainResult> {
+    const service = this.parts.configuration.state(
+      ObjectKind.PlainService,
+      request.service,
+    ) as PlainService;
+    const repeatable =
+      isRepeatable(service, request.call.method, request.servicePath) &&
+      request.call.body instanceof Uint8Array;
+    const tried = new Set<string>();
+    let lastLost: string | undefined;
+    for (;;) {
+      const server = this.choose(request.service, tried);
+      if (server === undefined) return { refusal: this.exhausted(request, lastLost) };
+      tried.add(server.name);
+      const result = await this.sendTo(server, request, service);
+      if (result instanceof Failure) {
+        this.parts.health.mark(server.name, ServerMark.Suspect, this.parts.clock.now());
+        if (result.kind === FailureKind.NotConnected) {
+          this.parts.countRetry(RetryReason.NotConnected);
+          continue;
+        }
+        lastLost = server.name;
+        if (!repeatable || !this.parts.budget.take(`${request.account}/${request.service}`)) {
+          return { refusal: this.lost(server.name) };
+        }
+        this.parts.countRetry(RetryReason.Reset);
+        continue;
+      }
+      if (result.notRun && request.call.body instanceof Uint8Array) {
+        this.parts.health.mark(server.name, ServerMark.Leaving, this.parts.clock.now());
+        this.parts.countRetry(RetryReason.Leaving);
+        continue;
+      }
+      this.parts.budget.succeed(`${request.account}/${request.service}`);
+      return { response: result, server: server.name };
+    }
+  }
+
+  private async sendTo(
+    server: Server,
+    request: PlainRequest,
+    service: PlainService,
+  ): Promise<PlainResponse | Failure> {
+    this.inFlight.set(server.name, (this.inFlight.get(server.name) ?? 0) + 1);
+    try {
+      return await this.parts.transport.send(server.state.address, {
+        ...request.call,
+        timeoutMs: service.timeoutMs,
+      });
+    } catch (error) {
+      if (error instanceof Failure) return error;
+      return new Failure(FailureKind.ConnectionLost, String(error));
+    } finally {
+      this.inFlight.set(server.name, (this.inFlight.get(server.name) ?? 1) - 1);
+    }
+  }
+
+  /** The less loaded of two random servers, at home if home has any. */
+  private choose(service: string, tried: ReadonlySet<string>): Server | undefined {
+    const now = this.parts.clock.now();
+    const usable = this.parts.configuration
+      .list(ObjectKind.BackendServer)
+      .filter((server) => this.isUsable(server, service, tried, now));
+    const home = usable.filter((server) => server.state.failureDomain === this.parts.homeDomain);
+    const pool = home.length > 0 ? home : usable;
+    const first = this.sample(pool);
+    const second = this.sample(pool);
+    if (first === undefined || second === undefined) return first;
+    return this.load(second.name) < this.load(first.name) ? second : first;
+  }
+
+  private isUsable(
+    server: Server,
+    service: string,
+    tried: ReadonlySet<string>,
+    now: number,
+  ): boolean {
+    const state: BackendServer = server.state;
+    if (!state.services.includes(service) || state.leaving || tried.has(server.name)) return false;
+    return this.parts.health.markOf(server.name, now) === undefined;
+  }
+
+  private sample(pool: readonly Server[]): Server | undefined {
+    return pool[Math.floor(this.parts.random.next() * pool.length)];
+  }
+
+  private load(server: string): number {
+    return this.inFlight.get(server) ?? 0;
+  }
+
+  private exhausted(request: PlainRequest, lastLost: string | undefined): Refusal {
+    if (lastLost !== undefined) return this.lost(lastLost);
+    return refusal(
+      Outcome.NotRun,
+      RefusalReason.NoRoute,
+      `No server of ${request.service} can be reached. Send the request again after the time in Retry-After.`,
+    );
+  }
+
+  private lost(server: string): Refusal {
+    return refusal(
+      Outcome.Unknown,
+      RefusalReason.ServerLost,
+      `Server ${server} was lost while the call ran. Look up its effect, or use an Idempotency-Key, before you send it again.`,
+    );
+  }
+}
--- /dev/null
+++ b/src/core/requests/PlainTransport.ts
@@ -0,0 +1,27 @@
+/** The port to plain services. */
+
+/** A call to a plain service, as it is sent to a server. */
+export interface PlainCall {
+  readonly method: string;
+  /** Path with query below the server. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  /** The whole body, or a source that can be read once. */
+  readonly body: Uint8Array | AsyncIterable<Uint8Array>;
+  /** Time limit until the response begins, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** A server's response. */
+export interface PlainResponse {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  readonly body: AsyncIterable<Uint8Array>;
+  /** The server says that it did not run the call. */
+  readonly notRun: boolean;
+}
+
+/** Sends calls to servers. Rejects with `NotConnected` when nothing was sent, else `ConnectionLost`. */
+export interface PlainTransport {
+  send(address: string, call: PlainCall): Promise<PlainResponse>;
+}
--- /dev/null
+++ b/src/core/routing/PipelineRouting.ts
@@ -0,0 +1,117 @@
+import type { Clock } from '../../ports/Types.js';
+import { ServerMark, type ServerHealth } from '../membership/ServerHealth.js';
+import type { RetryBudget } from '../limits/RetryBudget.js';
+import type { Routing, StreamRequest } from '../streams/StreamSession.js';
+import type { Engine } from '../streams/Types.js';
+import type { Configuration } from '../tickets/Configuration.js';
+import { ObjectKind } from '../tickets/Types.js';
+import type { LoadTable } from './LoadTable.js';
+import { planRoute } from './RoutePlanner.js';
+import type { Topology } from './Topology.js';
+import type { Candidate, Route, Stage } from './Types.js';
+
+/** A stage that does not answer a probe within this time is silent, in milliseconds. */
+const PROBE_TIMEOUT_MS = 300;
+
+/** Time to rebuild one layer's KV cache for one position, as a part of its time for one token. */
+const REBUILD_PART = 0.02;
+
+/** Prefill time of one position, as a part of the time of one token. */
+const PREFILL_PART = 0.05;
+
+/** Characters of a prompt for each token, on average. */
+const CHARACTERS_PER_TOKEN = 4;
+
+/** What routing reads and writes. */
+export interface RoutingParts {
+  readonly clock: Clock;
+  readonly engine: Engine;
+  readonly configuration: Configuration;
+  readonly topology: Topology;
+  readonly load: LoadTable;
+  readonly health: ServerHealth;
+  readonly budget: RetryBudget;
+  readonly homeDomain: string;
+}
+
+/** Chooses routes from the configuration, the load and the marks on servers. */
+export class PipelineRouting implements Routing {
+  public constructor(private readonly parts: RoutingParts) {}
+
+  public plan(request: StreamRequest, kept: readonly Stage[]): Route | undefined {
+    const now = this.parts.clock.now();
+    const candidates = this.parts.topology.of(request.pipeline);
+    return planRoute({
+      candidates,
+      layers: request.layers,
+      homeDomain: this.parts.homeDomain,
+      busyMs: (server) => this.parts.load.busyMs(server, now),
+      usable: (server) => this.isUsable(server, now),
+      kept,
+      rebuildLayerMs: REBUILD_PART * this.meanLayerMs(candidates) * this.positions(request),
+    });
+  }
+
+  public begin(request: StreamRequest, route: Route): void {
+    for (const stage of route.stages)
+      this.parts.load.begin(stage, this.layerMs(request.pipeline, stage.server));
+  }
+
+  public end(request: StreamRequest, route: Route): void {
+    for (const stage of route.stages)
+      this.parts.load.end(stage, this.layerMs(request.pipeline, stage.server));
+  }
+
+  public suspect(server: string): void {
+    if (server !== '') this.parts.health.mark(server, ServerMark.Suspect, this.parts.clock.now());
+  }
+
+  public leaving(server: string): void {
+    this.parts.health.mark(server, ServerMark.Leaving, this.parts.clock.now());
+  }
+
+  public async findSilent(stages: readonly Stage[]): Promise<string | undefined> {
+    const answers = await Promise.all(
+      stages.map((stage) =>
+        this.parts.engine.probe(stage.address, PROBE_TIMEOUT_MS).then(
+          () => undefined,
+          () => stage.server,
+        ),
+      ),
+    );
+    for (const server of answers) {
+      if (server !== undefined) return server;
+    }
+    return undefined;
+  }
+
+  public takeRetry(request: StreamRequest): boolean {
+    return this.parts.budget.take(`${request.account}/${request.pipeline}`);
+  }
+
+  public firstTokenMs(request: StreamRequest, route: Route): number {
+    return route.costMs * (1 + PREFILL_PART * this.positions(request));
+  }
+
+  /** Whether a server may get new work. */
+  public isUsable(server: string, now: number): boolean {
+    if (this.parts.health.markOf(server, now) !== undefined) return false;
+    return this.parts.configuration.state(ObjectKind.BackendServer, server)?.leaving === false;
+  }
+
+  private positions(request: StreamRequest): number {
+    return request.prompt.length / CHARACTERS_PER_TOKEN;
+  }
+
+  private layerMs(pipeline: string, server: string): number {
+    const kind =
+      this.parts.configuration.state(ObjectKind.BackendServer, server)?.accelerator ?? '';
+    return this.parts.configuration.state(ObjectKind.Pipeline, pipeline)?.layerMs[kind] ?? 0;
+  }
+
+  private meanLayerMs(candidates: readonly Candidate[]): number {
+    let sum = 0;
+    for (const candidate of candidates) sum += candidate.layerMs;
+    return candidates.length === 0 ? 0 : sum / candidates.length;
+  }
+}
--- /dev/null
+++ b/src/core/routing/RoutePlanner.ts
@@ -0,0 +1,190 @@
+/** Chooses routes by shortest path over layer boundaries. */
+import type { Candidate, Route, RouteQuery, Stage } from './Types.js';
+
+/** One-way time between two failure domains, in milliseconds. */
+const CROSS_DOMAIN_LINK_MS = 0.6;
+
+/** Fixed cost of one more stage, in milliseconds. */
+const HOP_MS = 0.3;
+
+/** A route elsewhere is taken when the home route costs this many times more. */
+const FAR_WORSE = 1.5;
+
+/** Busy time at which a server's layers cost twice their unloaded price, in milliseconds. */
+const PRICE_KNEE_MS = 6;
+
+interface Arrival {
+  cost: number;
+  candidate: Candidate | undefined;
+  fromBoundary: number;
+  previous: Arrival | undefined;
+}
+
+function boundariesOf(query: RouteQuery): number[] {
+  const cuts = new Set<number>([0, query.layers]);
+  for (const candidate of query.candidates) {
+    cuts.add(candidate.from);
+    cuts.add(candidate.to);
+  }
+  return [...cuts].sort((a, b) => a - b);
+}
+
+/**
+ * Price of one layer on a busy server: convex, so that work moves away before a server saturates.
+ * @param busyMs - busy time that the server adds to each token
+ */
+export function layerPrice(layerMs: number, busyMs: number): number {
+  const pressure = busyMs / PRICE_KNEE_MS;
+  return layerMs * (1 + pressure * pressure);
+}
+
+function keptLayers(query: RouteQuery, server: string, from: number, to: number): number {
+  let kept = 0;
+  for (const stage of query.kept) {
+    if (stage.server !== server) continue;
+    kept += Math.max(0, Math.min(to, stage.to) - Math.max(from, stage.from));
+  }
+  return kept;
+}
+
+function stageCost(query: RouteQuery, candidate: Candidate, from: number, to: number): number {
+  const layers = to - from;
+  const busyMs = query.busyMs(candidate.server);
+  const runMs = layers * layerPrice(candidate.layerMs, busyMs) + busyMs;
+  const rebuilt =
+    query.kept.length === 0 ? 0 : layers - keptLayers(query, candidate.server, from, to);
+  return runMs + candidate.linkMs + HOP_MS + rebuilt * query.rebuildLayerMs;
+}
+
+function linkMs(fromDomain: string, toDomain: string): number {
+  return fromDomain === toDomain ? 0 : CROSS_DOMAIN_LINK_MS;
+}
+
+function domainOf(arrival: Arrival, query: RouteQuery): string {
+  return arrival.candidate?.failureDomain ?? query.homeDomain;
+}
+
+function toRoute(last: Arrival, boundaries: readonly number[], end: number): Route {
+  const stages: Stage[] = [];
+  let to = end;
+  let arrival: Arrival | undefined = last;
+  while (arrival?.candidate !== undefined) {
+    const from = boundaries[arrival.fromBoundary];
+    const { server, address } = arrival.candidate;
+    stages.unshift({ server, address, from, to });
+    to = from;
+    arrival = arrival.previous;
+  }
+  return { stages: mergeAdjacent(stages), costMs: last.cost };
+}
+
+function mergeAdjacent(stages: readonly Stage[]): Stage[] {
+  const merged: Stage[] = [];
+  for (const stage of stages) {
+    const last = merged.at(-1);
+    if (last?.server === stage.server) merged[merged.length - 1] = { ...last, to: stage.to };
+    else merged.push(stage);
+  }
+  return merged;
+}
+
+/** Keeps the cheapest arrival for each failure domain, since link cost depends on nothing else. */
+function offer(arrivals: Map<string, Arrival>, domain: string, arrival: Arrival): void {
+  const best = arrivals.get(domain);
+  if (best === undefined || arrival.cost < best.cost) arrivals.set(domain, arrival);
+}
+
+function extend(
+  query: RouteQuery,
+  boundaries: readonly number[],
+  arrivals: Map<string, Arrival>[],
+  index: number,
+  candidate: Candidate,
+): void {
+  const from = boundaries[index];
+  let best: Arrival | undefined;
+  let bestCost = Infinity;
+  for (const arrival of arrivals[index].values()) {
+    const cost = arrival.cost + linkMs(domainOf(arrival, query), candidate.failureDomain);
+    if (cost >= bestCost) continue;
+    bestCost = cost;
+    best = arrival;
+  }
+  if (best === undefined) return;
+  for (let next = index + 1; next < boundaries.length; next += 1) {
+    const to = boundaries[next];
+    if (to > candidate.to) break;
+    offer(arrivals[next], candidate.failureDomain, {
+      cost: bestCost + stageCost(query, candidate, from, to),
+      candidate,
+      fromBoundary: index,
+      previous: best,
+    });
+  }
+}
+
+function shortestPath(query: RouteQuery, candidates: readonly Candidate[]): Route | undefined {
+  const boundaries = boundariesOf(query);
+  const arrivals = boundaries.map(() => new Map<string, Arrival>());
+  offer(arrivals[0], query.homeDomain, {
+    cost: 0,
+    candidate: undefined,
+    fromBoundary: 0,
+    previous: undefined,
+  });
+  for (const [index, boundary] of boundaries.entries()) {
+    for (const candidate of candidates) {
+      if (candidate.from > boundary || candidate.to <= boundary) continue;
+      extend(query, boundaries, arrivals, index, candidate);
+    }
+  }
+  let last: Arrival | undefined;
+  for (const arrival of (arrivals.at(-1) as Map<string, Arrival>).values()) {
+    if (last === undefined || arrival.cost < last.cost) last = arrival;
+  }
+  return last === undefined ? undefined : toRoute(last, boundaries, query.layers);
+}
+
+/**
+ * Plans a route in the home failure domain, or over all domains when home has none or costs far more.
+ * @returns undefined when the usable servers do not cover every layer
+ */
+export function planRoute(query: RouteQuery): Route | undefined {
+  const usable = query.candidates.filter((candidate) => query.usable(candidate.server));
+  const home = usable.filter((candidate) => candidate.failureDomain === query.homeDomain);
+  const homeRoute = home.length === 0 ? undefined : shortestPath(query, home);
+  if (home.length === usable.length) return homeRoute;
+  if (homeRoute !== undefined && homeRoute.costMs <= cheapestCost(query, usable) * FAR_WORSE)
+    return homeRoute;
+  return shortestPath(query, usable) ?? homeRoute;
+}
+
+/** Lower bound of any route's cost: each layer on its cheapest usable server, without links. */
+function cheapestCost(query: RouteQuery, usable: readonly Candidate[]): number {
+  let sum = 0;
+  const boundaries = boundariesOf(query);
+  for (let index = 0; index + 1 < boundaries.length; index += 1) {
+    const from = boundaries[index];
+    const to = boundaries[index + 1];
+    let best = Infinity;
+    for (const candidate of usable) {
+      if (candidate.from > from || candidate.to < to) continue;
+      best = Math.min(
+        best,
+        (to - from) * layerPrice(candidate.layerMs, query.busyMs(candidate.server)),
+      );
+    }
+    sum += best;
+  }
+  return sum;
+}
+
+/** Tells whether stages cover [0, layers) without gap or overlap. */
+export function coversOnce(stages: readonly Stage[], layers: number): boolean {
+  let next = 0;
+  for (const stage of stages) {
+    if (stage.from !== next || stage.to <= stage.from) return false;
+    next = stage.to;
+  }
+  return next === layers;
+}
--- /dev/null
+++ b/src/core/streams/Pace.ts
@@ -0,0 +1,65 @@
+/** Learns the pace of one stream and says when silence means a fault. */
+
+/** Weight of the newest gap. */
+const SMOOTHING = 0.2;
+
+/** A gap this many times the usual one is silence. */
+const SILENCE_FACTOR = 8;
+
+/** Silence is never called earlier, in milliseconds. */
+const MIN_SILENCE_MS = 400;
+
+/** Silence is called at the latest then, in milliseconds. */
+const MAX_SILENCE_MS = 1500;
+
+/** Longest wait for the first token beyond its prediction, in milliseconds. */
+const FIRST_TOKEN_SLACK_MS = 1000;
+
+/** A first token later than this many times its prediction, plus the slack, is silence. */
+const FIRST_TOKEN_FACTOR = 2;
+
+export class Pace {
+  private gapMs = 0;
+
+  private lastAt: number;
+
+  private started = false;
+
+  /** @param predictedFirstMs - predicted time to the first token */
+  public constructor(
+    startedAt: number,
+    private predictedFirstMs: number,
+  ) {
+    this.lastAt = startedAt;
+  }
+
+  /** Records a token. */
+  public token(now: number): void {
+    const gap = now - this.lastAt;
+    if (this.started)
+      this.gapMs = this.gapMs === 0 ? gap : this.gapMs + SMOOTHING * (gap - this.gapMs);
+    this.started = true;
+    this.lastAt = now;
+  }
+
+  /** Starts waiting for the first token of a new epoch. */
+  public restart(now: number, predictedFirstMs: number): void {
+    this.started = false;
+    this.lastAt = now;
+    this.predictedFirstMs = predictedFirstMs;
+  }
+
+  /** Time at which the stream counts as silent. */
+  public silentAt(): number {
+    return this.lastAt + (this.started ? this.silenceMs() : this.firstTokenMs());
+  }
+
+  private silenceMs(): number {
+    if (this.gapMs === 0) return MAX_SILENCE_MS;
+    return Math.min(MAX_SILENCE_MS, Math.max(MIN_SILENCE_MS, this.gapMs * SILENCE_FACTOR));
+  }
+
+  private firstTokenMs(): number {
+    return this.predictedFirstMs * FIRST_TOKEN_FACTOR + FIRST_TOKEN_SLACK_MS;
+  }
+}
--- /dev/null
+++ b/src/core/streams/StreamSession.ts
@@ -0,0 +1,327 @@
+/** Drives one request through a pipeline, over as many routes as it takes. */
+import type { Clock, Disposable } from '../../ports/Types.js';
+import { InvariantKind, type Invariants } from '../Invariant.js';
+import { Outcome, refusal, RefusalReason, RetryReason, type Refusal } from '../Outcome.js';
+import { coversOnce } from '../routing/RoutePlanner.js';
+import type { Route, Stage } from '../routing/Types.js';
+import { Pace } from './Pace.js';
+import { ranOnce, TokenAssembler, TokenVerdict } from './TokenAssembler.js';
+import {
+  EngineFailureKind,
+  type Engine,
+  type EngineFailure,
+  type FinishReason,
+  type TokenFrame,
+} from './Types.js';
+
+/** A request as the session runs it. */
+export interface StreamRequest {
+  readonly id: string;
+  readonly account: string;
+  readonly pipeline: string;
+  readonly layers: number;
+  readonly idempotent: boolean;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly priority: number;
+  /** Clock time by which the answer must be whole. */
+  readonly deadline: number;
+}
+
+/** Receives the answer. Exactly one of `onEnd` and `onRefusal` comes, last. */
+export interface AnswerListener {
+  onToken(text: string, index: number): void;
+  onEnd(finish: FinishReason, tokens: number): void;
+  onRefusal(refusal: Refusal): void;
+}
+
+/** Chooses routes and keeps account of the load they put on servers. */
+export interface Routing {
+  plan(request: StreamRequest, kept: readonly Stage[]): Route | undefined;
+  begin(request: StreamRequest, route: Route): void;
+  end(request: StreamRequest, route: Route): void;
+  /** Records that a server failed. */
+  suspect(server: string): void;
+  /** Records that a server said it is leaving. */
+  leaving(server: string): void;
+  /** Names a stage that does not answer a probe; undefined when all answer. */
+  findSilent(stages: readonly Stage[]): Promise<string | undefined>;
+  takeRetry(request: StreamRequest): boolean;
+  /** Predicted time to the first token on a route, in milliseconds. */
+  firstTokenMs(request: StreamRequest, route: Route): number;
+}
+
+/** Counts what happens to streams. */
+export interface StreamCounters {
+  retry(reason: RetryReason): void;
+  token(verdict: TokenVerdict): void;
+}
+
+/** What a session works with. */
+export interface SessionPorts {
+  readonly clock: Clock;
+  readonly engine: Engine;
+  readonly routing: Routing;
+  readonly counters: StreamCounters;
+  readonly invariants: Invariants;
+}
+
+/** Delay before looking for a route again, in milliseconds. */
+const NO_ROUTE_RETRY_MS = 200;
+
+/** Longest time a request waits for a route to appear, in milliseconds. */
+const MAX_NO_ROUTE_MS = 15_000;
+
+const RETRY_REASON: Readonly<Record<EngineFailureKind, RetryReason>> = {
+  [EngineFailureKind.NotConnected]: RetryReason.NotConnected,
+  [EngineFailureKind.Reset]: RetryReason.Reset,
+  [EngineFailureKind.StageFailed]: RetryReason.StageFailed,
+  [EngineFailureKind.Leaving]: RetryReason.Leaving,
+  [EngineFailureKind.StaleEpoch]: RetryReason.StageFailed,
+};
+
+/** Failures after which nothing of the attempt ran. */
+const NOTHING_RAN: ReadonlySet<EngineFailureKind> = new Set([EngineFailureKind.NotConnected]);
+
+export class StreamSession {
+  private readonly assembler: TokenAssembler;
+
+  private readonly pace: Pace;
+
+  private route: Route | undefined;
+
+  private engineStream: Disposable | undefined;
+
+  private timer: Disposable | undefined;
+
+  private answered = '';
+
+  private mayHaveRun = false;
+
+  private ended = false;
+
+  private noRouteSince = -1;
+
+  public constructor(
+    private readonly ports: SessionPorts,
+    private readonly request: StreamRequest,
+    private readonly listener: AnswerListener,
+  ) {
+    this.pace = new Pace(ports.clock.now(), 0);
+    this.assembler = new TokenAssembler((text, index) => this.deliver(text, index));
+  }
+
+  /** Starts the first attempt. */
+  public start(): void {
+    this.attempt([]);
+  }
+
+  /** Ends the session because its caller is gone. The engine stream is cancelled. */
+  public cancel(): void {
+    const outcome = this.mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
+    this.refuse(
+      refusal(outcome, RefusalReason.CallerGone, 'The caller hung up. Send the request again.'),
+    );
+  }
+
+  /** Servers of the current route. */
+  public get stages(): readonly Stage[] {
+    return this.route?.stages ?? [];
+  }
+
+  /** Moves the stream off a server that is leaving, when its route has that server. */
+  public moveFrom(server: string): void {
+    if (this.ended || !this.request.idempotent) return;
+    if (!this.stages.some((stage) => stage.server === server)) return;
+    this.retry(RetryReason.Leaving, server, false);
+  }
+
+  private attempt(kept: readonly Stage[]): void {
+    if (this.ended || this.passedDeadline()) return;
+    const { clock, routing } = this.ports;
+    const route = routing.plan(this.request, kept);
+    if (route === undefined) {
+      this.waitForRoute(kept);
+      return;
+    }
+    this.noRouteSince = -1;
+    this.ports.invariants.check(
+      InvariantKind.LayersOnce,
+      coversOnce(route.stages, this.request.layers),
+      () => `route of ${this.request.id} does not cover ${this.request.layers} layers once`,
+    );
+    this.route = route;
+    routing.begin(this.request, route);
+    this.pace.restart(clock.now(), routing.firstTokenMs(this.request, route));
+    this.mayHaveRun = true;
+    this.open(route);
+    this.watchSilence();
+  }
+
+  private open(route: Route): void {
+    const { epoch } = this.assembler;
+    const opening = {
+      request: this.request.id,
+      epoch,
+      pipeline: this.request.pipeline,
+      stages: route.stages,
+      prompt: this.request.prompt,
+      resumeAt: this.assembler.next,
+      answered: this.answered,
+      maxTokens: this.request.maxTokens,
+      priority: this.request.priority,
+    };
+    this.engineStream = this.ports.engine.open(opening, {
+      onToken: (frame) => this.take(frame),
+      onEnd: (finish, tokens) => this.finish(epoch, finish, tokens),
+      onFailure: (failure) => this.fail(epoch, failure),
+    });
+  }
+
+  private take(frame: TokenFrame): void {
+    if (this.ended) return;
+    this.ports.invariants.check(
+      InvariantKind.LayersOnce,
+      ranOnce(frame, this.request.layers),
+      () => `token ${frame.index} of ${this.request.id} did not run each layer once`,
+    );
+    const verdict = this.assembler.accept(frame.epoch, frame.index, frame.text);
+    this.ports.counters.token(verdict);
+    if (verdict !== TokenVerdict.StaleEpoch) this.pace.token(this.ports.clock.now());
+  }
+
+  private deliver(text: string, index: number): void {
+    this.answered += text;
+    this.listener.onToken(text, index);
+  }
+
+  private finish(epoch: number, finish: FinishReason, tokens: number): void {
+    if (this.ended || epoch !== this.assembler.epoch) return;
+    if (tokens !== this.assembler.next) {
+      this.fail(epoch, { kind: EngineFailureKind.Reset, server: this.stages[0]?.server ?? '' });
+      return;
+    }
+    this.close();
+    this.listener.onEnd(finish, tokens);
+  }
+
+  private fail(epoch: number, failure: EngineFailure): void {
+    if (this.ended || epoch !== this.assembler.epoch) return;
+    if (NOTHING_RAN.has(failure.kind) && this.assembler.epoch === 1) this.mayHaveRun = false;
+    if (failure.kind === EngineFailureKind.Leaving) this.ports.routing.leaving(failure.server);
+    else if (failure.kind !== EngineFailureKind.StaleEpoch)
+      this.ports.routing.suspect(failure.server);
+    this.retry(
+      RETRY_REASON[failure.kind],
+      failure.server,
+      failure.kind !== EngineFailureKind.Leaving,
+    );
+  }
+
+  private retry(reason: RetryReason, lostServer: string, paid: boolean): void {
+    this.ports.counters.retry(reason);
+    if (this.mayHaveRun && !this.request.idempotent) {
+      this.refuse(
+        refusal(
+          Outcome.Unknown,
+          RefusalReason.ServerLost,
+          `Server ${lostServer} was lost while the request ran. Look up its effect before you send it again.`,
+        ),
+      );
+      return;
+    }
+    if (paid && !this.ports.routing.takeRetry(this.request)) {
+      this.refuse(
+        refusal(
+          this.fateSoFar(),
+          RefusalReason.RetryBudgetSpent,
+          'Too many requests are being retried. Send the request again after the time in Retry-After.',
+        ),
+      );
+      return;
+    }
+    const kept = this.stages.filter((stage) => stage.server !== lostServer);
+    this.release();
+    this.assembler.raiseEpoch();
+    this.attempt(kept);
+  }
+
+  private waitForRoute(kept: readonly Stage[]): void {
+    const now = this.ports.clock.now();
+    if (this.noRouteSince < 0) this.noRouteSince = now;
+    if (now - this.noRouteSince >= MAX_NO_ROUTE_MS) {
+      this.refuse(
+        refusal(
+          this.fateSoFar(),
+          RefusalReason.NoRoute,
+          `No servers cover all layers of ${this.request.pipeline}. Send the request again after the time in Retry-After.`,
+        ),
+      );
+      return;
+    }
+    this.timer?.dispose();
+    this.timer = this.ports.clock.schedule(NO_ROUTE_RETRY_MS, () => this.attempt(kept));
+  }
+
+  private watchSilence(): void {
+    this.timer?.dispose();
+    const now = this.ports.clock.now();
+    const at = Math.min(this.pace.silentAt(), this.request.deadline);
+    this.timer = this.ports.clock.schedule(Math.max(1, at - now), () => this.checkSilence());
+  }
+
+  private checkSilence(): void {
+    if (this.ended || this.passedDeadline()) return;
+    if (this.ports.clock.now() < this.pace.silentAt()) {
+      this.watchSilence();
+      return;
+    }
+    const { epoch } = this.assembler;
+    const { next } = this.assembler;
+    const { stages } = this;
+    this.ports.routing.findSilent(stages).then((server) => {
+      if (this.ended || epoch !== this.assembler.epoch) return;
+      if (next !== this.assembler.next) {
+        this.watchSilence();
+        return;
+      }
+      if (server !== undefined) this.ports.routing.suspect(server);
+      this.retry(RetryReason.Silence, server ?? '', true);
+    });
+  }
+
+  private passedDeadline(): boolean {
+    if (this.ports.clock.now() < this.request.deadline) return false;
+    this.refuse(
+      refusal(
+        this.fateSoFar(),
+        RefusalReason.DeadlinePassed,
+        'The answer was not whole by the deadline of the pipeline. Ask for fewer tokens or raise deadlineMs by ticket.',
+      ),
+    );
+    return true;
+  }
+
+  private fateSoFar(): Outcome {
+    return this.mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
+  }
+
+  private refuse(reason: Refusal): void {
+    if (this.ended) return;
+    this.close();
+    this.listener.onRefusal(reason);
+  }
+
+  private close(): void {
+    this.ended = true;
+    this.release();
+  }
+
+  private release(): void {
+    this.timer?.dispose();
+    this.engineStream?.dispose();
+    this.engineStream = undefined;
+    if (this.route !== undefined) this.ports.routing.end(this.request, this.route);
+    this.route = undefined;
+  }
+}
--- /dev/null
+++ b/src/core/streams/Types.ts
@@ -0,0 +1,78 @@
+/** Token streams between an entry instance and the head stage's engine. */
+import type { Disposable } from '../../ports/Types.js';
+import type { Stage } from '../routing/Types.js';
+
+export enum FinishReason {
+  Stop = 'stop',
+  Length = 'length',
+}
+
+/** Words per hop in `TokenFrame.hops`: from, to, epoch. */
+export const HOP_WORDS = 3;
+
+/** One token. The engine adapter reuses the frame; listeners copy what they keep. */
+export interface TokenFrame {
+  epoch: number;
+  /** Position within the answer, from 0. */
+  index: number;
+  text: string;
+  /** Which layers ran under which epoch, in order of running: `HOP_WORDS` numbers a hop. */
+  hops: Int32Array;
+  hopCount: number;
+}
+
+/** A request to run a stream. */
+export interface StreamOpening {
+  readonly request: string;
+  readonly epoch: number;
+  readonly pipeline: string;
+  readonly stages: readonly Stage[];
+  readonly prompt: string;
+  /** Index of the first token to answer; earlier ones were delivered under older epochs. */
+  readonly resumeAt: number;
+  /** Text of the answer up to `resumeAt`. */
+  readonly answered: string;
+  readonly maxTokens: number;
+  readonly priority: number;
+}
+
+export enum EngineFailureKind {
+  /** No connection could be made; nothing was sent. */
+  NotConnected = 'not-connected',
+  /** The connection broke after the request was sent. */
+  Reset = 'reset',
+  /** A stage reported that the named server failed. */
+  StageFailed = 'stage-failed',
+  /** The named server refuses new work because it is leaving; nothing of this epoch ran there. */
+  Leaving = 'leaving',
+  /** A stage knows of a later epoch. */
+  StaleEpoch = 'stale-epoch',
+}
+
+/** How a stream broke. */
+export interface EngineFailure {
+  readonly kind: EngineFailureKind;
+  /** The server at fault. */
+  readonly server: string;
+}
+
+/** Receives what an engine stream brings. */
+export interface EngineListener {
+  onToken(frame: TokenFrame): void;
+  onEnd(finish: FinishReason, tokens: number): void;
+  onFailure(failure: EngineFailure): void;
+}
+
+/** A server's own account of itself. */
+export interface ServerReport {
+  readonly busyMs: number;
+  readonly leaving: boolean;
+}
+
+/** Opens and cancels streams at model engines. */
+export interface Engine {
+  /** Opens a stream; disposing the result cancels it at the engine. */
+  open(opening: StreamOpening, listener: EngineListener): Disposable;
+  /** Asks a server for its report; rejects when it does not answer within `timeoutMs`. */
+  probe(address: string, timeoutMs: number): Promise<ServerReport>;
+}
--- /dev/null
+++ b/src/core/tickets/TicketCommit.ts
@@ -0,0 +1,218 @@
+/** Commits change tickets in one conditional transaction each. */
+import {
+  Settlement,
+  writeSettled,
+  settleLost,
+  type SettlePorts,
+  type SettledWrite,
+} from '../settle/SettledWrite.js';
+import type { Row, Transaction } from '../../ports/Types.js';
+import { objectKey } from './Configuration.js';
+import { references } from './TicketCheck.js';
+import type { ChangeTicket, CommittedTicket, ObjectState } from './Types.js';
+
+export const HEAD_KEY = 'head';
+
+/** Key of the row that holds a committed ticket. */
+export const ticketKey = (number: number): string => `ticket/${number}`;
+
+/** Key of the row that decides the fate of a submission. */
+export const submissionKey = (submission: string): string => `submission/${submission}`;
+
+const objectRowKey = (key: string): string => `object/${key}`;
+
+/** Row `head`. */
+export interface HeadRow {
+  readonly number: number;
+}
+
+/** Row `object/<kind>/<name>`. */
+export interface ObjectRow {
+  readonly ticket: number;
+  /** Absent once the object is removed. */
+  readonly state?: ObjectState;
+}
+
+/** Row `submission/<id>`; number 0 means that the submission was cancelled. */
+export interface SubmissionRow {
+  readonly number: number;
+}
+
+export enum FilingStatus {
+  Accepted = 'accepted',
+  Refused = 'refused',
+  Unknown = 'unknown',
+}
+
+/** What became of a submission. */
+export interface Filing {
+  readonly status: FilingStatus;
+  /** Number of the accepted ticket; 0 otherwise. */
+  readonly number: number;
+  /** What happened, with the remedy. */
+  readonly message: string;
+}
+
+const MAX_ATTEMPTS = 40;
+
+const filing = (status: FilingStatus, message: string, number = 0): Filing => ({
+  status,
+  number,
+  message,
+});
+
+const numberOf = (row: Row | undefined): number => (row?.value as HeadRow | undefined)?.number ?? 0;
+
+/** Files change tickets through the table service. */
+export class TicketCommit {
+  public constructor(
+    private readonly ports: SettlePorts,
+    private readonly wallClock: () => string,
+    private readonly timeLimitMs: number,
+  ) {}
+
+  /**
+   * Files a ticket.
+   * @param submission - identifier chosen by the author's side; filing it twice commits it once
+   */
+  public async file(ticket: ChangeTicket, submission: string): Promise<Filing> {
+    try {
+      for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+        const result = await this.attempt(ticket, submission);
+        if (result !== undefined) return result;
+      }
+    } catch {
+      return this.settle(submission);
+    }
+    return this.settle(submission);
+  }
+
+  /** Decides a submission whose fate is unknown; cancels it when it has not landed. */
+  public async settle(submission: string): Promise<Filing> {
+    const settled = await settleLost(this.ports, this.cancellation(submission), this.timeLimitMs);
+    return this.report(settled.settlement, submission);
+  }
+
+  private async attempt(ticket: ChangeTicket, submission: string): Promise<Filing | undefined> {
+    const rows = await this.readRows(ticket, submission);
+    if (rows.submission !== undefined) return this.report(Settlement.Committed, submission);
+    const stale = this.findStale(ticket, rows.objects);
+    if (stale !== undefined) return stale;
+    const missing = this.findMissing(ticket, rows.references);
+    if (missing !== undefined) return missing;
+    const number = numberOf(rows.head) + 1;
+    const committed: CommittedTicket = { ...ticket, number, submission, at: this.wallClock() };
+    const write = this.write(committed, rows);
+    const settled = await writeSettled(this.ports, write, this.timeLimitMs);
+    if (settled.settlement === Settlement.Conflict) return undefined;
+    return this.report(settled.settlement, submission);
+  }
+
+  private async readRows(ticket: ChangeTicket, submission: string) {
+    const objectKeys = ticket.changes.map((change) =>
+      objectRowKey(objectKey(change.kind, change.name)),
+    );
+    const referenceKeys = references(ticket).map((key) => objectRowKey(key));
+    const keys = [HEAD_KEY, submissionKey(submission), ...objectKeys, ...referenceKeys];
+    const [head, submissionRow, ...rest] = await this.ports.table.read(keys);
+    return {
+      head,
+      submission: submissionRow,
+      objectKeys,
+      referenceKeys,
+      objects: rest.slice(0, objectKeys.length),
+      references: rest.slice(objectKeys.length),
+    };
+  }
+
+  private findStale(ticket: ChangeTicket, rows: (Row | undefined)[]): Filing | undefined {
+    for (const [index, change] of ticket.changes.entries()) {
+      const last = (rows[index]?.value as ObjectRow | undefined)?.ticket ?? 0;
+      if (last !== change.base) {
+        return filing(
+          FilingStatus.Refused,
+          `${change.kind} ${change.name} was last touched by ticket ${last}, but base says ${change.base}. ` +
+            `Read it with "acaciadrum ticket explain ${change.kind} ${change.name}", ` +
+            `merge your change into that state, set base: ${last} and file again.`,
+        );
+      }
+    }
+    return undefined;
+  }
+
+  private findMissing(ticket: ChangeTicket, rows: (Row | undefined)[]): Filing | undefined {
+    for (const [index, key] of references(ticket).entries()) {
+      if ((rows[index]?.value as ObjectRow | undefined)?.state === undefined) {
+        return filing(
+          FilingStatus.Refused,
+          `The ticket refers to ${key}, which is not in force. Add it to the ticket or file it first.`,
+        );
+      }
+    }
+    return undefined;
+  }
+
+  private write(
+    ticket: CommittedTicket,
+    rows: Awaited<ReturnType<TicketCommit['readRows']>>,
+  ): SettledWrite {
+    const marker = submissionKey(ticket.submission);
+    const versioned = (keys: string[], found: (Row | undefined)[]) =>
+      keys.map((key, index) => ({ key, version: found[index]?.version ?? 0 }));
+    const transaction: Transaction = {
+      conditions: [
+        { key: HEAD_KEY, version: rows.head?.version ?? 0 },
+        { key: marker, version: 0 },
+        ...versioned(rows.objectKeys, rows.objects),
+        ...versioned(rows.referenceKeys, rows.references),
+      ],
+      writes: [
+        { key: HEAD_KEY, value: { number: ticket.number } satisfies HeadRow },
+        { key: marker, value: { number: ticket.number } satisfies SubmissionRow },
+        { key: ticketKey(ticket.number), value: ticket },
+        ...ticket.changes.map((change, index) => ({
+          key: rows.objectKeys[index],
+          value: { ticket: ticket.number, state: change.state } satisfies ObjectRow,
+        })),
+      ],
+    };
+    return { ...this.cancellation(ticket.submission), transaction };
+  }
+
+  private cancellation(submission: string): SettledWrite {
+    return {
+      transaction: { conditions: [], writes: [] },
+      marker: submissionKey(submission),
+      expectedVersion: 0,
+      isOurs: () => true,
+      cancelValue: { number: 0 } satisfies SubmissionRow,
+    };
+  }
+
+  private async report(settlement: Settlement, submission: string): Promise<Filing> {
+    if (settlement === Settlement.Cancelled) {
+      return filing(
+        FilingStatus.Refused,
+        'The commit did not land and was cancelled. File the ticket again.',
+      );
+    }
+    if (settlement === Settlement.Committed) {
+      const [row] = await this.ports.table
+        .read([submissionKey(submission)])
+        .catch(() => [undefined]);
+      const number = numberOf(row);
+      if (number > 0) return filing(FilingStatus.Accepted, `Ticket ${number} is accepted.`, number);
+      if (row !== undefined) {
+        return filing(
+          FilingStatus.Refused,
+          'This submission was cancelled. File the ticket again.',
+        );
+      }
+    }
+    return filing(
+      FilingStatus.Unknown,
+      'The table service does not answer, so the ticket may or may not be accepted. ' +
+        `Settle it later with "acaciadrum ticket settle ${submission}".`,
+    );
+  }
+}
--- /dev/null
+++ b/src/core/tickets/TicketFeed.ts
@@ -0,0 +1,177 @@
+/** Keeps the configuration at the newest ticket: polls the table service and takes tickets from peers. */
+import type { Clock, Disposable, ObjectStore, Row, TableService } from '../../ports/Types.js';
+import type { Configuration } from './Configuration.js';
+import { HEAD_KEY, ticketKey, type HeadRow } from './TicketCommit.js';
+import type { CommittedTicket, Snapshot } from './Types.js';
+
+/** What the feed works with. */
+export interface FeedParts {
+  readonly clock: Clock;
+  readonly table: TableService;
+  readonly objects: ObjectStore;
+  readonly configuration: Configuration;
+  /** Whether this instance is one of its failure domain's pollers now. */
+  readonly isPoller: () => boolean;
+  readonly log: (message: string) => void;
+}
+
+/** A poller reads the head this often, in milliseconds. */
+export const POLL_MS = 500;
+
+/** An instance that has heard no head for this long polls for itself, in milliseconds. */
+export const HEARSAY_MS = 1500;
+
+/** Tickets read in one call. */
+const BATCH = 64;
+
+/** Tickets between two snapshots in the object store. */
+const SNAPSHOT_EVERY = 200;
+
+/** Tickets kept in memory for peers that lag. */
+const RECENT = 512;
+
+/** Ages above this are all the same, in milliseconds. */
+const MAX_AGE_MS = 3_600_000;
+
+const SNAPSHOT_NAME = 'snapshot/latest';
+
+export class TicketFeed {
+  private readonly recent = new Map<number, CommittedTicket>();
+
+  private timer: Disposable | undefined;
+
+  private confirmedHead = -1;
+
+  private heardAt = -Infinity;
+
+  private polling = false;
+
+  private disposed = false;
+
+  /** Reads of the table service, for measurements. */
+  public reads = 0;
+
+  public constructor(private readonly parts: FeedParts) {}
+
+  /** Whether a live peer or the table service has confirmed a head that this instance holds. */
+  public get isReady(): boolean {
+    return this.confirmedHead >= 0 && this.parts.configuration.number >= this.confirmedHead;
+  }
+
+  /** Starts polling. */
+  public start(): void {
+    this.tick();
+  }
+
+  public dispose(): void {
+    this.disposed = true;
+    this.timer?.dispose();
+  }
+
+  /** Time since the table service last confirmed the head, here or at a peer, in milliseconds. */
+  public get headAgeMs(): number {
+    return Math.min(MAX_AGE_MS, this.parts.clock.now() - this.heardAt);
+  }
+
+  /** Takes a head that a live, ready peer holds, with the age of its confirmation. */
+  public hearHead(head: number, ageMs: number): void {
+    this.heardAt = Math.max(this.heardAt, this.parts.clock.now() - ageMs);
+    this.confirm(head);
+  }
+
+  /** Takes tickets from a peer; those out of order are ignored. */
+  public take(tickets: readonly CommittedTicket[]): void {
+    for (const ticket of tickets) this.apply(ticket);
+  }
+
+  /** Takes a snapshot from a peer; an older one is ignored. */
+  public takeSnapshot(snapshot: Snapshot): void {
+    this.parts.configuration.load(snapshot);
+  }
+
+  /** Tickets after `number` that are still in memory, oldest first; empty when some are missing. */
+  public after(number: number, most: number): CommittedTicket[] {
+    const found: CommittedTicket[] = [];
+    const last = Math.min(this.parts.configuration.number, number + most);
+    for (let next = number + 1; next <= last; next += 1) {
+      const ticket = this.recent.get(next);
+      if (ticket === undefined) return [];
+      found.push(ticket);
+    }
+    return found;
+  }
+
+  /** Reads the head and applies what is missing. Failures are left to the next poll. */
+  public async poll(): Promise<void> {
+    if (this.polling) return;
+    this.polling = true;
+    try {
+      this.reads += 1;
+      const [row] = await this.parts.table.read([HEAD_KEY]);
+      const head = (row?.value as HeadRow | undefined)?.number ?? 0;
+      if (head - this.parts.configuration.number > RECENT) await this.loadStoredSnapshot();
+      await this.readUpTo(head);
+      this.confirm(head);
+      this.heardAt = this.parts.clock.now();
+    } catch {
+      this.parts.log('The table service does not answer; the configuration in force stays.');
+    } finally {
+      this.polling = false;
+    }
+  }
+
+  private tick(): void {
+    if (this.disposed) return;
+    const silent = this.parts.clock.now() - this.heardAt > HEARSAY_MS;
+    if (silent || !this.isReady || this.parts.isPoller()) this.poll();
+    this.timer = this.parts.clock.schedule(POLL_MS, () => this.tick());
+  }
+
+  private confirm(head: number): void {
+    if (this.confirmedHead < 0) this.confirmedHead = head;
+  }
+
+  private async readUpTo(head: number): Promise<void> {
+    const { configuration } = this.parts;
+    while (configuration.number < head) {
+      const from = configuration.number + 1;
+      const count = Math.min(BATCH, head - configuration.number);
+      const keys = Array.from({ length: count }, (_, index) => ticketKey(from + index));
+      this.reads += 1;
+      const rows = await this.parts.table.read(keys);
+      if (!this.applyRows(rows) && configuration.number < from) return;
+    }
+  }
+
+  private applyRows(rows: readonly (Row | undefined)[]): boolean {
+    let applied = false;
+    for (const row of rows) {
+      if (row === undefined) return applied;
+      if (this.apply(row.value as CommittedTicket)) applied = true;
+    }
+    return applied;
+  }
+
+  private apply(ticket: CommittedTicket): boolean {
+    if (!this.parts.configuration.apply(ticket)) return false;
+    this.recent.set(ticket.number, ticket);
+    this.recent.delete(ticket.number - RECENT);
+    this.parts.log(`Ticket ${ticket.number} is in force here.`);
+    if (ticket.number % SNAPSHOT_EVERY === 0) this.storeSnapshot();
+    return true;
+  }
+
+  private storeSnapshot(): void {
+    if (!this.parts.isPoller()) return;
+    const body = JSON.stringify(this.parts.configuration.snapshot());
+    this.parts.objects
+      .put(SNAPSHOT_NAME, body)
+      .catch(() => this.parts.log('The snapshot was not stored.'));
+  }
+
+  /** An old snapshot does no harm: the tickets after it are read from the table service. */
+  private async loadStoredSnapshot(): Promise<void> {
+    const body = await this.parts.objects.get(SNAPSHOT_NAME);
+    if (body !== undefined) this.parts.configuration.load(JSON.parse(body) as Snapshot);
+  }
+}
--- /dev/null
+++ b/src/entry/Settings.ts
@@ -0,0 +1,62 @@
+/** Settings of the daemons. */
+import { z } from 'zod';
+
+const ADDRESS = z
+  .string()
+  .regex(
+    /^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/,
+    'write an IP address and port, as 10.0.0.7:8080',
+  );
+const NAME = z
+  .string()
+  .regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'use 1 to 63 of a-z, 0-9, dot and dash');
+const SECRET = z.string().min(16, 'use at least 16 characters');
+
+/** Settings of an entry instance. */
+export const ENTRY_SETTINGS = z.strictObject({
+  instance: NAME,
+  failureDomain: NAME,
+  callers: z.strictObject({
+    address: ADDRESS,
+    maxBodyBytes: z.number().int().positive().default(1_048_576),
+  }),
+  operators: z.strictObject({ address: ADDRESS, token: SECRET }),
+  peers: z.strictObject({ address: ADDRESS, secret: SECRET }),
+  platform: z.strictObject({ address: ADDRESS }),
+  stop: z
+    .strictObject({
+      /** Time for the balancer to notice that the instance is not ready, in milliseconds. */
+      balancerMs: z.number().int().nonnegative().default(2000),
+    })
+    .default({ balancerMs: 2000 }),
+});
+
+export type EntrySettings = z.output<typeof ENTRY_SETTINGS>;
+
+/** Settings of the platform stand-in. */
+export const PLATFORM_SETTINGS = z.strictObject({
+  address: ADDRESS,
+  instances: z
+    .array(
+      z.strictObject({
+        name: NAME,
+        address: ADDRESS,
+        failureDomain: NAME,
+        leaving: z.boolean().default(false),
+      }),
+    )
+    .default([]),
+});
+
+export type PlatformSettings = z.output<typeof PLATFORM_SETTINGS>;
+
+/** Settings of a backend stand-in. */
+export const BACKEND_SETTINGS = z.strictObject({
+  name: NAME,
+  address: ADDRESS,
+  layerMs: z.number().positive().default(0.05),
+  stepMs: z.number().nonnegative().default(1),
+  checksFence: z.boolean().default(true),
+});
+
+export type BackendSettings = z.output<typeof BACKEND_SETTINGS>;
--- /dev/null
+++ b/src/fakes/DemoFleet.ts
@@ -0,0 +1,234 @@
+/** A whole fleet in one process on loopback. */
+import { createHash } from 'node:crypto';
+import { stringify } from 'yaml';
+import { HttpClient } from '../adapters/http/HttpClient.js';
+import type { Filing } from '../core/tickets/TicketCommit.js';
+import { ObjectKind, type Change } from '../core/tickets/Types.js';
+import { EntryInstance, type EntryAddresses } from '../entry/EntryInstance.js';
+import { ENTRY_SETTINGS } from '../entry/Settings.js';
+import { BackendDaemon } from './BackendDaemon.js';
+import { PlatformServer } from './PlatformServer.js';
+
+/** A running entry instance of the fleet. */
+export interface FleetEntry {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly entry: EntryInstance;
+  readonly addresses: EntryAddresses;
+}
+
+/** A running backend server of the fleet. */
+export interface FleetServer {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly daemon: BackendDaemon;
+  readonly address: string;
+}
+
+export const DEMO_LAYERS = 24;
+export const DEMO_PIPELINE = 'glue-schedules';
+export const DEMO_SERVICE = 'orders';
+export const DEMO_KEYS: Readonly<Record<string, string>> = {
+  workshop: 'demo-workshop-key',
+  buyers: 'demo-buyers-key',
+};
+export const OPERATOR_TOKEN = 'demo-operator-token';
+
+const PEER_SECRET = 'demo-peer-secret-0';
+const ANY_PORT = '127.0.0.1:0';
+const DOMAINS = ['almaty-1', 'almaty-2', 'almaty-3'];
+const ENTRIES_PER_DOMAIN = 2;
+const LAYER_MS: Readonly<Record<string, number>> = { fast: 0.02, slow: 0.06 };
+
+/** Servers of each failure domain: accelerator kind and layers, which overlap. */
+const LAYOUT = [
+  { suffix: 'a', accelerator: 'fast', from: 0, to: 16 },
+  { suffix: 'b', accelerator: 'slow', from: 8, to: 24 },
+  { suffix: 'c', accelerator: 'fast', from: 12, to: 24 },
+  { suffix: 'd', accelerator: 'slow', from: 0, to: 12 },
+];
+
+const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex');
+
+/** How a fleet differs from the demo. */
+export interface FleetOptions {
+  readonly strict?: boolean;
+  readonly balancerMs?: number;
+  readonly stepMs?: number;
+}
+
+export class DemoFleet {
+  public readonly platform = new PlatformServer();
+
+  public readonly entries: FleetEntry[] = [];
+
+  public readonly servers: FleetServer[] = [];
+
+  public platformAddress = '';
+
+  private readonly client = new HttpClient();
+
+  private constructor(private readonly options: FleetOptions) {}
+
+  /** Starts everything and files the first ticket through the administration API. */
+  public static async start(options: FleetOptions = {}): Promise<DemoFleet> {
+    const fleet = new DemoFleet(options);
+    fleet.platformAddress = await fleet.platform.listen(ANY_PORT);
+    for (const domain of DOMAINS) await fleet.startServers(domain);
+    for (const domain of DOMAINS) {
+      for (let index = 1; index <= ENTRIES_PER_DOMAIN; index += 1)
+        await fleet.startEntry(`${domain}-entry-${index}`, domain);
+    }
+    await fleet.untilReady();
+    const filing = await fleet.file(firstTicket(fleet.servers));
+    if (filing.number === 0)
+      throw new Error(`The first ticket was not accepted: ${filing.message}`);
+    await fleet.untilInForce(filing.number);
+    return fleet;
+  }
+
+  /** Starts an entry instance and lists it at the platform. */
+  public async startEntry(name: string, failureDomain: string): Promise<FleetEntry> {
+    const settings = ENTRY_SETTINGS.parse({
+      instance: name,
+      failureDomain,
+      callers: { address: ANY_PORT },
+      operators: { address: ANY_PORT, token: OPERATOR_TOKEN },
+      peers: { address: ANY_PORT, secret: PEER_SECRET },
+      platform: { address: this.platformAddress },
+      stop: { balancerMs: this.options.balancerMs ?? 100 },
+    });
+    const entry = new EntryInstance(settings, this.options.strict ?? false);
+    const addresses = await entry.start();
+    this.platform.memory.instances.set(name, {
+      name,
+      address: addresses.peers,
+      failureDomain,
+      leaving: false,
+    });
+    const running = { name, failureDomain, entry, addresses };
+    this.entries.push(running);
+    return running;
+  }
+
+  /** Files a ticket at the first entry instance. */
+  public async file(text: string, submission = ''): Promise<Filing> {
+    const query = submission === '' ? '' : `?submission=${submission}`;
+    const [first] = this.entries as [FleetEntry];
+    const answer = await this.client.call({
+      address: first.addresses.operators,
+      method: 'POST',
+      path: `/tickets${query}`,
+      body: text,
+      timeoutMs: 10_000,
+      headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
+    });
+    return JSON.parse(answer.body.toString()) as Filing;
+  }
+
+  /** Waits until every entry instance applied a ticket. */
+  public async untilInForce(number: number): Promise<void> {
+    await until(() => this.entries.every(({ entry }) => entry.configuration.number >= number));
+  }
+
+  /** Violations counted by the instances and the servers. */
+  public violations(): number {
+    let sum = 0;
+    for (const { entry } of this.entries) sum += entry.invariants.violationCount();
+    for (const { daemon } of this.servers) sum += daemon.doubleRuns;
+    return sum;
+  }
+
+  public async close(): Promise<void> {
+    await Promise.all(this.entries.map(({ entry }) => entry.dispose()));
+    await Promise.all(this.servers.map(({ daemon }) => daemon.close()));
+    await this.platform.close();
+    this.client.dispose();
+  }
+
+  private async startServers(failureDomain: string): Promise<void> {
+    for (const { suffix, accelerator } of LAYOUT) {
+      const name = `${failureDomain}-${suffix}`;
+      const layerMs = LAYER_MS[accelerator];
+      await this.startServer(name, failureDomain, layerMs);
+    }
+    await this.startServer(`${failureDomain}-plain`, failureDomain, LAYER_MS.fast);
+  }
+
+  private async startServer(name: string, failureDomain: string, layerMs: number): Promise<void> {
+    const daemon = new BackendDaemon({
+      name,
+      layerMs,
+      stepMs: this.options.stepMs ?? 1,
+      checksFence: true,
+    });
+    this.servers.push({ name, failureDomain, daemon, address: await daemon.listen(ANY_PORT) });
+  }
+
+  private untilReady(): Promise<void> {
+    return until(() => this.entries.every(({ entry }) => entry.isReady));
+  }
+}
+
+const LOOK_MS = 20;
+const WAIT_MS = 20_000;
+
+/** Waits for a condition. @throws Error when it does not hold in time */
+export async function until(holds: () => boolean, waitMs = WAIT_MS): Promise<void> {
+  const deadline = performance.now() + waitMs;
+  while (!holds()) {
+    if (performance.now() > deadline)
+      throw new Error('The fleet did not reach the expected state in time.');
+    await new Promise((resolve) => {
+      setTimeout(resolve, LOOK_MS);
+    });
+  }
+}
+
+function serverChange(server: FleetServer): Change {
+  const part = LAYOUT.find(({ suffix }) => server.name.endsWith(`-${suffix}`));
+  const common = { address: server.address, failureDomain: server.failureDomain };
+  const state =
+    part === undefined
+      ? { ...common, services: [DEMO_SERVICE] }
+      : {
+          ...common,
+          accelerator: part.accelerator,
+          layerRanges: [{ pipeline: DEMO_PIPELINE, from: part.from, to: part.to }],
+        };
+  return { kind: ObjectKind.BackendServer, name: server.name, base: 0, state: state as never };
+}
+
+function firstTicket(servers: readonly FleetServer[]): string {
+  const accounts = Object.entries(DEMO_KEYS).map(([name, key]) => ({
+    kind: ObjectKind.ClientAccount,
+    name,
+    base: 0,
+    state: { keyHashes: [sha256(key)], weight: 1, requestsPerSecond: 2000, concurrency: 2000 },
+  }));
+  return stringify({
+    author: 'demo',
+    reason: 'First configuration of the demo fleet.',
+    changes: [
+      ...accounts,
+      {
+        kind: ObjectKind.Pipeline,
+        name: DEMO_PIPELINE,
+        base: 0,
+        state: { layers: DEMO_LAYERS, layerMs: LAYER_MS },
+      },
+      {
+        kind: ObjectKind.PlainService,
+        name: DEMO_SERVICE,
+        base: 0,
+        state: {
+          rules: [
+            { method: 'GET', path: '/', repeatable: true },
+            { method: 'POST', path: '/bookings', repeatable: false },
+          ],
+        },
+      },
+      ...servers.map(serverChange),
+    ],
+  });
+}
--- /dev/null
+++ b/src/ports/Types.ts
@@ -0,0 +1,86 @@
+/** Types shared by every port. */
+
+/** Releases a listener, timer or socket exactly once. */
+export interface Disposable {
+  dispose(): void;
+}
+
+/** Source of time. Core code never reads the machine's clock itself. */
+export interface Clock {
+  /** Milliseconds on a monotonic scale. */
+  now(): number;
+  /** Runs `callback` after `delayMs`; disposing the result cancels it. */
+  schedule(delayMs: number, callback: () => void): Disposable;
+}
+
+/** Source of randomness. */
+export interface Random {
+  /** A number in [0, 1). */
+  next(): number;
+  /** A fresh identifier of `bytes` random bytes, in hex. */
+  id(bytes: number): string;
+}
+
+/** One row of the table service. A version is never reused; 0 means that the row is absent. */
+export interface Row<T = unknown> {
+  readonly key: string;
+  readonly version: number;
+  readonly value: T;
+}
+
+/** Requires that `key` is still at `version`; version 0 requires that it is absent. */
+export interface Condition {
+  readonly key: string;
+  readonly version: number;
+}
+
+/** Stores `value` at `key`. */
+export interface Write {
+  readonly key: string;
+  readonly value: unknown;
+}
+
+/** All conditions hold and all writes land, or none do. */
+export interface Transaction {
+  readonly conditions: readonly Condition[];
+  readonly writes: readonly Write[];
+}
+
+export enum CommitStatus {
+  Committed = 'committed',
+  Conflict = 'conflict',
+}
+
+/** The table service's answer to a transaction. */
+export interface Commit {
+  readonly status: CommitStatus;
+  /** Keys whose conditions did not hold. */
+  readonly conflicts: readonly string[];
+}
+
+/** The platform's transactional table service. Every method rejects with `PlatformUnavailable`. */
+export interface TableService {
+  /** @returns the rows found, in the order of `keys`; absent rows are undefined. */
+  read(keys: readonly string[]): Promise<(Row | undefined)[]>;
+  /** A rejected call may still take effect later. */
+  transact(transaction: Transaction): Promise<Commit>;
+}
+
+/** The platform's object store. Every method rejects with `PlatformUnavailable`. */
+export interface ObjectStore {
+  get(name: string): Promise<string | undefined>;
+  put(name: string, body: string): Promise<void>;
+}
+
+/** One line of the platform's instance list. */
+export interface ListedInstance {
+  readonly name: string;
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly leaving: boolean;
+}
+
+/** The platform's list of live and leaving instances. It lags behind reality. */
+export interface InstanceList {
+  list(): Promise<readonly ListedInstance[]>;
+}
