Split decisions from sockets, add leases and orders to backend servers

Change: EntryCore holds every decision over ports; EntryInstance only binds it to listeners. A lease a failure domain, counted without comparing clocks, guards orders; a server that has not loaded its layers gets no streams.

--- a/src/adapters/http/CallerServer.ts
+++ b/src/adapters/http/CallerServer.ts
@@ -78,10 +78,9 @@
   /** Runs a keyed request that a peer forwarded because its key was minted here. */
   public async runForwarded(call: ForwardedCall): Promise<ForwardedAnswer> {
     const body = Buffer.from(call.body, 'base64');
-    const keyed = { account: call.account, key: call.key, digest: call.digest };
     const shape = SHAPES[call.path];
     const parsed = shape === undefined ? undefined : parseCompletion(shape, body);
-    const result = await this.parts.keyed.executeHere(keyed, () => {
+    const result = await this.parts.keyed.executeHere(call, () => {
       if (parsed?.isOk)
         return new CompletionExchange(
           this.parts,
--- a/src/adapters/http/HttpEngine.ts
+++ b/src/adapters/http/HttpEngine.ts
@@ -4,9 +4,11 @@
   EngineFailureKind,
   type Engine,
   type EngineListener,
+  type ServerOrder,
   type ServerReport,
   type StreamOpening,
 } from '../../core/streams/Types.js';
+import { Failure, FailureKind } from '../../core/Failure.js';
 import type { Disposable } from '../../ports/Types.js';
 import { HttpClient, hostAndPort } from './HttpClient.js';
 import { FrameDecoder } from './TokenFrames.js';
@@ -107,4 +109,17 @@
     });
     return answer.value;
   }
+
+  public async order(address: string, order: ServerOrder, timeoutMs: number): Promise<void> {
+    const answer = await this.client.json<unknown>(
+      { address, method: 'POST', path: '/v1/orders', timeoutMs },
+      order,
+    );
+    if (answer.status !== 200) {
+      throw new Failure(
+        FailureKind.OrderRefused,
+        `Server ${address} refused the order with status ${answer.status}. A newer lease holder gives the orders.`,
+      );
+    }
+  }
 }
--- a/src/adapters/http/OperatorServer.ts
+++ b/src/adapters/http/OperatorServer.ts
@@ -6,7 +6,6 @@
 import { checkTicket, type CheckedTicket } from '../../core/tickets/TicketCheck.js';
 import { FilingStatus, ticketKey, type TicketCommit } from '../../core/tickets/TicketCommit.js';
 import { ObjectKind, type CommittedTicket, type Pipeline } from '../../core/tickets/Types.js';
-import type { PeerState } from '../../ports/Peer.js';
 import type { Random, TableService } from '../../ports/Types.js';
 import type { Metrics } from '../metrics/Metrics.js';
 import { parseYaml } from '../yaml/CheckedYaml.js';
@@ -49,7 +48,6 @@
   readonly commit: TicketCommit;
   readonly metrics: Metrics;
   readonly invariants: Invariants;
-  readonly self: () => PeerState;
   readonly status: () => Status;
   readonly onAccepted: () => void;
 }
--- /dev/null
+++ b/src/core/EntryCore.ts
@@ -0,0 +1,373 @@
+/** The decisions of one entry instance, put together from ports. */
+import { ClaimDriver } from './claims/ClaimDriver.js';
+import { KeyedCalls, type KeyedRequest, type RunResult } from './claims/KeyedCalls.js';
+import { KeyMint, type KeyOrigin } from './claims/KeyMint.js';
+import { Gossip } from './gossip/Gossip.js';
+import { Peers, type KnownPeer } from './gossip/Peers.js';
+import type { Invariants } from './Invariant.js';
+import { LeaseKeeper } from './leases/LeaseKeeper.js';
+import { AccountLimiter } from './limits/AccountLimiter.js';
+import { RetryBudget } from './limits/RetryBudget.js';
+import { Prober } from './membership/Prober.js';
+import { ranksAmong } from './membership/Rendezvous.js';
+import { ServerHealth, ServerMark } from './membership/ServerHealth.js';
+import { OrderDriver } from './placement/OrderDriver.js';
+import { CompletionDesk } from './requests/CompletionDesk.js';
+import { PlainDesk } from './requests/PlainDesk.js';
+import type { PlainTransport } from './requests/PlainTransport.js';
+import { LoadTable } from './routing/LoadTable.js';
+import { PipelineRouting } from './routing/PipelineRouting.js';
+import { Topology } from './routing/Topology.js';
+import { pause } from './settle/SettledWrite.js';
+import type { StreamCounters } from './streams/StreamSession.js';
+import type { Engine } from './streams/Types.js';
+import { Configuration } from './tickets/Configuration.js';
+import { TicketCommit } from './tickets/TicketCommit.js';
+import { TicketFeed } from './tickets/TicketFeed.js';
+import type { ForwardedAnswer, ForwardedCall, PeerLink, PeerService } from '../ports/Peer.js';
+import type { Clock, InstanceList, ObjectStore, Random, TableService } from '../ports/Types.js';
+
+/** What an entry instance decides with. */
+export interface EntryPorts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly table: TableService;
+  readonly objects: ObjectStore;
+  readonly list: InstanceList;
+  readonly link: PeerLink;
+  readonly engine: Engine;
+  readonly transport: PlainTransport;
+  readonly counters: StreamCounters;
+  readonly invariants: Invariants;
+  /** Wall-clock time, ISO 8601. */
+  readonly wallClock: () => string;
+  /** Runs a forwarded keyed request here. */
+  readonly runForwarded: (call: ForwardedCall) => Promise<ForwardedAnswer>;
+  readonly logFor: (part: string) => (message: string) => void;
+}
+
+/** Who an entry instance is. */
+export interface EntryIdentity {
+  readonly instance: string;
+  readonly failureDomain: string;
+  /** Time for the balancer to notice that the instance is not ready, in milliseconds. */
+  readonly balancerMs: number;
+}
+
+/** How far a planned stop has come. */
+export enum Phase {
+  Serving,
+  /** Not ready for the balancer, but still taking what it sends. */
+  Leaving,
+  /** New work is refused as not run. */
+  Refusing,
+}
+
+const INCARNATION_BYTES = 6;
+const ATTEMPT_BYTES = 10;
+const NONCE_BYTES = 8;
+
+/** Longest time a lost store answer is settled before it is called unknown, in milliseconds. */
+const SETTLE_LIMIT_MS = 5000;
+
+/** Pollers of the ticket head in each failure domain. */
+const POLLERS = 2;
+
+/** Instances that probe each server of their failure domain. */
+const PROBERS = 2;
+
+/** Time between looks at what is still open while stopping, in milliseconds. */
+const DRAIN_LOOK_MS = 50;
+
+/** Hand-over attempts to the same peer before the keys are lost. */
+const HAND_OVER_ATTEMPTS = 20;
+
+export class EntryCore implements PeerService {
+  public readonly configuration: Configuration;
+
+  public readonly completions: CompletionDesk;
+
+  public readonly plain: PlainDesk;
+
+  public readonly keyed: KeyedCalls;
+
+  public readonly mint: KeyMint;
+
+  public readonly feed: TicketFeed;
+
+  public readonly commit: TicketCommit;
+
+  public readonly health = new ServerHealth();
+
+  public readonly load = new LoadTable();
+
+  public readonly peers: Peers;
+
+  public readonly lease: LeaseKeeper;
+
+  private readonly limiter = new AccountLimiter({ domains: 1, homeInstances: 1 });
+
+  private readonly prober: Prober;
+
+  private readonly orders: OrderDriver;
+
+  private readonly origin: KeyOrigin;
+
+  private gossipParts: Gossip | undefined;
+
+  private currentPhase = Phase.Serving;
+
+  public constructor(
+    private readonly ports: EntryPorts,
+    private readonly identity: EntryIdentity,
+  ) {
+    const { clock, random, table, objects, engine, invariants, logFor } = ports;
+    const { failureDomain: homeDomain, instance } = identity;
+    const { health, load, limiter } = this;
+    const configuration = new Configuration(invariants);
+    const topology = new Topology(configuration);
+    const budget = new RetryBudget();
+    this.configuration = configuration;
+    this.peers = new Peers(instance);
+    this.origin = { instance, incarnation: random.id(INCARNATION_BYTES) };
+    this.feed = new TicketFeed({
+      clock,
+      configuration,
+      table,
+      objects,
+      isPoller: () => ranksAmong(`poller/${homeDomain}`, instance, this.homeInstances(), POLLERS),
+      log: logFor('tickets'),
+    });
+    const isMine = (server: string, domain: string) => this.probes(server, domain);
+    this.prober = new Prober({
+      clock,
+      engine,
+      configuration,
+      load,
+      health,
+      isMine,
+      log: logFor('probe'),
+    });
+    const routing = new PipelineRouting({
+      clock,
+      engine,
+      configuration,
+      topology,
+      load,
+      health,
+      budget,
+      homeDomain,
+    });
+    this.completions = new CompletionDesk({
+      session: { clock, engine, routing, counters: ports.counters, invariants },
+      clock,
+      configuration,
+      topology,
+      limiter,
+      budget,
+      instances: () => 1 + this.peers.live(clock.now()).length,
+    });
+    this.plain = new PlainDesk({
+      clock,
+      random,
+      configuration,
+      transport: ports.transport,
+      limiter,
+      budget,
+      health,
+      homeDomain,
+      countRetry: (reason) => ports.counters.retry(reason),
+    });
+    const holder = `${this.origin.instance}~${this.origin.incarnation}`;
+    this.mint = new KeyMint(this.origin, () => random.id(NONCE_BYTES));
+    this.keyed = new KeyedCalls(
+      new ClaimDriver({ table, clock }, holder, SETTLE_LIMIT_MS),
+      this.mint,
+      {
+        isRunning: (claimHolder, attempt) => this.askHolder(claimHolder, attempt),
+        forward: (origin, request) => this.forwardKeyed(origin, request),
+      },
+      this.origin,
+      clock,
+      () => random.id(ATTEMPT_BYTES),
+    );
+    this.commit = new TicketCommit({ table, clock }, ports.wallClock, SETTLE_LIMIT_MS);
+    this.lease = new LeaseKeeper({
+      clock,
+      table,
+      name: `orders/${homeDomain}`,
+      holder,
+      log: logFor('lease'),
+    });
+    this.orders = new OrderDriver({
+      clock,
+      engine,
+      configuration,
+      lease: this.lease,
+      failureDomain: homeDomain,
+      invariants,
+      log: logFor('orders'),
+    });
+    health.onMark((server, mark) => {
+      logFor('servers')(`Server ${server} is ${mark}.`);
+      if (mark === ServerMark.Leaving) this.completions.moveFrom(server);
+    });
+  }
+
+  public get phase(): Phase {
+    return this.currentPhase;
+  }
+
+  public get gossip(): Gossip {
+    return this.gossipParts as Gossip;
+  }
+
+  /**
+   * Begins to follow tickets and peers.
+   * @param address - where peers reach this instance
+   */
+  public start(address: string): void {
+    const { ports, identity } = this;
+    this.gossipParts = new Gossip({
+      clock: ports.clock,
+      link: ports.link,
+      list: ports.list,
+      peers: this.peers,
+      configuration: this.configuration,
+      feed: this.feed,
+      load: this.load,
+      health: this.health,
+      limiter: this.limiter,
+      identity: { ...this.origin, failureDomain: identity.failureDomain, address },
+      isLeaving: () => this.phase !== Phase.Serving,
+      log: ports.logFor('peers'),
+    });
+    this.gossipParts.start();
+    this.feed.start();
+    this.prober.start();
+    this.lease.start();
+    this.orders.start();
+  }
+
+  /** Ends all timers at once. */
+  public dispose(): void {
+    this.gossipParts?.dispose();
+    this.feed.dispose();
+    this.prober.dispose();
+    this.lease.dispose();
+    this.orders.dispose();
+    this.keyed.dispose();
+  }
+
+  /**
+   * Stops without cutting a request: not ready first, then no new work, then every open request ends.
+   * @param openElsewhere - requests that the listeners still serve
+   */
+  public async drain(openElsewhere: () => number = () => 0): Promise<void> {
+    this.currentPhase = Phase.Leaving;
+    await this.gossip.broadcast();
+    await pause(this.ports.clock, this.identity.balancerMs);
+    this.currentPhase = Phase.Refusing;
+    this.mint.stop();
+    while (this.open + openElsewhere() > 0) await pause(this.ports.clock, DRAIN_LOOK_MS);
+    await this.handOverKeys();
+    await this.lease.release();
+  }
+
+  /** Requests in progress and claims whose record is not final. */
+  public get open(): number {
+    return this.completions.active + this.plain.active + this.keyed.unsettled;
+  }
+
+  /** Spreads a ticket that was just accepted here. */
+  public async spreadTicket(): Promise<void> {
+    await this.feed.poll();
+    await this.gossip.broadcast();
+  }
+
+  public exchange(
+    message: Parameters<PeerService['exchange']>[0],
+  ): ReturnType<PeerService['exchange']> {
+    return this.gossip.answer(message);
+  }
+
+  public snapshot(): ReturnType<PeerService['snapshot']> {
+    return this.configuration.snapshot();
+  }
+
+  public isRunning(attempt: string): boolean {
+    return this.keyed.isRunning(attempt);
+  }
+
+  public forward(call: ForwardedCall): Promise<ForwardedAnswer> {
+    return this.ports.runForwarded(call);
+  }
+
+  public handOver(keys: Parameters<PeerService['handOver']>[0]): void {
+    this.mint.inherit(keys, this.ports.clock.now());
+    this.peers.inherit(keys.incarnation, this.origin.instance);
+  }
+
+  /** Hands the minted keys to one peer, and to no other once the first attempt was made. */
+  private async handOverKeys(): Promise<void> {
+    const handed = this.mint.handOver();
+    if (handed.keys.length === 0) return;
+    const live = this.peers.live(this.ports.clock.now());
+    const heir = live.sort((a, b) => this.closeness(b) - this.closeness(a))[0] as
+      KnownPeer | undefined;
+    if (heir === undefined) return;
+    for (let attempt = 0; attempt < HAND_OVER_ATTEMPTS; attempt += 1) {
+      try {
+        await this.ports.link.handOver(heir.address, handed);
+        this.peers.inherit(this.origin.incarnation, heir.name);
+        await this.gossip.broadcast();
+        return;
+      } catch {
+        await pause(this.ports.clock, DRAIN_LOOK_MS);
+      }
+    }
+    this.ports.logFor('entry')(
+      `Peer ${heir.name} did not take the minted keys; their fate is unknown to callers.`,
+    );
+  }
+
+  private closeness(peer: KnownPeer): number {
+    return peer.failureDomain === this.identity.failureDomain ? 1 : 0;
+  }
+
+  private homeInstances(): string[] {
+    const live = this.peers.live(this.ports.clock.now());
+    const home = live.filter((peer) => peer.failureDomain === this.identity.failureDomain);
+    return [...home.map((peer) => peer.name), this.identity.instance];
+  }
+
+  private probes(server: string, domain: string): boolean {
+    if (domain !== this.identity.failureDomain) return false;
+    return ranksAmong(`probe/${server}`, this.identity.instance, this.homeInstances(), PROBERS);
+  }
+
+  private async askHolder(holder: string, attempt: string): Promise<boolean> {
+    const [instance = '', incarnation = ''] = holder.split('~');
+    if (instance === this.origin.instance) {
+      return incarnation === this.origin.incarnation && this.isRunning(attempt);
+    }
+    const peer = this.peers.find(instance);
+    if (peer === undefined) return false;
+    return this.ports.link.isRunning(peer.address, attempt).catch(() => false);
+  }
+
+  private async forwardKeyed(
+    origin: KeyOrigin,
+    request: KeyedRequest,
+  ): Promise<RunResult | undefined> {
+    const heir = this.peers.heirOf(origin.incarnation);
+    const peer = this.peers.find(heir ?? origin.instance);
+    if (peer === undefined) return undefined;
+    try {
+      const result = await this.ports.link.forward(peer.address, request);
+      return result.answer === undefined && result.refusal === undefined ? undefined : result;
+    } catch {
+      return undefined;
+    }
+  }
+}
--- a/src/core/Failure.ts
+++ b/src/core/Failure.ts
@@ -7,6 +7,7 @@
   PeerUnavailable = 'peer-unavailable',
   NotConnected = 'not-connected',
   ConnectionLost = 'connection-lost',
+  OrderRefused = 'order-refused',
 }
 
 /** An expected failure, told apart by its kind. */
--- a/src/core/Outcome.ts
+++ b/src/core/Outcome.ts
@@ -37,6 +37,7 @@
   StageFailed = 'stage-failed',
   Silence = 'silence',
   Leaving = 'leaving',
+  Loading = 'loading',
   NotConnected = 'not-connected',
 }
 
--- a/src/core/claims/KeyedCalls.ts
+++ b/src/core/claims/KeyedCalls.ts
@@ -1,4 +1,5 @@
 /** Runs requests that carry an idempotency key at most once. */
+import type { ForwardedCall } from '../../ports/Peer.js';
 import type { Clock } from '../../ports/Types.js';
 import { Outcome, refusal, RefusalReason, type Refusal } from '../Outcome.js';
 import { pause } from '../settle/SettledWrite.js';
@@ -18,12 +19,8 @@
   readonly refusal?: Refusal;
 }
 
-/** A request with its key. */
-export interface KeyedRequest {
-  readonly account: string;
-  readonly key: string;
-  readonly digest: string;
-}
+/** A request with its key, whole enough to be forwarded. */
+export type KeyedRequest = ForwardedCall;
 
 /** Runs the request once. A refusal of `NotRun` promises that nothing was dispatched. */
 export type Run = () => Promise<RunResult>;
--- a/src/core/membership/Prober.ts
+++ b/src/core/membership/Prober.ts
@@ -1,7 +1,8 @@
 /** Probes this instance's share of the servers, takes their load reports and finds suspects. */
 import type { Clock, Disposable } from '../../ports/Types.js';
 import type { LoadTable } from '../routing/LoadTable.js';
-import type { Engine } from '../streams/Types.js';
+import { holdsAll } from '../placement/OrderDriver.js';
+import type { Engine, ServerReport } from '../streams/Types.js';
 import type { Configuration } from '../tickets/Configuration.js';
 import { ObjectKind } from '../tickets/Types.js';
 import { ServerMark, type ServerHealth } from './ServerHealth.js';
@@ -66,10 +67,7 @@
     try {
       const report = await this.parts.engine.probe(address, PROBE_TIMEOUT_MS);
       this.failures.delete(server);
-      this.parts.health.clearSuspect(server);
-      this.parts.load.report(server, report.busyMs, this.parts.clock.now());
-      if (report.leaving)
-        this.parts.health.mark(server, ServerMark.Leaving, this.parts.clock.now());
+      this.take(server, report);
     } catch {
       this.countFailure(server);
     } finally {
@@ -77,6 +75,18 @@
     }
   }
 
+  private take(server: string, report: ServerReport): void {
+    const { health, load, clock, configuration } = this.parts;
+    const now = clock.now();
+    health.clear(server, ServerMark.Suspect);
+    load.report(server, report.busyMs, now);
+    if (report.leaving) health.mark(server, ServerMark.Leaving, now);
+    const wanted = configuration.state(ObjectKind.BackendServer, server)?.layerRanges ?? [];
+    if (report.loaded !== undefined && !holdsAll(report.loaded, wanted)) {
+      health.mark(server, ServerMark.Loading, now);
+    } else health.clear(server, ServerMark.Loading);
+  }
+
   private countFailure(server: string): void {
     const count = (this.failures.get(server) ?? 0) + 1;
     this.failures.set(server, count);
--- a/src/core/membership/ServerHealth.ts
+++ b/src/core/membership/ServerHealth.ts
@@ -2,6 +2,8 @@
 export enum ServerMark {
   Suspect = 'suspect',
   Leaving = 'leaving',
+  /** The server has not loaded the layers that the tickets ask for. */
+  Loading = 'loading',
 }
 
 interface MarkEntry {
@@ -15,9 +17,13 @@
 /** A leaving mark heard from a list, a peer or the server lapses after this time, in milliseconds. */
 export const LEAVING_MS = 60_000;
 
+/** A loading mark lapses after this time unless a prober renews it, in milliseconds. */
+const LOADING_MS = 3000;
+
 const LIFETIME_MS: Readonly<Record<ServerMark, number>> = {
   [ServerMark.Suspect]: SUSPECT_MS,
   [ServerMark.Leaving]: LEAVING_MS,
+  [ServerMark.Loading]: LOADING_MS,
 };
 
 /** Marks on servers that were heard of outside the tickets: suspects and leavers. */
@@ -43,7 +49,7 @@
     remainingMs = LIFETIME_MS[mark],
   ): void {
     const current = this.current(server, now);
-    if (current?.mark === ServerMark.Leaving && mark === ServerMark.Suspect) return;
+    if (current?.mark === ServerMark.Leaving && mark !== ServerMark.Leaving) return;
     const until = now + Math.min(remainingMs, LIFETIME_MS[mark]);
     if (current?.mark === mark && current.until >= until) return;
     this.marks.set(server, { mark, until });
@@ -51,9 +57,9 @@
     for (const listener of this.listeners) listener(server, mark);
   }
 
-  /** Takes back a suspicion after a good probe. A leaving mark stays. */
-  public clearSuspect(server: string): void {
-    if (this.marks.get(server)?.mark === ServerMark.Suspect) this.marks.delete(server);
+  /** Takes a mark back. A leaving mark is never taken back: it lapses. */
+  public clear(server: string, mark: ServerMark.Suspect | ServerMark.Loading): void {
+    if (this.marks.get(server)?.mark === mark) this.marks.delete(server);
   }
 
   /** The mark in force on a server. */
--- /dev/null
+++ b/src/core/placement/OrderDriver.ts
@@ -0,0 +1,121 @@
+/** Orders backend servers to hold the layer ranges that the tickets ask for. */
+import type { Clock, Disposable } from '../../ports/Types.js';
+import { InvariantKind, type Invariants } from '../Invariant.js';
+import { LEASE_MS } from '../leases/LeaseKeeper.js';
+import type { Engine, ServerOrder } from '../streams/Types.js';
+import type { Configuration } from '../tickets/Configuration.js';
+import { ObjectKind, type BackendServer, type LayerRange } from '../tickets/Types.js';
+
+/** The lease as the driver sees it. */
+export interface HeldLease {
+  readonly heldFence: number;
+  readonly remainingMs: number;
+  readonly heldForMs: number;
+}
+
+/** What the driver works with. */
+export interface OrderParts {
+  readonly clock: Clock;
+  readonly engine: Engine;
+  readonly configuration: Configuration;
+  readonly lease: HeldLease;
+  readonly failureDomain: string;
+  readonly invariants: Invariants;
+  readonly log: (message: string) => void;
+}
+
+/** An order that takes longer has failed or will never be taken, in milliseconds. */
+export const ORDER_TIMEOUT_MS = 1000;
+
+/** Lease time that must be left beyond the order's timeout, in milliseconds. */
+const SEND_MARGIN_MS = 500;
+
+/** Time between rounds, in milliseconds. */
+const ROUND_MS = 1000;
+
+/** Loads that the weight store takes at once from one failure domain. */
+const MAX_LOADS = 4;
+
+/** Whether `loaded` covers all of `wanted`. */
+export function holdsAll(loaded: readonly LayerRange[], wanted: readonly LayerRange[]): boolean {
+  for (const range of wanted) {
+    const held = loaded.some(
+      (item) => item.pipeline === range.pipeline && item.from <= range.from && range.to <= item.to,
+    );
+    if (!held) return false;
+  }
+  return true;
+}
+
+/**
+ * Whether an order may be sent now.
+ * A server that checks fencing numbers is safe by itself. For the others, the lease must outlast the
+ * order, and a new holder first waits until no order of the holder before it can still be under way.
+ */
+export function maySend(server: Pick<BackendServer, 'checksFence'>, lease: HeldLease): boolean {
+  if (lease.heldFence === 0) return false;
+  if (server.checksFence) return true;
+  if (lease.remainingMs < ORDER_TIMEOUT_MS + SEND_MARGIN_MS) return false;
+  return lease.heldForMs >= LEASE_MS + ORDER_TIMEOUT_MS;
+}
+
+export class OrderDriver {
+  private readonly loading = new Set<string>();
+
+  private timer: Disposable | undefined;
+
+  private disposed = false;
+
+  public constructor(private readonly parts: OrderParts) {}
+
+  public start(): void {
+    this.round();
+  }
+
+  public dispose(): void {
+    this.disposed = true;
+    this.timer?.dispose();
+  }
+
+  private round(): void {
+    if (this.disposed) return;
+    if (this.parts.lease.heldFence > 0) this.lookAtAll();
+    this.timer = this.parts.clock.schedule(ROUND_MS, () => this.round());
+  }
+
+  private lookAtAll(): void {
+    for (const { name, state } of this.parts.configuration.list(ObjectKind.BackendServer)) {
+      if (state.failureDomain !== this.parts.failureDomain || state.layerRanges.length === 0)
+        continue;
+      if (this.loading.size >= MAX_LOADS) return;
+      if (!this.loading.has(name)) this.compare(name, state);
+    }
+  }
+
+  /** Compares what the server holds with what is wanted, and orders until both agree. */
+  private async compare(name: string, state: BackendServer): Promise<void> {
+    this.loading.add(name);
+    try {
+      const report = await this.parts.engine.probe(state.address, ORDER_TIMEOUT_MS);
+      if (report.loaded === undefined || holdsAll(report.loaded, state.layerRanges)) return;
+      await this.send(name, state);
+    } catch {
+      this.parts.log(`Server ${name} took no order; it is tried again.`);
+    } finally {
+      this.loading.delete(name);
+    }
+  }
+
+  private async send(name: string, state: BackendServer): Promise<void> {
+    if (!maySend(state, this.parts.lease)) return;
+    const { heldFence: fence, remainingMs } = this.parts.lease;
+    this.parts.invariants.check(
+      InvariantKind.FenceOrder,
+      state.checksFence || remainingMs >= ORDER_TIMEOUT_MS,
+      () => `an order to ${name} could outlive the lease`,
+    );
+    const order: ServerOrder = { fence, ranges: state.layerRanges };
+    await this.parts.engine.order(state.address, order, ORDER_TIMEOUT_MS);
+    this.parts.log(`Server ${name} was ordered to load ${state.layerRanges.length} ranges.`);
+  }
+}
--- a/src/core/routing/PipelineRouting.ts
+++ b/src/core/routing/PipelineRouting.ts
@@ -70,6 +70,10 @@
     this.parts.health.mark(server, ServerMark.Leaving, this.parts.clock.now());
   }
 
+  public loading(server: string): void {
+    this.parts.health.mark(server, ServerMark.Loading, this.parts.clock.now());
+  }
+
   public async findSilent(stages: readonly Stage[]): Promise<string | undefined> {
     const answers = await Promise.all(
       stages.map((stage) =>
--- a/src/core/streams/StreamSession.ts
+++ b/src/core/streams/StreamSession.ts
@@ -44,6 +44,8 @@
   suspect(server: string): void;
   /** Records that a server said it is leaving. */
   leaving(server: string): void;
+  /** Records that a server has not loaded its layers. */
+  loading(server: string): void;
   /** Names a stage that does not answer a probe; undefined when all answer. */
   findSilent(stages: readonly Stage[]): Promise<string | undefined>;
   takeRetry(request: StreamRequest): boolean;
@@ -77,12 +79,19 @@
   [EngineFailureKind.Reset]: RetryReason.Reset,
   [EngineFailureKind.StageFailed]: RetryReason.StageFailed,
   [EngineFailureKind.Leaving]: RetryReason.Leaving,
+  [EngineFailureKind.Loading]: RetryReason.Loading,
   [EngineFailureKind.StaleEpoch]: RetryReason.StageFailed,
 };
 
 /** Failures after which nothing of the attempt ran. */
 const NOTHING_RAN: ReadonlySet<EngineFailureKind> = new Set([EngineFailureKind.NotConnected]);
 
+/** Failures that say nothing about load, so that the move costs no retry. */
+const UNPAID: ReadonlySet<EngineFailureKind> = new Set([
+  EngineFailureKind.Leaving,
+  EngineFailureKind.Loading,
+]);
+
 export class StreamSession {
   private readonly assembler: TokenAssembler;
 
@@ -208,14 +217,15 @@
   private fail(epoch: number, failure: EngineFailure): void {
     if (this.ended || epoch !== this.assembler.epoch) return;
     if (NOTHING_RAN.has(failure.kind) && this.assembler.epoch === 1) this.mayHaveRun = false;
-    if (failure.kind === EngineFailureKind.Leaving) this.ports.routing.leaving(failure.server);
-    else if (failure.kind !== EngineFailureKind.StaleEpoch)
-      this.ports.routing.suspect(failure.server);
-    this.retry(
-      RETRY_REASON[failure.kind],
-      failure.server,
-      failure.kind !== EngineFailureKind.Leaving,
-    );
+    this.blame(failure);
+    this.retry(RETRY_REASON[failure.kind], failure.server, !UNPAID.has(failure.kind));
+  }
+
+  private blame(failure: EngineFailure): void {
+    const { routing } = this.ports;
+    if (failure.kind === EngineFailureKind.Leaving) routing.leaving(failure.server);
+    else if (failure.kind === EngineFailureKind.Loading) routing.loading(failure.server);
+    else if (failure.kind !== EngineFailureKind.StaleEpoch) routing.suspect(failure.server);
   }
 
   private retry(reason: RetryReason, lostServer: string, paid: boolean): void {
--- a/src/core/streams/Types.ts
+++ b/src/core/streams/Types.ts
@@ -1,6 +1,7 @@
 /** Token streams between an entry instance and the head stage's engine. */
 import type { Disposable } from '../../ports/Types.js';
 import type { Stage } from '../routing/Types.js';
+import type { LayerRange } from '../tickets/Types.js';
 
 export enum FinishReason {
   Stop = 'stop',
@@ -45,6 +46,8 @@
   StageFailed = 'stage-failed',
   /** The named server refuses new work because it is leaving; nothing of this epoch ran there. */
   Leaving = 'leaving',
+  /** The named server has not loaded the layers yet; nothing of this epoch ran there. */
+  Loading = 'loading',
   /** A stage knows of a later epoch. */
   StaleEpoch = 'stale-epoch',
 }
@@ -67,6 +70,15 @@
 export interface ServerReport {
   readonly busyMs: number;
   readonly leaving: boolean;
+  /** Layers in memory; undefined from servers that do not say. */
+  readonly loaded?: readonly LayerRange[];
+}
+
+/** The whole state that a server is to take. */
+export interface ServerOrder {
+  /** Fencing number of the lease under which the order is sent. */
+  readonly fence: number;
+  readonly ranges: readonly LayerRange[];
 }
 
 /** Opens and cancels streams at model engines. */
@@ -75,4 +87,6 @@
   open(opening: StreamOpening, listener: EngineListener): Disposable;
   /** Asks a server for its report; rejects when it does not answer within `timeoutMs`. */
   probe(address: string, timeoutMs: number): Promise<ServerReport>;
+  /** Sends an order; rejects when the server refuses it or does not answer. */
+  order(address: string, order: ServerOrder, timeoutMs: number): Promise<void>;
 }
--- a/src/entry/Settings.ts
+++ b/src/entry/Settings.ts
@@ -57,6 +57,7 @@
   layerMs: z.number().positive().default(0.05),
   stepMs: z.number().nonnegative().default(1),
   checksFence: z.boolean().default(true),
+  loadMs: z.number().nonnegative().default(500),
 });
 
 export type BackendSettings = z.output<typeof BACKEND_SETTINGS>;
--- a/src/fakes/BackendDaemon.ts
+++ b/src/fakes/BackendDaemon.ts
@@ -9,9 +9,11 @@
   FinishReason,
   HOP_WORDS,
   type EngineFailure,
+  type ServerOrder,
   type StreamOpening,
   type TokenFrame,
 } from '../core/streams/Types.js';
+import { StageSequences, type Sequence } from './StageSequences.js';
 import { StageBatch } from './StageBatch.js';
 import { tokenText } from './TokenText.js';
 
@@ -23,6 +25,8 @@
   /** Fixed cost of a step, in milliseconds. */
   readonly stepMs: number;
   readonly checksFence: boolean;
+  /** Time to load layers from the weight store, in milliseconds. */
+  readonly loadMs: number;
 }
 
 /** Layers [from, to) of a token that ran under an epoch. */
@@ -40,19 +44,10 @@
   readonly failure?: EngineFailure;
 }
 
-/** What a server keeps of one request. */
-interface Sequence {
-  epoch: number;
-  from: number;
-  to: number;
-  /** Positions of the answer that the KV cache holds. */
-  positions: number;
-  /** Epoch under which each token's layers ran here. */
-  readonly ranAt: Map<number, number>;
-}
-
 const STAGE_TIMEOUT_MS = 60_000;
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
+const CHARACTERS_PER_TOKEN = 4;
+const KEEP_MS = 3000;
 const PREFILL_COST = 0.05;
 const REBUILD_COST = 0.02;
 
@@ -60,15 +55,12 @@
   /** Times each plain call ran, by its `x-call-id`: tests assert at most one. */
   public readonly runs = new Map<string, number>();
 
-  /** Times a token ran the same layers twice under one epoch. */
-  public doubleRuns = 0;
-
-  public leaving = false;
+  public readonly sequences = new StageSequences();
 
   public highestFence = 0;
 
   /** Orders taken, newest last. */
-  public readonly orders: unknown[] = [];
+  public readonly orders: ServerOrder[] = [];
 
   private readonly clock = new SystemClock();
 
@@ -76,14 +68,13 @@
 
   private readonly batch: StageBatch;
 
-  private readonly sequences = new Map<string, Sequence>();
-
   private readonly server: Server;
 
   private frozenUntil = 0;
 
   public constructor(private readonly options: BackendOptions) {
     this.batch = new StageBatch(this.clock, options.stepMs);
+    this.sequences.loaded = [];
     this.server = createLimitedServer((request, response) => {
       this.serve(request, response).catch(() => response.destroy());
     });
@@ -124,7 +115,8 @@
     if (path === '/v1/status')
       return this.reply(response, 200, {
         busyMs: this.batch.busyMs,
-        leaving: this.leaving,
+        leaving: this.sequences.leaving,
+        loaded: this.sequences.loaded,
         active: this.active,
       });
     if (path === '/v1/streams')
@@ -136,9 +128,11 @@
         await this.runStage(JSON.parse(body.toString()) as StageCall),
       );
     if (path === '/v1/orders')
-      return this.takeOrder(JSON.parse(body.toString()) as { fence: number }, response);
+      return this.takeOrder(JSON.parse(body.toString()) as ServerOrder, response);
     if (path.startsWith('/v1/sequences/')) {
-      this.sequences.delete(decodeURIComponent(path.slice('/v1/sequences/'.length)));
+      const url = new URL(path, 'http://localhost');
+      const name = decodeURIComponent(url.pathname.slice('/v1/sequences/'.length));
+      this.sequences.forget(name, Number(url.searchParams.get('epoch')));
       return this.reply(response, 200, {});
     }
     return this.reply(response, 404, {});
@@ -153,13 +147,17 @@
     response.end(text);
   }
 
-  private takeOrder(order: { fence: number }, response: ServerResponse): void {
+  /** Takes an order at once and has the layers in memory once they are loaded. */
+  private takeOrder(order: ServerOrder, response: ServerResponse): void {
     if (this.options.checksFence && order.fence < this.highestFence) {
       this.reply(response, 412, { highestFence: this.highestFence });
       return;
     }
     this.highestFence = Math.max(this.highestFence, order.fence);
     this.orders.push(order);
+    this.clock.schedule(this.options.loadMs, () => {
+      if (this.orders.at(-1) === order) this.sequences.loaded = order.ranges;
+    });
     this.reply(response, 200, {});
   }
 
@@ -180,7 +178,8 @@
   }
 
   private async serveStream(opening: StreamOpening, response: ServerResponse): Promise<void> {
-    if (this.leaving && !this.sequences.has(opening.request)) return this.reply(response, 410, {});
+    if (this.sequences.leaving && !this.sequences.has(opening.request))
+      return this.reply(response, 410, {});
     response.writeHead(200, { 'content-type': 'application/octet-stream' });
     response.flushHeaders();
     const failure = await this.generate(opening, response);
@@ -222,16 +221,17 @@
     }
   }
 
+  /** Keeps the KV cache for a while, since a later epoch may still use it. */
   private forget(opening: StreamOpening): void {
-    const sequence = this.sequences.get(opening.request);
-    if (sequence === undefined || sequence.epoch > opening.epoch) return;
-    this.sequences.delete(opening.request);
-    for (const stage of opening.stages.slice(1)) {
-      const path = `/v1/sequences/${encodeURIComponent(opening.request)}`;
-      this.client
-        .call({ address: stage.address, method: 'DELETE', path, timeoutMs: 1000 })
-        .catch(() => {});
-    }
+    this.clock.schedule(KEEP_MS, () => {
+      this.sequences.forget(opening.request, opening.epoch);
+      for (const stage of opening.stages.slice(1)) {
+        const path = `/v1/sequences/${encodeURIComponent(opening.request)}?epoch=${opening.epoch}`;
+        this.client
+          .call({ address: stage.address, method: 'DELETE', path, timeoutMs: 1000 })
+          .catch(() => {});
+      }
+    });
   }
 
   private async runStage(call: StageCall): Promise<StageAnswer> {
@@ -240,11 +240,8 @@
     const failed = (kind: EngineFailureKind): StageAnswer => ({
       failure: { kind, server: stage.server },
     });
-    const known = this.sequences.get(opening.request);
-    if (known !== undefined && known.epoch > opening.epoch)
-      return failed(EngineFailureKind.StaleEpoch);
-    if (this.leaving && known === undefined) return failed(EngineFailureKind.Leaving);
-    const sequence = this.enter(opening, stage.from, stage.to, known);
+    const sequence = this.sequences.admit(opening, stage);
+    if (typeof sequence === 'string') return failed(sequence);
     const ranEpoch = await this.runLayers(call, sequence);
     await this.thaw();
     if (sequence.epoch > opening.epoch) return failed(EngineFailureKind.StaleEpoch);
@@ -253,41 +250,18 @@
     return { hops: [[stage.from, stage.to, ranEpoch], ...rest.hops] };
   }
 
-  private enter(
-    opening: StreamOpening,
-    from: number,
-    to: number,
-    known: Sequence | undefined,
-  ): Sequence {
-    if (known !== undefined && known.from === from && known.to === to) {
-      known.epoch = opening.epoch;
-      return known;
-    }
-    const sequence: Sequence = { epoch: opening.epoch, from, to, positions: 0, ranAt: new Map() };
-    this.sequences.set(opening.request, sequence);
-    return sequence;
-  }
-
-  /** Runs a token's layers unless they ran under an earlier epoch, whose boundary output is kept. */
   private async runLayers(call: StageCall, sequence: Sequence): Promise<number> {
-    const layers = sequence.to - sequence.from;
+    const layersMs = (sequence.to - sequence.from) * this.options.layerMs;
     const { opening, index } = call;
     if (index < 0) {
-      const missing = Math.max(0, opening.resumeAt - sequence.positions);
-      const prompt = opening.resumeAt === 0 || missing > 0 ? opening.prompt.length / 4 : 0;
-      sequence.positions = Math.max(sequence.positions, opening.resumeAt);
-      await this.batch.run(
-        layers * this.options.layerMs * (prompt * PREFILL_COST + missing * REBUILD_COST),
-      );
+      const missing = this.sequences.prefill(sequence, opening.resumeAt);
+      const prompt = missing.prompt ? opening.prompt.length / CHARACTERS_PER_TOKEN : 0;
+      await this.batch.run(layersMs * (prompt * PREFILL_COST + missing.answered * REBUILD_COST));
       return opening.epoch;
     }
-    const ranAt = sequence.ranAt.get(index);
-    if (ranAt === opening.epoch) this.doubleRuns += 1;
-    if (ranAt !== undefined) return ranAt;
-    sequence.ranAt.set(index, opening.epoch);
-    sequence.positions = index + 1;
-    await this.batch.run(layers * this.options.layerMs);
-    return opening.epoch;
+    const ranEpoch = this.sequences.run(sequence, index, opening.epoch);
+    if (ranEpoch === opening.epoch) await this.batch.run(layersMs);
+    return ranEpoch;
   }
 
   private async runNext(call: StageCall): Promise<StageAnswer> {
--- a/src/fakes/DemoFleet.ts
+++ b/src/fakes/DemoFleet.ts
@@ -38,6 +38,7 @@
 const ANY_PORT = '127.0.0.1:0';
 const DOMAINS = ['almaty-1', 'almaty-2', 'almaty-3'];
 const ENTRIES_PER_DOMAIN = 2;
+const LOAD_MS = 200;
 const LAYER_MS: Readonly<Record<string, number>> = { fast: 0.02, slow: 0.06 };
 
 /** Servers of each failure domain: accelerator kind and layers, which overlap. */
@@ -84,6 +85,7 @@
     if (filing.number === 0)
       throw new Error(`The first ticket was not accepted: ${filing.message}`);
     await fleet.untilInForce(filing.number);
+    await fleet.untilLoaded();
     return fleet;
   }
 
@@ -128,14 +130,29 @@
 
   /** Waits until every entry instance applied a ticket. */
   public async untilInForce(number: number): Promise<void> {
-    await until(() => this.entries.every(({ entry }) => entry.configuration.number >= number));
+    await until(() => this.entries.every(({ entry }) => entry.core.configuration.number >= number));
+  }
+
+  /** Waits until every server holds its layers and every instance knows it. */
+  public async untilLoaded(): Promise<void> {
+    await until(() =>
+      this.entries.every(({ entry }) => {
+        const now = performance.now();
+        const { core } = entry;
+        return this.servers.every(
+          ({ name, daemon }) =>
+            core.health.markOf(name, now) === undefined &&
+            (name.endsWith('-plain') || (daemon.sequences.loaded ?? []).length > 0),
+        );
+      }),
+    );
   }
 
   /** Violations counted by the instances and the servers. */
   public violations(): number {
     let sum = 0;
     for (const { entry } of this.entries) sum += entry.invariants.violationCount();
-    for (const { daemon } of this.servers) sum += daemon.doubleRuns;
+    for (const { daemon } of this.servers) sum += daemon.sequences.doubleRuns;
     return sum;
   }
 
@@ -161,12 +178,13 @@
       layerMs,
       stepMs: this.options.stepMs ?? 1,
       checksFence: true,
+      loadMs: LOAD_MS,
     });
     this.servers.push({ name, failureDomain, daemon, address: await daemon.listen(ANY_PORT) });
   }
 
   private untilReady(): Promise<void> {
-    return until(() => this.entries.every(({ entry }) => entry.isReady));
+    return until(() => this.entries.every(({ entry }) => entry.core.feed.isReady));
   }
 }
 
--- /dev/null
+++ b/src/fakes/StageSequences.ts
@@ -0,0 +1,99 @@
+/** What a stand-in server keeps of each request: its KV cache and the tokens it ran. */
+import type { Stage } from '../core/routing/Types.js';
+import { EngineFailureKind, type StreamOpening } from '../core/streams/Types.js';
+import { holdsAll } from '../core/placement/OrderDriver.js';
+import type { LayerRange } from '../core/tickets/Types.js';
+
+/** One request on one server. */
+export interface Sequence {
+  epoch: number;
+  readonly from: number;
+  readonly to: number;
+  /** Positions of the answer that the KV cache holds. */
+  positions: number;
+  /** Epoch under which each token's layers ran here. */
+  readonly ranAt: Map<number, number>;
+}
+
+/** Positions that must be computed before a stream can go on. */
+export interface Prefill {
+  readonly prompt: boolean;
+  readonly answered: number;
+}
+
+export class StageSequences {
+  /** Times a token ran the same layers twice under one epoch. */
+  public doubleRuns = 0;
+
+  public leaving = false;
+
+  /** Layers in memory; undefined when every layer counts as loaded. */
+  public loaded: readonly LayerRange[] | undefined;
+
+  private readonly sequences = new Map<string, Sequence>();
+
+  public get size(): number {
+    return this.sequences.size;
+  }
+
+  public has(request: string): boolean {
+    return this.sequences.has(request);
+  }
+
+  /** Forgets everything, as a restart does. */
+  public clear(): void {
+    this.sequences.clear();
+  }
+
+  /** Takes a request's stage in, or says why not. */
+  public admit(opening: StreamOpening, stage: Stage): Sequence | EngineFailureKind {
+    const known = this.sequences.get(opening.request);
+    if (known !== undefined && known.epoch > opening.epoch) return EngineFailureKind.StaleEpoch;
+    if (this.leaving && known === undefined) return EngineFailureKind.Leaving;
+    const range = { pipeline: opening.pipeline, from: stage.from, to: stage.to };
+    if (this.loaded !== undefined && !holdsAll(this.loaded, [range]))
+      return EngineFailureKind.Loading;
+    if (known !== undefined && known.from === stage.from && known.to === stage.to) {
+      known.epoch = opening.epoch;
+      return known;
+    }
+    const sequence: Sequence = {
+      epoch: opening.epoch,
+      from: stage.from,
+      to: stage.to,
+      positions: -1,
+      ranAt: new Map(),
+    };
+    this.sequences.set(opening.request, sequence);
+    return sequence;
+  }
+
+  /** Says what the KV cache lacks at `resumeAt`, and counts it as held from then on. */
+  public prefill(sequence: Sequence, resumeAt: number): Prefill {
+    const missing = {
+      prompt: sequence.positions < 0,
+      answered: Math.max(0, resumeAt - Math.max(0, sequence.positions)),
+    };
+    sequence.positions = Math.max(sequence.positions, resumeAt);
+    return missing;
+  }
+
+  /**
+   * Runs a token's layers unless they ran under an earlier epoch, whose boundary output is kept.
+   * @returns the epoch under which they ran
+   */
+  public run(sequence: Sequence, index: number, epoch: number): number {
+    const ranAt = sequence.ranAt.get(index);
+    if (ranAt === epoch) this.doubleRuns += 1;
+    if (ranAt !== undefined) return ranAt;
+    sequence.ranAt.set(index, epoch);
+    sequence.positions = index + 1;
+    return epoch;
+  }
+
+  /** Forgets a request unless a later epoch has taken it over. */
+  public forget(request: string, epoch: number): void {
+    const sequence = this.sequences.get(request);
+    if (sequence !== undefined && sequence.epoch <= epoch) this.sequences.delete(request);
+  }
+}
