Models of the core protocols, walked to their end

The spread model showed that a stale read of the head could make a restarted instance ready on an old ticket: readiness now needs an empty transaction on the head's version, or a ready peer.

--- /dev/null
+++ b/spec/Checker.ts
@@ -0,0 +1,115 @@
+/** Walks every state of a small model and looks for a broken invariant. */
+import { fromTransition, type EventObject } from 'xstate';
+import { getAdjacencyMap } from 'xstate/graph';
+
+/** An event of a model: what happens, and to whom. */
+export interface Step extends EventObject {
+  readonly type: string;
+}
+
+/** A small specification of one protocol. */
+export interface Model<S> {
+  readonly name: string;
+  /** What the broken variant leaves out. */
+  readonly broken: string;
+  readonly initial: S;
+  /** Invariants, by name: each returns whether it holds. */
+  readonly invariants: Readonly<Record<string, (state: S) => boolean>>;
+  /** Everything that can happen in a state. */
+  enabled(state: S): readonly string[];
+  /**
+   * The state after an event.
+   * @param isBroken - whether the broken variant is walked
+   */
+  next(state: S, event: string, isBroken: boolean): S;
+}
+
+/** What a walk found. */
+export interface Walk {
+  readonly model: string;
+  readonly states: number;
+  readonly invariants: number;
+  /** Invariants that broke, in the sound variant; empty when all hold. */
+  readonly violated: readonly string[];
+  /** Shortest way to the violation of the broken variant; empty when it was not caught. */
+  readonly counterexample: readonly string[];
+}
+
+/** A walk that takes more transitions has not ended and counts as failed. */
+export const TRANSITION_LIMIT = 1_000_000;
+
+function options<S>(model: Model<S>) {
+  return {
+    events: (snapshot: { context: S }) =>
+      model.enabled(snapshot.context).map((type): Step => ({ type })),
+    serializeState: (snapshot: { context: S }) => JSON.stringify(snapshot.context),
+    limit: TRANSITION_LIMIT,
+  };
+}
+
+function logicOf<S extends object>(model: Model<S>) {
+  return fromTransition(
+    (state: S, event: Step) => model.next(state, event.type, false),
+    model.initial,
+  );
+}
+
+function firstBroken<S>(model: Model<S>, state: S): string | undefined {
+  for (const [name, holds] of Object.entries(model.invariants)) if (!holds(state)) return name;
+  return undefined;
+}
+
+interface Trail {
+  readonly event: string;
+  readonly before: Trail | undefined;
+}
+
+function eventsOf(trail: Trail | undefined): string[] {
+  const events: string[] = [];
+  for (let at = trail; at !== undefined; at = at.before) events.unshift(at.event);
+  return events;
+}
+
+/**
+ * Searches the broken variant breadth first and ends at the first violation. The library's
+ * `getShortestPaths` walks every state before it looks at one, which takes minutes here.
+ */
+function shortestViolation<S>(model: Model<S>): string[] {
+  const seen = new Set<string>([JSON.stringify(model.initial)]);
+  const queue: { state: S; trail: Trail | undefined }[] = [
+    { state: model.initial, trail: undefined },
+  ];
+  for (const { state, trail } of queue) {
+    for (const event of model.enabled(state)) {
+      const next = model.next(state, event, true);
+      const key = JSON.stringify(next);
+      if (seen.has(key)) continue;
+      seen.add(key);
+      const longer = { event, before: trail };
+      if (firstBroken(model, next) !== undefined) return eventsOf(longer);
+      if (seen.size < TRANSITION_LIMIT) queue.push({ state: next, trail: longer });
+    }
+  }
+  return [];
+}
+
+/**
+ * Walks a model to its end, then looks for the shortest counterexample of its broken variant.
+ * @throws Error when the limit cuts the walk short
+ */
+export function walk<S extends object>(model: Model<S>): Walk {
+  const shared = options(model);
+  const states = Object.values(getAdjacencyMap(logicOf(model), shared as never));
+  const violated = new Set<string>();
+  for (const { state } of states) {
+    const name = firstBroken(model, (state as unknown as { context: S }).context);
+    if (name !== undefined) violated.add(name);
+  }
+  return {
+    model: model.name,
+    states: states.length,
+    invariants: Object.keys(model.invariants).length,
+    violated: [...violated],
+    counterexample: shortestViolation(model),
+  };
+}
--- /dev/null
+++ b/spec/ClaimModel.ts
@@ -0,0 +1,173 @@
+/** Two instances want one key; inserts may be late, holders pause and die. */
+import { readClaim } from '../src/core/claims/ClaimDriver.js';
+import { ClaimState, ClaimVerdict, type ClaimRow } from '../src/core/claims/Types.js';
+import type { Model } from './Checker.js';
+
+enum Phase {
+  Start = 'start',
+  Inserting = 'inserting',
+  Settling = 'settling',
+  Held = 'held',
+  Dispatched = 'dispatched',
+  Releasing = 'releasing',
+  /** The caller was told not-run. */
+  NotRun = 'not-run',
+  /** The caller was told unknown. */
+  Unknown = 'unknown',
+  Complete = 'complete',
+  Dead = 'dead',
+}
+
+interface Instance {
+  readonly phase: Phase;
+  /** Version that the insert under way requires; -1 when none is under way. */
+  readonly underWay: number;
+  readonly dispatches: number;
+  /** Tries to claim, each with an attempt of its own. */
+  readonly tries: number;
+}
+
+interface State {
+  readonly version: number;
+  readonly row: Pick<ClaimRow, 'state' | 'attempt'> | null;
+  readonly runs: number;
+  readonly instances: readonly Instance[];
+}
+
+const NAMES = ['a', 'b'];
+const DIGEST = 'digest';
+const MAX_TRIES = 2;
+
+function change(state: State, index: number, part: Partial<Instance>): State {
+  return {
+    ...state,
+    instances: state.instances.map((item, at) => (at === index ? { ...item, ...part } : item)),
+  };
+}
+
+const attemptOf = (state: State, index: number): string =>
+  `${NAMES[index]}${state.instances[index].tries}`;
+
+function rowOf(state: State): ClaimRow | undefined {
+  return state.row === null ? undefined : { ...state.row, holder: '', digest: DIGEST };
+}
+
+function verdictOf(state: State, index: number): ClaimVerdict | undefined {
+  return readClaim(rowOf(state), {
+    account: '',
+    key: '',
+    digest: DIGEST,
+    attempt: attemptOf(state, index),
+  });
+}
+
+function write(state: State, row: State['row']): State {
+  return { ...state, row, version: state.version + 1 };
+}
+
+/** Answers by what is recorded. */
+function answer(state: State, index: number, verdict: ClaimVerdict, isBroken: boolean): State {
+  if (verdict === ClaimVerdict.Held) return change(state, index, { phase: Phase.Held });
+  if (verdict === ClaimVerdict.Replay) return change(state, index, { phase: Phase.Complete });
+  // The broken variant takes a claim over when its holder does not answer.
+  return change(state, index, { phase: isBroken ? Phase.Held : Phase.Unknown });
+}
+
+type Handler = (state: State, index: number, isBroken: boolean) => State;
+
+const HANDLERS: Readonly<Record<string, Handler>> = {
+  claim: (state, index, isBroken) => {
+    const verdict = verdictOf(state, index);
+    if (verdict !== undefined) return answer(state, index, verdict, isBroken);
+    return change(state, index, { phase: Phase.Inserting, underWay: state.version });
+  },
+  land: (state, index) => {
+    const { underWay } = state.instances[index];
+    const done = change(state, index, { underWay: -1 });
+    if (underWay !== state.version) return done;
+    return write(done, { state: ClaimState.Running, attempt: attemptOf(state, index) });
+  },
+  lose: (state, index) => change(state, index, { phase: Phase.Settling }),
+  answer: (state, index, isBroken) => {
+    const verdict = verdictOf(state, index);
+    if (verdict === undefined) return change(state, index, { phase: Phase.Start });
+    return answer(state, index, verdict, isBroken);
+  },
+  settle: (state, index, isBroken) => {
+    const verdict = verdictOf(state, index);
+    if (verdict !== undefined) return answer(state, index, verdict, isBroken);
+    const cancelled = write(state, {
+      state: ClaimState.Released,
+      attempt: `${attemptOf(state, index)}/cancelled`,
+    });
+    return change(cancelled, index, { phase: Phase.NotRun });
+  },
+  dispatch: (state, index) => {
+    const { dispatches } = state.instances[index];
+    return {
+      ...change(state, index, { phase: Phase.Dispatched, dispatches: dispatches + 1 }),
+      runs: state.runs + 1,
+    };
+  },
+  giveUp: (state, index) => change(state, index, { phase: Phase.Releasing }),
+  release: (state, index) => {
+    const released = write(state, { state: ClaimState.Released, attempt: attemptOf(state, index) });
+    return change(released, index, { phase: Phase.NotRun });
+  },
+  complete: (state, index) => {
+    const done = write(state, { state: ClaimState.Done, attempt: attemptOf(state, index) });
+    return change(done, index, { phase: Phase.Complete });
+  },
+  breakOff: (state, index) => change(state, index, { phase: Phase.Unknown }),
+  again: (state, index) =>
+    change(state, index, {
+      phase: Phase.Start,
+      tries: state.instances[index].tries + 1,
+      dispatches: 0,
+    }),
+  die: (state, index) => change(state, index, { phase: Phase.Dead }),
+};
+
+const ENABLED: Readonly<Record<Phase, (instance: Instance) => readonly string[]>> = {
+  [Phase.Start]: () => ['claim', 'die'],
+  [Phase.Inserting]: ({ underWay }) =>
+    underWay >= 0 ? ['lose', 'die'] : ['answer', 'lose', 'die'],
+  [Phase.Settling]: () => ['settle', 'die'],
+  [Phase.Held]: () => ['dispatch', 'giveUp', 'die'],
+  [Phase.Dispatched]: () => ['complete', 'breakOff', 'die'],
+  [Phase.Releasing]: () => ['release', 'die'],
+  [Phase.NotRun]: ({ tries, underWay }) => (tries < MAX_TRIES && underWay < 0 ? ['again'] : []),
+  [Phase.Unknown]: ({ tries, underWay }) => (tries < MAX_TRIES && underWay < 0 ? ['again'] : []),
+  [Phase.Complete]: () => [],
+  [Phase.Dead]: () => [],
+};
+
+export const claimModel: Model<State> = {
+  name: 'claims',
+  broken: 'a running claim whose holder does not answer is taken over',
+  initial: {
+    version: 0,
+    row: null,
+    runs: 0,
+    instances: NAMES.map(() => ({ phase: Phase.Start, underWay: -1, dispatches: 0, tries: 1 })),
+  },
+  invariants: {
+    'a key runs at most once': ({ runs }) => runs <= 1,
+    'not-run means not dispatched': ({ instances }) =>
+      instances.every(({ phase, dispatches }) => phase !== Phase.NotRun || dispatches === 0),
+    'a stored answer means one run': ({ row, runs }) =>
+      row?.state !== ClaimState.Done || runs === 1,
+  },
+  enabled: (state) =>
+    state.instances.flatMap((instance, index) => {
+      const names = [
+        ...ENABLED[instance.phase](instance),
+        ...(instance.underWay >= 0 ? ['land'] : []),
+      ];
+      return names.map((name) => `${name} ${NAMES[index]}`);
+    }),
+  next: (state, event, isBroken) => {
+    const [name, instance] = event.split(' ');
+    return HANDLERS[name](state, NAMES.indexOf(instance), isBroken);
+  },
+};
--- /dev/null
+++ b/spec/SpreadModel.ts
@@ -0,0 +1,141 @@
+/** Tickets spread over two instances that read stale heads, exchange out of order and restart. */
+import { Configuration } from '../src/core/tickets/Configuration.js';
+import { Invariants } from '../src/core/Invariant.js';
+import type { CommittedTicket } from '../src/core/tickets/Types.js';
+import type { Model } from './Checker.js';
+
+interface Instance {
+  readonly applied: number;
+  readonly ready: boolean;
+  /** Head that a stale or current read returned; -1 before the first. */
+  readonly read: number;
+  /** Whether a ready instance was ever behind the head that was current when it became ready. */
+  readonly readyBehind: boolean;
+  /** Whether the configuration in force ever went back. */
+  readonly wentBack: boolean;
+  readonly restarts: number;
+}
+
+interface State {
+  readonly head: number;
+  /** Ticket of the snapshot in the object store. */
+  readonly snapshot: number;
+  readonly instances: readonly Instance[];
+}
+
+const NAMES = ['a', 'b'];
+const MAX_HEAD = 2;
+const MAX_RESTARTS = 1;
+
+function ticket(number: number): CommittedTicket {
+  return { number, submission: '', at: '', author: '', reason: '', changes: [] };
+}
+
+/** Applies tickets through the core and returns the number in force after them. */
+function applyThroughCore(applied: number, numbers: readonly number[], isBroken: boolean): number {
+  if (isBroken) return numbers.at(-1) ?? applied;
+  const configuration = new Configuration(new Invariants(true));
+  for (let number = 1; number <= applied; number += 1) configuration.apply(ticket(number));
+  for (const number of numbers) configuration.apply(ticket(number));
+  return configuration.number;
+}
+
+function change(state: State, index: number, part: Partial<Instance>): State {
+  const before = state.instances[index];
+  const after = { ...before, ...part };
+  const wentBack =
+    before.wentBack || (before.restarts === after.restarts && after.applied < before.applied);
+  return {
+    ...state,
+    instances: state.instances.map((item, at) => (at === index ? { ...after, wentBack } : item)),
+  };
+}
+
+function becomeReady(state: State, index: number, behind: boolean): State {
+  const { readyBehind } = state.instances[index];
+  return change(state, index, { ready: true, readyBehind: readyBehind || behind });
+}
+
+type Handler = (state: State, index: number, value: number, isBroken: boolean) => State;
+
+const HANDLERS: Readonly<Record<string, Handler>> = {
+  commit: (state) => ({ ...state, head: state.head + 1 }),
+  store: (state, index) => ({
+    ...state,
+    snapshot: Math.max(state.snapshot, state.instances[index].applied),
+  }),
+  /** Any read may be stale; the tickets up to it are then read one by one. */
+  read: (state, index, value) => change(state, index, { read: value }),
+  apply: (state, index, value, isBroken) =>
+    change(state, index, {
+      applied: applyThroughCore(state.instances[index].applied, [value], isBroken),
+    }),
+  /** An empty transaction on the head's version shows that the head read is current. */
+  confirm: (state, index) => {
+    const { applied } = state.instances[index];
+    return becomeReady(state, index, applied < state.head);
+  },
+  /** A live, ready peer confirms the head that it holds. */
+  hear: (state, index) => {
+    const { applied } = state.instances[index];
+    return becomeReady(state, index, applied < state.instances[1 - index].applied);
+  },
+  restart: (state, index) =>
+    change(state, index, {
+      applied: state.snapshot,
+      ready: false,
+      read: -1,
+      restarts: state.instances[index].restarts + 1,
+    }),
+};
+
+function enabledFor(state: State, index: number): string[] {
+  const instance = state.instances[index];
+  const peer = state.instances[1 - index];
+  const events: string[] = [];
+  for (let value = 0; value <= state.head; value += 1)
+    if (value !== instance.read) events.push(`read ${value}`);
+  // Tickets come in any order, from the table or a peer.
+  for (let value = 1; value <= state.head; value += 1) {
+    if (value <= Math.max(instance.read, peer.applied)) events.push(`apply ${value}`);
+  }
+  if (!instance.ready && instance.read === state.head && instance.applied >= instance.read)
+    events.push('confirm 0');
+  if (!instance.ready && peer.ready && instance.applied >= peer.applied) events.push('hear 0');
+  if (instance.applied > state.snapshot) events.push('store 0');
+  if (instance.restarts < MAX_RESTARTS) events.push('restart 0');
+  return events.map((event) => `${event} ${NAMES[index]}`);
+}
+
+export const spreadModel: Model<State> = {
+  name: 'ticket spread',
+  broken: 'a ticket is applied whatever its number',
+  initial: {
+    head: 0,
+    snapshot: 0,
+    instances: NAMES.map(() => ({
+      applied: 0,
+      ready: false,
+      read: -1,
+      readyBehind: false,
+      wentBack: false,
+      restarts: 0,
+    })),
+  },
+  invariants: {
+    'a configuration never goes back': ({ instances }) =>
+      instances.every(({ wentBack }) => !wentBack),
+    'an instance becomes ready on a confirmed head': ({ instances }) =>
+      instances.every(({ readyBehind }) => !readyBehind),
+    'nothing is applied that was not accepted': ({ head, instances }) =>
+      instances.every(({ applied }) => applied <= head),
+  },
+  enabled: (state) => [
+    ...(state.head < MAX_HEAD ? ['commit 0 a'] : []),
+    ...NAMES.flatMap((_, index) => enabledFor(state, index)),
+  ],
+  next: (state, event, isBroken) => {
+    const [name, value, instance] = event.split(' ');
+    return HANDLERS[name](state, NAMES.indexOf(instance), Number(value), isBroken);
+  },
+};
--- /dev/null
+++ b/spec/StreamModel.ts
@@ -0,0 +1,131 @@
+/** An answer of three tokens over two routes; frames are late, repeated and out of order. */
+import { TokenAssembler, TokenVerdict } from '../src/core/streams/TokenAssembler.js';
+import type { Model } from './Checker.js';
+
+interface Frame {
+  readonly epoch: number;
+  readonly index: number;
+}
+
+interface State {
+  readonly epoch: number;
+  /** Epoch under which each delivered token came, in order of delivery. */
+  readonly delivered: readonly Frame[];
+  readonly held: readonly Frame[];
+  /** Frames on their way; a frame may arrive twice. */
+  readonly frames: readonly Frame[];
+  /** Next index that each epoch's engine runs. */
+  readonly running: readonly number[];
+  /** Index at which each epoch was resumed. */
+  readonly resumedAt: readonly number[];
+  readonly repeats: number;
+}
+
+const TOKENS = 3;
+const MAX_EPOCH = 3;
+const MAX_REPEATS = 1;
+const UNUSED = -1;
+
+/** Frames in one order, so that equal states are one. */
+function ordered(frames: readonly Frame[]): Frame[] {
+  return [...frames].sort((a, b) => a.epoch - b.epoch || a.index - b.index);
+}
+
+/** Rebuilds the core's assembler as it is in a state. */
+function assemblerOf(state: State, onDeliver: (index: number) => void): TokenAssembler {
+  let live = false;
+  const assembler = new TokenAssembler((_text, index) => {
+    if (live) onDeliver(index);
+  });
+  for (let index = 0; index < state.delivered.length; index += 1) assembler.accept(1, index, '');
+  while (assembler.epoch < state.epoch) assembler.raiseEpoch();
+  for (const { epoch, index } of state.held) assembler.accept(epoch, index, '');
+  live = true;
+  return assembler;
+}
+
+function arrive(state: State, at: number, isBroken: boolean): State {
+  const frame = state.frames[at];
+  const delivered: number[] = [];
+  const assembler = assemblerOf(state, (index) => delivered.push(index));
+  const epoch = isBroken ? state.epoch : frame.epoch;
+  const verdict = assembler.accept(epoch, frame.index, '');
+  const source = (index: number): Frame => state.held.find((held) => held.index === index) ?? frame;
+  return {
+    ...state,
+    delivered: [
+      ...state.delivered,
+      ...delivered.map((index) => ({ epoch: source(index).epoch, index })),
+    ],
+    held:
+      verdict === TokenVerdict.Held
+        ? ordered([...state.held, frame])
+        : state.held.filter((held) => !delivered.includes(held.index)),
+  };
+}
+
+function raise(state: State): State {
+  const assembler = assemblerOf(state, () => {});
+  const resumeAt = assembler.raiseEpoch();
+  const at = assembler.epoch - 1;
+  return {
+    ...state,
+    epoch: assembler.epoch,
+    held: [],
+    running: state.running.map((next, index) => (index === at ? resumeAt : next)),
+    resumedAt: state.resumedAt.map((from, index) => (index === at ? resumeAt : from)),
+  };
+}
+
+/** The engine of an epoch runs a token; it does so until the cancellation reaches it. */
+function run(state: State, epoch: number): State {
+  const index = state.running[epoch - 1];
+  return {
+    ...state,
+    running: state.running.map((next, at) => (at === epoch - 1 ? next + 1 : next)),
+    frames: ordered([...state.frames, { epoch, index }]),
+  };
+}
+
+export const streamModel: Model<State> = {
+  name: 'stream recovery',
+  broken: 'the assembler does not look at the epoch',
+  initial: {
+    epoch: 1,
+    delivered: [],
+    held: [],
+    frames: [],
+    running: [0, UNUSED, UNUSED],
+    resumedAt: [0, UNUSED, UNUSED],
+    repeats: 0,
+  },
+  invariants: {
+    'each index is delivered once, in order': ({ delivered }) =>
+      delivered.every(({ index }, at) => index === at),
+    'a token comes from the epoch that was current': ({ delivered, resumedAt }) =>
+      delivered.every(({ epoch, index }) => {
+        const later = resumedAt.slice(epoch).filter((from) => from !== UNUSED);
+        return index >= resumedAt[epoch - 1] && later.every((from) => index < from);
+      }),
+  },
+  enabled: (state) => {
+    const events: string[] = [];
+    for (const [at, next] of state.running.entries()) {
+      if (next !== UNUSED && next < TOKENS) events.push(`run ${at + 1}`);
+    }
+    for (const at of state.frames.keys()) {
+      events.push(`arrive ${at}`);
+      if (state.repeats < MAX_REPEATS) events.push(`repeat ${at}`);
+    }
+    if (state.epoch < MAX_EPOCH && state.delivered.length < TOKENS) events.push('raise');
+    return events;
+  },
+  next: (state, event, isBroken) => {
+    const [name, subject] = event.split(' ');
+    if (name === 'raise') return raise(state);
+    if (name === 'run') return run(state, Number(subject));
+    const arrived = arrive(state, Number(subject), isBroken);
+    if (name === 'repeat') return { ...arrived, repeats: state.repeats + 1 };
+    return { ...arrived, frames: state.frames.filter((_, at) => at !== Number(subject)) };
+  },
+};
--- /dev/null
+++ b/spec/TicketCommitModel.ts
@@ -0,0 +1,118 @@
+/** Two operators race for one object; writes may be late and answers lost. */
+import type { Model } from './Checker.js';
+
+enum Phase {
+  Start = 'start',
+  /** The write is on its way and its answer is awaited. */
+  Sent = 'sent',
+  /** The answer is lost; the submission row is being settled. */
+  Settling = 'settling',
+  Accepted = 'accepted',
+  Refused = 'refused',
+}
+
+interface Operator {
+  readonly phase: Phase;
+  /** Head and object versions that the write requires; -1 when none is under way. */
+  readonly wantsHead: number;
+  /** Whether the write may still land. */
+  readonly underWay: boolean;
+  /** Submission row: 0 absent, -1 cancelled, else the ticket number. */
+  readonly submission: number;
+  /** Attempts to re-number that are left. */
+  readonly attempts: number;
+}
+
+interface State {
+  readonly head: number;
+  /** Ticket that last touched the object. */
+  readonly object: number;
+  readonly operators: readonly Operator[];
+}
+
+const OPERATORS = ['a', 'b', 'c'];
+const initialOperator: Operator = {
+  phase: Phase.Start,
+  wantsHead: -1,
+  underWay: false,
+  submission: 0,
+  attempts: 2,
+};
+
+function replace(state: State, index: number, change: Partial<Operator>): State {
+  const operators = state.operators.map((operator, at) =>
+    at === index ? { ...operator, ...change } : operator,
+  );
+  return { ...state, operators };
+}
+
+/** The transaction: head unmoved, object untouched, submission row absent. */
+function land(state: State, index: number): State {
+  const operator = state.operators[index];
+  const settled = replace(state, index, { underWay: false });
+  const holds =
+    state.head === operator.wantsHead && state.object === 0 && operator.submission === 0;
+  if (!holds) return settled;
+  const number = state.head + 1;
+  return { ...replace(settled, index, { submission: number }), head: number, object: number };
+}
+
+type Handler = (state: State, index: number, isBroken: boolean) => State;
+
+const HANDLERS: Readonly<Record<string, Handler>> = {
+  send: (state, index) => {
+    const { attempts } = state.operators[index];
+    if (state.object !== 0) return replace(state, index, { phase: Phase.Refused });
+    return replace(state, index, {
+      phase: Phase.Sent,
+      wantsHead: state.head,
+      underWay: true,
+      attempts: attempts - 1,
+    });
+  },
+  land,
+  answer: (state, index) => {
+    const { submission, attempts } = state.operators[index];
+    if (submission > 0) return replace(state, index, { phase: Phase.Accepted });
+    return replace(state, index, { phase: attempts > 0 ? Phase.Start : Phase.Settling });
+  },
+  lose: (state, index) => replace(state, index, { phase: Phase.Settling }),
+  settle: (state, index, isBroken) => {
+    const { submission } = state.operators[index];
+    if (submission > 0) return replace(state, index, { phase: Phase.Accepted });
+    if (isBroken) return replace(state, index, { phase: Phase.Refused });
+    return replace(state, index, { phase: Phase.Refused, submission: -1 });
+  },
+};
+
+const ENABLED: Readonly<Record<Phase, (operator: Operator) => readonly string[]>> = {
+  [Phase.Start]: () => ['send'],
+  [Phase.Sent]: ({ underWay }) => (underWay ? ['lose'] : ['answer', 'lose']),
+  [Phase.Settling]: () => ['settle'],
+  [Phase.Accepted]: () => [],
+  [Phase.Refused]: () => [],
+};
+
+export const ticketCommitModel: Model<State> = {
+  name: 'ticket commit',
+  broken: 'a lost answer is called refused without cancelling the submission',
+  initial: { head: 0, object: 0, operators: OPERATORS.map(() => initialOperator) },
+  invariants: {
+    'at most one ticket wins the object': ({ operators }) =>
+      operators.filter(({ submission }) => submission > 0).length <= 1,
+    'accepted means landed': ({ operators }) =>
+      operators.every(({ phase, submission }) => phase !== Phase.Accepted || submission > 0),
+    'refused means never landed': ({ operators }) =>
+      operators.every(({ phase, submission }) => phase !== Phase.Refused || submission <= 0),
+    'numbers are consecutive': ({ head, object }) => head === object,
+  },
+  enabled: (state) =>
+    state.operators.flatMap((operator, index) => {
+      const names = [...ENABLED[operator.phase](operator), ...(operator.underWay ? ['land'] : [])];
+      return names.map((name) => `${name} ${OPERATORS[index]}`);
+    }),
+  next: (state, event, isBroken) => {
+    const [name, operator] = event.split(' ');
+    return HANDLERS[name](state, OPERATORS.indexOf(operator), isBroken);
+  },
+};
--- a/src/core/tickets/TicketFeed.ts
+++ b/src/core/tickets/TicketFeed.ts
@@ -1,5 +1,12 @@
 /** Keeps the configuration at the newest ticket: polls the table service and takes tickets from peers. */
-import type { Clock, Disposable, ObjectStore, Row, TableService } from '../../ports/Types.js';
+import {
+  CommitStatus,
+  type Clock,
+  type Disposable,
+  type ObjectStore,
+  type Row,
+  type TableService,
+} from '../../ports/Types.js';
 import type { Configuration } from './Configuration.js';
 import { HEAD_KEY, ticketKey, type HeadRow } from './TicketCommit.js';
 import type { CommittedTicket, Snapshot } from './Types.js';
@@ -111,7 +118,7 @@
       const head = (row?.value as HeadRow | undefined)?.number ?? 0;
       if (head - this.parts.configuration.number > RECENT) await this.loadStoredSnapshot();
       await this.readUpTo(head);
-      this.confirm(head);
+      if (!this.isReady) await this.confirmRead(row);
       this.heardAt = this.parts.clock.now();
     } catch {
       this.parts.log('The table service does not answer; the configuration in force stays.');
@@ -131,6 +138,16 @@
     if (this.confirmedHead < 0) this.confirmedHead = head;
   }
 
+  /** Proves that a head just read is current: reads may be stale, transactions are not. */
+  private async confirmRead(row: Row | undefined): Promise<void> {
+    const commit = await this.parts.table.transact({
+      conditions: [{ key: HEAD_KEY, version: row?.version ?? 0 }],
+      writes: [],
+    });
+    if (commit.status === CommitStatus.Committed)
+      this.confirm((row?.value as HeadRow | undefined)?.number ?? 0);
+  }
+
   private async readUpTo(head: number): Promise<void> {
     const { configuration } = this.parts;
     while (configuration.number < head) {
