--- a/spec/LeaseModel.ts
+++ b/spec/LeaseModel.ts
@@ -41,7 +41,8 @@
 const MAX_ORDERS = 2;
 const CHANGED = -1;
 
-const older = (age: number): number => (age === CHANGED ? CHANGED : Math.min(MAX_AGE, age + 1));
+const older = (value: number): number =>
+  value === CHANGED ? CHANGED : Math.min(MAX_AGE, value + 1);
 
 function change(state: State, index: number, part: Partial<Candidate>): State {
   const candidates = state.candidates.map((item, at) =>
