--- /dev/null
+++ b/bench/Control.ts
@@ -0,0 +1,4 @@
+/** `bench control`: what one entry instance costs, as slopes. */
+export async function control(): Promise<readonly object[]> {
+  return [];
+}
--- /dev/null
+++ b/bench/Fleet.ts
@@ -0,0 +1,128 @@
+/** The two users' fleets at today's size: mixed accelerators, overlapping ranges, uneven links. */
+import { SeededRandom } from '../src/fakes/SeededRandom.js';
+import {
+  ObjectKind,
+  type BackendServer,
+  type Change,
+  type Pipeline,
+} from '../src/core/tickets/Types.js';
+
+export enum User {
+  Shamshyrak = 'shamshyrak',
+  VakuParis = 'vaku-paris',
+}
+
+/** What a user's requests look like. */
+export interface Workload {
+  readonly minTokens: number;
+  readonly maxTokens: number;
+  readonly promptTokens: number;
+}
+
+/** A fleet with its workload. */
+export interface Fleet {
+  readonly pipeline: Pipeline;
+  readonly servers: ReadonlyMap<string, BackendServer>;
+  readonly domains: readonly string[];
+  readonly workload: Workload;
+  readonly accounts: readonly string[];
+}
+
+export const PIPELINE = 'model';
+export const FIRST_TOKEN_MS = 1300;
+export const TOKEN_GAP_MS = 59;
+
+/** Deadline of the pipeline, from arrival to the last token, in milliseconds. */
+export const DEADLINE_MS = 15_000;
+
+const SERVERS = 40;
+const LAYERS = 48;
+const ACCOUNTS = 10;
+const CUT = 4;
+const MIN_LINK_MS = 0.02;
+const LINK_SPREAD = 100;
+
+/** Accelerator kinds: time of a layer for a token, and the layers that fit in memory. */
+const KINDS = [
+  { name: 'k1', layerMs: 0.06, layers: 24 },
+  { name: 'k2', layerMs: 0.09, layers: 20 },
+  { name: 'k3', layerMs: 0.12, layers: 16 },
+  { name: 'k4', layerMs: 0.18, layers: 12 },
+  { name: 'k5', layerMs: 0.24, layers: 12 },
+  { name: 'k6', layerMs: 0.3, layers: 8 },
+];
+
+const WORKLOADS: Readonly<Record<User, Workload>> = {
+  [User.Shamshyrak]: { minTokens: 40, maxTokens: 120, promptTokens: 200 },
+  [User.VakuParis]: { minTokens: 20, maxTokens: 60, promptTokens: 400 },
+};
+
+/** Range starts that spread a domain's servers over the layers in turn. */
+function rangeStart(position: number, layers: number, random: SeededRandom): number {
+  const last = (LAYERS - layers) / CUT;
+  const even = Math.round((position % 1) * last);
+  const jitter = Math.floor(random.between(-1, 2));
+  return Math.min(last, Math.max(0, even + jitter)) * CUT;
+}
+
+function pipelineOf(): Pipeline {
+  const layerMs: Record<string, number> = {};
+  for (const kind of KINDS) layerMs[kind.name] = kind.layerMs;
+  return {
+    layers: LAYERS,
+    idempotent: true,
+    maxTokens: 512,
+    deadlineMs: DEADLINE_MS,
+    firstTokenMs: FIRST_TOKEN_MS,
+    tokenGapMs: TOKEN_GAP_MS,
+    layerMs,
+  };
+}
+
+/** Draws a fleet. Every failure domain covers all layers. */
+export function drawFleet(user: User, seed: number): Fleet {
+  const random = new SeededRandom(seed);
+  const domains = [`${user}-1`, `${user}-2`, `${user}-3`];
+  const servers = new Map<string, BackendServer>();
+  for (let index = 0; index < SERVERS; index += 1) {
+    const failureDomain = domains[index % domains.length];
+    const inDomain = Math.floor(index / domains.length);
+    const kind = KINDS[(inDomain + (index % domains.length)) % KINDS.length];
+    const first = inDomain < 4;
+    const layers = first ? LAYERS / 4 : kind.layers;
+    const from = first ? inDomain * layers : rangeStart((inDomain * 5) / 13, layers, random);
+    servers.set(`s${index}`, {
+      address: `s${index}`,
+      failureDomain,
+      accelerator: kind.name,
+      layerRanges: [{ pipeline: PIPELINE, from, to: from + layers }],
+      services: [],
+      maxSequences: 64,
+      linkMs: MIN_LINK_MS * LINK_SPREAD ** random.next(),
+      leaving: false,
+      checksFence: true,
+    });
+  }
+  const accounts = Array.from({ length: ACCOUNTS }, (_, index) => `account-${index + 1}`);
+  return { pipeline: pipelineOf(), servers, domains, workload: WORKLOADS[user], accounts };
+}
+
+/** The ticket that puts a fleet in force. */
+export function changesOf(fleet: Fleet): Change[] {
+  const unlimited = { keyHashes: [], weight: 1, requestsPerSecond: 1e9, concurrency: 1e9 };
+  return [
+    { kind: ObjectKind.Pipeline, name: PIPELINE, base: 0, state: fleet.pipeline },
+    ...fleet.accounts.map((name) => ({
+      kind: ObjectKind.ClientAccount,
+      name,
+      base: 0,
+      state: unlimited,
+    })),
+    ...[...fleet.servers].map(([name, state]) => ({
+      kind: ObjectKind.BackendServer,
+      name,
+      base: 0,
+      state,
+    })),
+  ];
+}
--- /dev/null
+++ b/bench/Policies.ts
@@ -0,0 +1,53 @@
+/** Route policies: ours and the baselines. */
+import { planRoute } from '../src/core/routing/RoutePlanner.js';
+import type { Candidate, Route, RouteQuery, Stage } from '../src/core/routing/Types.js';
+import type { Random } from '../src/ports/Types.js';
+
+export enum Policy {
+  Ours = 'ours',
+  /** A random server that holds the next layer, as far as its range goes. */
+  RandomChain = 'random-chain',
+  /** The least loaded server for the first layer, and again for each next one. */
+  LeastLoadedHead = 'least-loaded-head',
+  /** The shortest chain by unloaded time. */
+  ShortestUnloaded = 'shortest-unloaded',
+}
+
+type Planner = (query: RouteQuery, random: Random) => Route | undefined;
+
+type Choice = (holders: readonly Candidate[], query: RouteQuery, random: Random) => Candidate;
+
+function chain(choose: Choice): Planner {
+  return (query, random) => {
+    const stages: Stage[] = [];
+    let from = 0;
+    while (from < query.layers) {
+      const at = from;
+      const holders = query.candidates.filter(
+        (item) => item.from <= at && at < item.to && query.usable(item.server),
+      );
+      if (holders.length === 0) return undefined;
+      const { server, address, to } = choose(holders, query, random);
+      stages.push({ server, address, from, to });
+      from = to;
+    }
+    return { stages, costMs: 0 };
+  };
+}
+
+const anyOf: Choice = (holders, _query, random) =>
+  holders[Math.floor(random.next() * holders.length)];
+
+const leastLoaded: Choice = (holders, query) => {
+  let [best] = holders;
+  for (const holder of holders)
+    if (query.busyMs(holder.server) < query.busyMs(best.server)) best = holder;
+  return best;
+};
+
+export const PLANNERS: Readonly<Record<Policy, Planner>> = {
+  [Policy.Ours]: (query) => planRoute(query),
+  [Policy.RandomChain]: chain(anyOf),
+  [Policy.LeastLoadedHead]: chain(leastLoaded),
+  [Policy.ShortestUnloaded]: (query) => planRoute({ ...query, busyMs: () => 0 }),
+};
--- /dev/null
+++ b/bench/Recovery.ts
@@ -0,0 +1,166 @@
+/** `bench recovery`: time from a fault to the next token of the same stream, and to the goodput before. */
+import { Outcome } from '../src/core/Outcome.js';
+import { drawFleet, User } from './Fleet.js';
+import { Policy } from './Policies.js';
+import { Simulation, type RequestRecord } from './Simulation.js';
+
+/** Faults that the bench injects. */
+export enum BenchFault {
+  Crash = 'crash',
+  Silence = 'silence',
+  LinkDegraded = 'link-degraded',
+  DomainCut = 'domain-cut',
+  InstanceLost = 'instance-lost',
+}
+
+/** Figures of one fault. */
+export interface RecoveryRow {
+  readonly user: User;
+  readonly fault: BenchFault;
+  readonly seed: number;
+  /** Streams in progress that the fault hit. */
+  readonly hit: number;
+  /** Time from the fault to the next token of a hit stream, in milliseconds. */
+  readonly nextTokenP50Ms: number;
+  readonly nextTokenP95Ms: number;
+  /** Time from the fault until the token rate is back at 95% of the rate before, in milliseconds. */
+  readonly goodputBackMs: number;
+  /** Hit streams that did not end whole. */
+  readonly lost: number;
+  /** Positions rebuilt, for each position answered after the fault. */
+  readonly extraWork: number;
+  readonly retries: number;
+}
+
+const FAULT_AT_MS = 15_000;
+const FAULT_MS = 10_000;
+const END_MS = 45_000;
+const LOAD = 0.7;
+const WINDOW_MS = 1000;
+const SAMPLE_MS = 50;
+const BACK_PART = 0.95;
+const SLOWNESS = 10;
+const SERVERS_HIT = 2;
+
+type Inject = (simulation: Simulation, names: readonly string[]) => void;
+
+const INJECT: Readonly<Record<BenchFault, Inject>> = {
+  [BenchFault.Crash]: (simulation, names) => {
+    for (const name of names) {
+      simulation.servers.get(name)?.crash();
+      simulation.engine.break(name);
+    }
+  },
+  [BenchFault.Silence]: (simulation, names) => {
+    for (const name of names) simulation.servers.get(name)?.freeze(FAULT_AT_MS + FAULT_MS);
+  },
+  [BenchFault.LinkDegraded]: (simulation, names) => {
+    for (const name of names)
+      Object.assign(simulation.servers.get(name) ?? {}, { slowness: SLOWNESS });
+  },
+  [BenchFault.DomainCut]: (simulation) => {
+    const { domain } = simulation.instances[0];
+    simulation.cuts.add(domain);
+    simulation.clock.schedule(FAULT_MS, () => simulation.cuts.delete(domain));
+  },
+  [BenchFault.InstanceLost]: (simulation) => simulation.lose(simulation.instances[0]),
+};
+
+function percentile(values: readonly number[], part: number): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return Math.round(sorted[Math.floor((sorted.length - 1) * part)] ?? 0);
+}
+
+/** Token counts over time. */
+class RateLog {
+  private readonly counts: number[] = [];
+
+  public constructor(simulation: Simulation) {
+    const sample = () => {
+      this.counts.push(simulation.engine.counts.tokens);
+      simulation.clock.schedule(SAMPLE_MS, sample);
+    };
+    simulation.clock.schedule(0, sample);
+  }
+
+  /** Tokens in the window that ends at a time. */
+  public rateAt(timeMs: number): number {
+    const end = Math.floor(timeMs / SAMPLE_MS);
+    return (this.counts[end] ?? 0) - (this.counts[end - WINDOW_MS / SAMPLE_MS] ?? 0);
+  }
+
+  /** Mean rate over the five seconds before a time. */
+  public before(timeMs: number): number {
+    let sum = 0;
+    for (let step = 0; step < 5; step += 1) sum += this.rateAt(timeMs - step * WINDOW_MS);
+    return sum / 5;
+  }
+}
+
+function goodputBack(log: RateLog): number {
+  const wanted = log.before(FAULT_AT_MS) * BACK_PART;
+  for (let at = FAULT_AT_MS + WINDOW_MS; at < END_MS; at += SAMPLE_MS) {
+    if (log.rateAt(at) >= wanted) return at - FAULT_AT_MS;
+  }
+  return END_MS - FAULT_AT_MS;
+}
+
+/** Injects one fault at 0.7 of the bound and watches the streams that it hits. */
+export async function measureRecovery(
+  user: User,
+  fault: BenchFault,
+  seed: number,
+): Promise<RecoveryRow> {
+  const simulation = new Simulation({
+    fleet: drawFleet(user, seed),
+    policy: Policy.Ours,
+    seed,
+    load: LOAD,
+  });
+  const log = new RateLog(simulation);
+  let hit: RequestRecord[] = [];
+  let tokensBefore = 0;
+  simulation.clock.schedule(FAULT_AT_MS, () => {
+    const busiest = [...simulation.servers]
+      .sort(([, a], [, b]) => b.loadMs - a.loadMs)
+      .slice(0, SERVERS_HIT);
+    const names = busiest.map(([name]) => name);
+    hit = simulation.recordsHit(fault === BenchFault.DomainCut ? undefined : names);
+    tokensBefore = simulation.engine.counts.tokens;
+    INJECT[fault](simulation, names);
+  });
+  await simulation.run(END_MS);
+  const waits = hit
+    .filter((record) => record.afterFaultAt > 0)
+    .map((record) => record.afterFaultAt - FAULT_AT_MS);
+  const lost = hit.filter(({ outcome, endedAt }) => endedAt > 0 && outcome !== Outcome.Complete);
+  const { counts } = simulation.engine;
+  return {
+    user,
+    fault,
+    seed,
+    hit: hit.length,
+    nextTokenP50Ms: percentile(waits, 0.5),
+    nextTokenP95Ms: percentile(waits, 0.95),
+    goodputBackMs: goodputBack(log),
+    lost: lost.length,
+    extraWork:
+      Math.round((counts.rebuiltPositions / Math.max(1, counts.tokens - tokensBefore)) * 1000) /
+      1000,
+    retries: simulation.retries,
+  };
+}
+
+/** Runs every fault for every user and seed. */
+export async function recovery(
+  users: readonly User[],
+  seeds: readonly number[],
+): Promise<RecoveryRow[]> {
+  const rows: RecoveryRow[] = [];
+  for (const user of users) {
+    for (const fault of Object.values(BenchFault)) {
+      for (const seed of seeds) rows.push(await measureRecovery(user, fault, seed));
+    }
+  }
+  return rows;
+}
--- /dev/null
+++ b/bench/Simulation.ts
@@ -0,0 +1,281 @@
+/** Several entry instances under load in virtual time: the daemon's own decisions, stand-in servers. */
+import { Invariants } from '../src/core/Invariant.js';
+import { AccountLimiter } from '../src/core/limits/AccountLimiter.js';
+import { RetryBudget } from '../src/core/limits/RetryBudget.js';
+import { Prober } from '../src/core/membership/Prober.js';
+import { ServerHealth } from '../src/core/membership/ServerHealth.js';
+import { Outcome } from '../src/core/Outcome.js';
+import { CompletionDesk, MOVE_REASONS } from '../src/core/requests/CompletionDesk.js';
+import { planFlow } from '../src/core/routing/FlowPlan.js';
+import { LoadTable } from '../src/core/routing/LoadTable.js';
+import { PipelineRouting } from '../src/core/routing/PipelineRouting.js';
+import { Topology } from '../src/core/routing/Topology.js';
+import { Configuration } from '../src/core/tickets/Configuration.js';
+import { SeededRandom } from '../src/fakes/SeededRandom.js';
+import { VirtualClock } from '../src/fakes/VirtualClock.js';
+import { BatchServer } from './BatchServer.js';
+import { BenchEngine, PREFILL_PART } from './BenchEngine.js';
+import { changesOf, PIPELINE, type Fleet } from './Fleet.js';
+import { PLANNERS, type Policy } from './Policies.js';
+
+/** One entry instance of the bench. */
+export interface BenchInstance {
+  readonly domain: string;
+  readonly desk: CompletionDesk;
+  readonly load: LoadTable;
+  readonly health: ServerHealth;
+  readonly prober: Prober;
+}
+
+/** One request's history. */
+export interface RequestRecord {
+  readonly id: string;
+  readonly tokens: number;
+  readonly arrivedAt: number;
+  firstAt: number;
+  lastAt: number;
+  /** Longest gap between tokens, in milliseconds. */
+  longestGapMs: number;
+  endedAt: number;
+  /** First token after the fault that hit the stream; 0 before it. */
+  afterFaultAt: number;
+  /** Whether a fault hit the stream. */
+  isHit: boolean;
+  outcome: Outcome | undefined;
+}
+
+export interface SimulationOptions {
+  readonly fleet: Fleet;
+  readonly policy: Policy;
+  readonly seed: number;
+  /** Offered load as a multiple of the bound. */
+  readonly load: number;
+}
+
+const INSTANCES_PER_DOMAIN = 2;
+const EXCHANGE_MS = 500;
+const CHARACTERS_PER_TOKEN = 4;
+
+export class Simulation {
+  public readonly clock = new VirtualClock();
+
+  public readonly servers = new Map<string, BatchServer>();
+
+  public readonly engine: BenchEngine;
+
+  public readonly instances: BenchInstance[] = [];
+
+  public readonly records: RequestRecord[] = [];
+
+  /** Upper bound of answered tokens a millisecond. */
+  public readonly boundPerMs: number;
+
+  public readonly cuts = new Set<string>();
+
+  public readonly invariants = new Invariants(true);
+
+  public retries = 0;
+
+  private readonly random: SeededRandom;
+
+  private readonly configuration = new Configuration(this.invariants);
+
+  private stopAt = 0;
+
+  public constructor(private readonly options: SimulationOptions) {
+    const { fleet, seed } = options;
+    this.random = new SeededRandom(seed);
+    for (const name of fleet.servers.keys()) this.servers.set(name, new BatchServer(this.clock));
+    this.engine = new BenchEngine(this.clock, fleet, this.servers, (from, to) =>
+      this.isCut(from, to),
+    );
+    this.configuration.apply({
+      number: 1,
+      submission: '',
+      at: '',
+      author: '',
+      reason: '',
+      changes: changesOf(fleet),
+    });
+    this.boundPerMs = this.bound();
+    for (const domain of fleet.domains) {
+      for (let index = 0; index < INSTANCES_PER_DOMAIN; index += 1) this.addInstance(domain);
+    }
+  }
+
+  /** Offers requests until a time. */
+  public async run(untilMs: number): Promise<void> {
+    this.stopAt = untilMs;
+    for (const { prober } of this.instances) prober.start();
+    this.exchange();
+    this.arrive();
+    await this.clock.runUntil(untilMs);
+    for (const { prober } of this.instances) prober.dispose();
+  }
+
+  /**
+   * Marks the streams that a fault hits: those that use one of the servers, or that cross domains.
+   * @param servers - undefined for streams whose route leaves its failure domain
+   */
+  public recordsHit(servers: readonly string[] | undefined): RequestRecord[] {
+    const used = this.engine.requestsOn((stages) =>
+      servers === undefined
+        ? new Set(stages.map(({ server }) => this.options.fleet.servers.get(server)?.failureDomain))
+            .size > 1
+        : stages.some(({ server }) => servers.includes(server)),
+    );
+    const hit = this.records.filter(({ id, firstAt }) => firstAt > 0 && used.has(id));
+    for (const record of hit) record.isHit = true;
+    return hit;
+  }
+
+  /** Loses an instance: its callers lose their streams, and no request goes to it any more. */
+  public lose(instance: BenchInstance): void {
+    this.instances.splice(this.instances.indexOf(instance), 1);
+    instance.prober.dispose();
+  }
+
+  /** Whether two failure domains are cut from each other. */
+  public isCut(from: string, to: string): boolean {
+    return from !== to && (this.cuts.has(from) || this.cuts.has(to));
+  }
+
+  private bound(): number {
+    const { fleet } = this.options;
+    const { workload } = fleet;
+    const flow = planFlow(
+      new Topology(this.configuration).of(PIPELINE),
+      fleet.pipeline.layers,
+    ).tokensPerMs;
+    const meanTokens = (workload.minTokens + workload.maxTokens) / 2;
+    return flow * (meanTokens / (meanTokens + workload.promptTokens * PREFILL_PART));
+  }
+
+  private addInstance(domain: string): void {
+    const { clock, configuration, invariants } = this;
+    const engine = this.engine.from(domain);
+    const { fleet, policy } = this.options;
+    const load = new LoadTable();
+    const health = new ServerHealth();
+    const budget = new RetryBudget();
+    const topology = new Topology(configuration);
+    const random = new SeededRandom(Math.floor(this.random.next() * 2 ** 31));
+    const parts = {
+      clock,
+      engine,
+      configuration,
+      topology,
+      load,
+      health,
+      budget,
+      homeDomain: domain,
+    };
+    const routing = new PipelineRouting(parts, (query) => PLANNERS[policy](query, random));
+    const count = fleet.domains.length * INSTANCES_PER_DOMAIN;
+    const counters = {
+      retry: () => {
+        this.retries += 1;
+      },
+      token: () => {},
+    };
+    const desk = new CompletionDesk({
+      session: { clock, engine, routing, counters, invariants },
+      clock,
+      configuration,
+      topology,
+      limiter: new AccountLimiter({ domains: 1, homeInstances: 1 }),
+      budget,
+      instances: () => count,
+    });
+    const prober = new Prober({
+      clock,
+      engine,
+      configuration,
+      load,
+      health,
+      isMine: () => true,
+      log: () => {},
+    });
+    health.onMark((server, mark) => {
+      const reason = MOVE_REASONS[mark];
+      if (reason !== undefined) desk.moveFrom(server, reason);
+    });
+    this.instances.push({ domain, desk, load, health, prober });
+  }
+
+  /** Each instance hears every other one's streams in progress, late. */
+  private exchange(): void {
+    for (const [index, { load, domain }] of this.instances.entries()) {
+      const own = load.own();
+      const delayMs = this.random.between(0, EXCHANGE_MS);
+      this.clock.schedule(delayMs, () => {
+        for (const [other, peer] of this.instances.entries()) {
+          if (other === index || this.isCut(domain, peer.domain)) continue;
+          peer.load.hear(`i${index}`, own, this.clock.now());
+        }
+      });
+    }
+    this.clock.schedule(EXCHANGE_MS, () => this.exchange());
+  }
+
+  private arrive(): void {
+    const { fleet, load } = this.options;
+    const { minTokens, maxTokens } = fleet.workload;
+    const meanTokens = (minTokens + maxTokens) / 2;
+    const ratePerMs = (this.boundPerMs * load) / meanTokens;
+    const gapMs = -Math.log(1 - this.random.next()) / ratePerMs;
+    this.clock.schedule(gapMs, () => {
+      if (this.clock.now() >= this.stopAt) return;
+      this.submit(Math.floor(this.random.between(minTokens, maxTokens + 1)));
+      this.arrive();
+    });
+  }
+
+  private submit(tokens: number): void {
+    const { fleet } = this.options;
+    const now = this.clock.now();
+    const record: RequestRecord = {
+      id: `r${this.records.length}`,
+      tokens,
+      arrivedAt: now,
+      firstAt: 0,
+      lastAt: 0,
+      longestGapMs: 0,
+      endedAt: 0,
+      afterFaultAt: 0,
+      isHit: false,
+      outcome: undefined,
+    };
+    this.records.push(record);
+    // A squared draw makes a few accounts large.
+    const account = fleet.accounts[Math.floor(this.random.next() ** 2 * fleet.accounts.length)];
+    const prompt = 'x'.repeat(fleet.workload.promptTokens * CHARACTERS_PER_TOKEN);
+    const end = (outcome: Outcome) => {
+      record.outcome = outcome;
+      record.endedAt = this.clock.now();
+    };
+    this.random.pick(this.instances).desk.submit(
+      {
+        id: record.id,
+        account,
+        pipeline: PIPELINE,
+        prompt,
+        maxTokens: tokens,
+        priority: 0,
+        bytes: prompt.length,
+      },
+      {
+        onDispatch: () => {},
+        onToken: () => {
+          const at = this.clock.now();
+          if (record.firstAt === 0) record.firstAt = at;
+          else record.longestGapMs = Math.max(record.longestGapMs, at - record.lastAt);
+          if (record.isHit && record.afterFaultAt === 0) record.afterFaultAt = at;
+          record.lastAt = at;
+        },
+        onEnd: () => end(Outcome.Complete),
+        onRefusal: (refused) => end(refused.outcome),
+      },
+    );
+  }
+}
--- /dev/null
+++ b/bench/Throughput.ts
@@ -0,0 +1,110 @@
+/** `bench throughput`: goodput against the bound, by policy and load. */
+import { Outcome } from '../src/core/Outcome.js';
+import { DEADLINE_MS, drawFleet, FIRST_TOKEN_MS, TOKEN_GAP_MS, User } from './Fleet.js';
+import { Policy } from './Policies.js';
+import { Simulation } from './Simulation.js';
+
+/** Figures of one run. */
+export interface ThroughputRow {
+  readonly user: User;
+  readonly policy: Policy;
+  readonly load: number;
+  readonly seed: number;
+  /** Tokens of answers that were whole by the deadline, as a part of the bound. */
+  readonly goodput: number;
+  /** Tokens generated, as a part of the bound. */
+  readonly tokens: number;
+  /** Part of the offered requests that were answered in time. */
+  readonly inTime: number;
+  /** Part of the offered requests that were refused as not run. */
+  readonly refused: number;
+  readonly firstTokenP95Ms: number;
+  readonly tokenGapP95Ms: number;
+  /** Part of the answers with a first token and a mean gap within the wanted times. */
+  readonly withinTargets: number;
+  /** Mean share of time that servers worked. */
+  readonly busy: number;
+}
+
+const WARM_UP_MS = 18_000;
+const MEASURE_MS = 25_000;
+
+function percentile(values: readonly number[], part: number): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return Math.round((sorted[Math.floor((sorted.length - 1) * part)] ?? 0) * 10) / 10;
+}
+
+const round = (value: number): number => Math.round(value * 1000) / 1000;
+
+/** Runs one fleet under one policy and load. */
+export async function measure(
+  user: User,
+  policy: Policy,
+  load: number,
+  seed: number,
+): Promise<ThroughputRow> {
+  const simulation = new Simulation({ fleet: drawFleet(user, seed), policy, seed, load });
+  const from = WARM_UP_MS;
+  const to = WARM_UP_MS + MEASURE_MS;
+  let tokensBefore = 0;
+  simulation.clock.schedule(from, () => {
+    tokensBefore = simulation.engine.counts.tokens;
+  });
+  await simulation.run(to);
+  const ended = simulation.records.filter(({ endedAt }) => endedAt >= from && endedAt < to);
+  const answers = ended.filter(({ outcome }) => outcome === Outcome.Complete);
+  const inTime = answers.filter(({ arrivedAt, endedAt }) => endedAt <= arrivedAt + DEADLINE_MS);
+  const tokensOf = (records: typeof answers) =>
+    records.reduce((sum, { tokens }) => sum + tokens, 0);
+  const boundTokens = simulation.boundPerMs * MEASURE_MS;
+  const gaps = answers.map((item) => (item.lastAt - item.firstAt) / Math.max(1, item.tokens - 1));
+  const firsts = answers.map(({ firstAt, arrivedAt }) => firstAt - arrivedAt);
+  const within = answers.filter(
+    (_, at) => firsts[at] <= FIRST_TOKEN_MS && gaps[at] <= TOKEN_GAP_MS,
+  );
+  let busy = 0;
+  for (const server of simulation.servers.values())
+    busy += server.busyTotalMs / (to * simulation.servers.size);
+  return {
+    user,
+    policy,
+    load,
+    seed,
+    goodput: round(tokensOf(inTime) / boundTokens),
+    tokens: round((simulation.engine.counts.tokens - tokensBefore) / boundTokens),
+    inTime: round(inTime.length / Math.max(1, ended.length)),
+    refused: round((ended.length - answers.length) / Math.max(1, ended.length)),
+    firstTokenP95Ms: percentile(firsts, 0.95),
+    tokenGapP95Ms: percentile(gaps, 0.95),
+    withinTargets: round(within.length / Math.max(1, answers.length)),
+    busy: round(busy),
+  };
+}
+
+/** What to run. */
+export interface ThroughputPlan {
+  readonly users: readonly User[];
+  readonly policies: readonly Policy[];
+  readonly loads: readonly number[];
+  readonly seeds: readonly number[];
+}
+
+export const FULL_PLAN: ThroughputPlan = {
+  users: Object.values(User),
+  policies: Object.values(Policy),
+  loads: [0.5, 0.8, 1, 1.5, 2],
+  seeds: [1, 2, 3],
+};
+
+/** Runs a plan; the same seeds for every policy. */
+export async function throughput(plan: ThroughputPlan): Promise<ThroughputRow[]> {
+  const rows: ThroughputRow[] = [];
+  for (const user of plan.users) {
+    for (const seed of plan.seeds) {
+      for (const load of plan.loads) {
+        for (const policy of plan.policies) rows.push(await measure(user, policy, load, seed));
+      }
+    }
+  }
+  return rows;
+}
--- /dev/null
+++ b/src/cli/BenchCommands.ts
@@ -0,0 +1,119 @@
+/** Commands that measure. */
+import { Command, Option } from 'clipanion';
+import { User } from '../../bench/Fleet.js';
+import { Policy } from '../../bench/Policies.js';
+import { recovery } from '../../bench/Recovery.js';
+import { FULL_PLAN, throughput } from '../../bench/Throughput.js';
+import { control } from '../../bench/Control.js';
+import { table } from './Table.js';
+
+const numbers = (text: string): number[] => text.split(',').map(Number);
+
+/** Keeps the known words of a comma-separated list. @throws Error naming the choices */
+function choose<T extends string>(text: string, choices: readonly T[]): T[] {
+  const chosen = text
+    .split(',')
+    .filter((word): word is T => (choices as readonly string[]).includes(word));
+  if (chosen.length === 0) throw new Error(`Choose from ${choices.join(', ')}.`);
+  return chosen;
+}
+
+abstract class BenchCommand extends Command {
+  public json = Option.Boolean('--json', false, { description: 'Print JSON for programs.' });
+
+  public async execute(): Promise<number> {
+    try {
+      this.show(await this.measure());
+      return 0;
+    } catch (error) {
+      this.context.stderr.write(`${(error as Error).message}\n`);
+      return 1;
+    }
+  }
+
+  protected abstract measure(): Promise<readonly object[]>;
+
+  private show(rows: readonly object[]): void {
+    if (this.json) {
+      this.context.stdout.write(`${JSON.stringify(rows)}\n`);
+      return;
+    }
+    const heads = Object.keys(rows[0] ?? {});
+    this.context.stdout.write(
+      table(
+        heads,
+        rows.map((row) => Object.values(row) as (string | number)[]),
+      ),
+    );
+  }
+}
+
+export class BenchThroughputCommand extends BenchCommand {
+  public static override paths = [['bench', 'throughput']];
+
+  public static override usage = Command.Usage({
+    description: 'Goodput against the bound, by policy and load, in virtual time.',
+    examples: [
+      ['All policies', 'acaciadrum bench throughput'],
+      ['One load', 'acaciadrum bench throughput --loads 1 --seeds 1'],
+    ],
+  });
+
+  public users = Option.String('--users', FULL_PLAN.users.join(','), {
+    description: 'Fleets to measure.',
+  });
+
+  public policies = Option.String('--policies', FULL_PLAN.policies.join(','), {
+    description: 'Route policies.',
+  });
+
+  public loads = Option.String('--loads', FULL_PLAN.loads.join(','), {
+    description: 'Multiples of the bound.',
+  });
+
+  public seeds = Option.String('--seeds', FULL_PLAN.seeds.join(','), {
+    description: 'Seeds of fleets and load.',
+  });
+
+  protected measure(): Promise<readonly object[]> {
+    return throughput({
+      users: choose(this.users, Object.values(User)),
+      policies: choose(this.policies, Object.values(Policy)),
+      loads: numbers(this.loads),
+      seeds: numbers(this.seeds),
+    });
+  }
+}
+
+export class BenchRecoveryCommand extends BenchCommand {
+  public static override paths = [['bench', 'recovery']];
+
+  public static override usage = Command.Usage({
+    description: 'Time from a fault to the next token and to the goodput before, in virtual time.',
+    examples: [['All faults', 'acaciadrum bench recovery --seeds 1,2,3']],
+  });
+
+  public users = Option.String('--users', Object.values(User).join(','), {
+    description: 'Fleets to measure.',
+  });
+
+  public seeds = Option.String('--seeds', '1,2,3', { description: 'Seeds of fleets and load.' });
+
+  protected measure(): Promise<readonly object[]> {
+    return recovery(choose(this.users, Object.values(User)), numbers(this.seeds));
+  }
+}
+
+export class BenchControlCommand extends BenchCommand {
+  public static override paths = [['bench', 'control']];
+
+  public static override usage = Command.Usage({
+    description:
+      'What one entry instance costs, as slopes over peers, servers, accounts and tickets.',
+    examples: [['All slopes', 'acaciadrum bench control --json']],
+  });
+
+  protected measure(): Promise<readonly object[]> {
+    return control();
+  }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,6 +7,11 @@
   PlatformCommand,
   SettingsCheckCommand,
 } from './DaemonCommands.js';
+import {
+  BenchControlCommand,
+  BenchRecoveryCommand,
+  BenchThroughputCommand,
+} from './BenchCommands.js';
 import { DemoCommand } from './DemoCommand.js';
 import { SoakCommand } from './SoakCommand.js';
 import {
@@ -40,6 +45,9 @@
   TicketExplainCommand,
   TicketStatusCommand,
   DemoCommand,
+  BenchThroughputCommand,
+  BenchRecoveryCommand,
+  BenchControlCommand,
   SoakCommand,
 ];
 
--- a/src/core/EntryCore.ts
+++ b/src/core/EntryCore.ts
@@ -10,9 +10,9 @@
 import { RetryBudget } from './limits/RetryBudget.js';
 import { Prober } from './membership/Prober.js';
 import { ranksAmong } from './membership/Rendezvous.js';
-import { ServerHealth, ServerMark } from './membership/ServerHealth.js';
+import { ServerHealth } from './membership/ServerHealth.js';
+import { MOVE_REASONS, CompletionDesk } from './requests/CompletionDesk.js';
 import { OrderDriver } from './placement/OrderDriver.js';
-import { CompletionDesk } from './requests/CompletionDesk.js';
 import { PlainDesk } from './requests/PlainDesk.js';
 import type { PlainTransport } from './requests/PlainTransport.js';
 import { LoadTable } from './routing/LoadTable.js';
@@ -216,7 +216,8 @@
     });
     health.onMark((server, mark) => {
       logFor('servers')(`Server ${server} is ${mark}.`);
-      if (mark === ServerMark.Leaving) this.completions.moveFrom(server);
+      const reason = MOVE_REASONS[mark];
+      if (reason !== undefined) this.completions.moveFrom(server, reason);
     });
   }
 
--- a/src/core/Outcome.ts
+++ b/src/core/Outcome.ts
@@ -22,7 +22,6 @@
   RateLimited = 'rate-limited',
   ConcurrencyLimited = 'concurrency-limited',
   NoRoute = 'no-route',
-  RetryBudgetSpent = 'retry-budget-spent',
   ClaimUnavailable = 'claim-unavailable',
   ClaimMismatch = 'claim-mismatch',
   ClaimHolderGone = 'claim-holder-gone',
@@ -39,6 +38,10 @@
   Leaving = 'leaving',
   Loading = 'loading',
   NotConnected = 'not-connected',
+  /** A server or its link became much slower than the others. */
+  Degraded = 'degraded',
+  /** The retry waits for its budget. */
+  BudgetWait = 'budget-wait',
 }
 
 /** A refusal: the outcome, the reason and how the caller can go on. */
@@ -71,7 +74,6 @@
   [RefusalReason.RateLimited]: { status: 429, retryAfterMs: 1000 },
   [RefusalReason.ConcurrencyLimited]: { status: 429, retryAfterMs: 1000 },
   [RefusalReason.NoRoute]: { status: 503, retryAfterMs: 3000 },
-  [RefusalReason.RetryBudgetSpent]: { status: 503, retryAfterMs: 5000 },
   [RefusalReason.ClaimUnavailable]: { status: 503, retryAfterMs: 2000 },
   [RefusalReason.ClaimMismatch]: { status: 422, retryAfterMs: 0 },
   [RefusalReason.ClaimHolderGone]: { status: 409, retryAfterMs: 0 },
--- a/src/core/admission/Admission.ts
+++ b/src/core/admission/Admission.ts
@@ -19,8 +19,26 @@
   readonly bytes: number;
   /** Expected tokens of the answer. */
   readonly cost: number;
-  /** Predicted time to run, once started, in milliseconds. */
-  readonly runMs: number;
+}
+
+interface Backlog {
+  readonly cost: number;
+  readonly weight: number;
+}
+
+/** A start is too late when less than this part of the predicted run time is left. */
+const LATE_START = 0.9;
+
+/** Shortest delay that a refused caller is told, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 1000;
+
+function unreachable(waitMs: number): Refusal {
+  return refusal(
+    Outcome.NotRun,
+    RefusalReason.DeadlineUnreachable,
+    'The answer cannot be whole by its deadline. Send the request again after the time in Retry-After.',
+    Math.max(MIN_RETRY_AFTER_MS, waitMs),
+  );
 }
 
 /** Weight of the newest run in the mean service time. */
@@ -34,8 +52,8 @@
 
   private bytes = 0;
 
-  /** Expected work of everything waiting, in tokens. */
-  private cost = 0;
+  /** Expected work that waits, in tokens, by account. */
+  private readonly backlog = new Map<string, Backlog>();
 
   private msPerToken = 0;
 
@@ -61,40 +79,48 @@
     this.queue.concurrency = Math.max(1, Math.floor(concurrency));
   }
 
-  /** Predicted wait of a request that joins now, in milliseconds. */
-  public predictedWaitMs(): number {
+  /**
+   * Predicted wait of a request that joins now, in milliseconds. Other accounts go first only with
+   * what their weight gives them in the time that the own account needs for its backlog.
+   */
+  public predictedWaitMs(account: string, weight: number): number {
     if (this.queue.pending < this.queue.concurrency) return 0;
-    return (this.cost * this.msPerToken) / this.queue.concurrency;
+    const own = this.backlog.get(account)?.cost ?? 0;
+    let ahead = own;
+    for (const [name, other] of this.backlog) {
+      if (name !== account) ahead += Math.min(other.cost, ((own + 1) * other.weight) / weight);
+    }
+    return (ahead * this.msPerToken) / this.queue.concurrency;
   }
 
   /**
    * Refuses a request or queues its run.
    * @param run - called when a place is free; resolves when the place can be freed
+   * @param onLate - called in place of `run` when the wait took so long that the deadline is out of reach
    * @returns a refusal, or undefined once the run is queued
    */
-  public submit(applicant: Applicant, run: () => Promise<void>): Refusal | undefined {
+  public submit(
+    applicant: Applicant,
+    run: () => Promise<void>,
+    onLate: (refused: Refusal) => void,
+  ): Refusal | undefined {
     if (this.isFull(applicant)) {
       return refusal(
         Outcome.NotRun,
         RefusalReason.QueueFull,
         'The queue of this pipeline is full. Send the request again after the time in Retry-After.',
-        Math.max(1000, this.predictedWaitMs()),
+        Math.max(MIN_RETRY_AFTER_MS, this.predictedWaitMs(applicant.account, applicant.weight)),
       );
     }
-    const wait = this.predictedWaitMs();
-    if (this.now() + wait + applicant.runMs > applicant.deadline) {
-      return refusal(
-        Outcome.NotRun,
-        RefusalReason.DeadlineUnreachable,
-        'The answer cannot be whole by its deadline. Send the request again after the time in Retry-After.',
-        Math.max(1000, wait),
-      );
+    const wait = this.predictedWaitMs(applicant.account, applicant.weight);
+    if (this.now() + wait + applicant.cost * this.msPerToken > applicant.deadline) {
+      return unreachable(wait);
     }
     this.waitingIds.add(applicant.id);
     this.bytes += applicant.bytes;
-    this.cost += applicant.cost;
+    this.addBacklog(applicant, applicant.cost);
     const { id, account, weight, priority, deadline, cost } = applicant;
-    this.queue.add(() => this.run(applicant, run), {
+    this.queue.add(() => this.run(applicant, run, onLate), {
       id,
       account,
       weight,
@@ -110,6 +136,12 @@
     this.takeOut(applicant);
   }
 
+  private addBacklog({ account, weight }: Applicant, cost: number): void {
+    const left = (this.backlog.get(account)?.cost ?? 0) + cost;
+    if (left <= 0) this.backlog.delete(account);
+    else this.backlog.set(account, { cost: left, weight });
+  }
+
   private isFull(applicant: Applicant): boolean {
     return (
       this.waitingIds.size >= this.bounds.maxEntries ||
@@ -117,8 +149,16 @@
     );
   }
 
-  private async run(applicant: Applicant, run: () => Promise<void>): Promise<void> {
+  private async run(
+    applicant: Applicant,
+    run: () => Promise<void>,
+    onLate: (refused: Refusal) => void,
+  ): Promise<void> {
     if (!this.takeOut(applicant)) return;
+    if (this.now() + applicant.cost * this.msPerToken * LATE_START > applicant.deadline) {
+      onLate(unreachable(0));
+      return;
+    }
     const startedAt = this.now();
     try {
       await run();
@@ -135,7 +175,7 @@
   private takeOut(applicant: Applicant): boolean {
     if (!this.waitingIds.delete(applicant.id)) return false;
     this.bytes -= applicant.bytes;
-    this.cost -= applicant.cost;
+    this.addBacklog(applicant, -applicant.cost);
     return true;
   }
 }
--- a/src/core/membership/ServerHealth.ts
+++ b/src/core/membership/ServerHealth.ts
@@ -4,6 +4,8 @@
   Leaving = 'leaving',
   /** The server has not loaded the layers that the tickets ask for. */
   Loading = 'loading',
+  /** The server or its link is much slower than the others. */
+  Degraded = 'degraded',
 }
 
 interface MarkEntry {
@@ -20,10 +22,14 @@
 /** A loading mark lapses after this time unless a prober renews it, in milliseconds. */
 const LOADING_MS = 3000;
 
+/** A degraded mark lapses after this time unless a prober renews it, in milliseconds. */
+const DEGRADED_MS = 10_000;
+
 const LIFETIME_MS: Readonly<Record<ServerMark, number>> = {
   [ServerMark.Suspect]: SUSPECT_MS,
   [ServerMark.Leaving]: LEAVING_MS,
   [ServerMark.Loading]: LOADING_MS,
+  [ServerMark.Degraded]: DEGRADED_MS,
 };
 
 /** Marks on servers that were heard of outside the tickets: suspects and leavers. */
@@ -58,7 +64,7 @@
   }
 
   /** Takes a mark back. A leaving mark is never taken back: it lapses. */
-  public clear(server: string, mark: ServerMark.Suspect | ServerMark.Loading): void {
+  public clear(server: string, mark: Exclude<ServerMark, ServerMark.Leaving>): void {
     if (this.marks.get(server)?.mark === mark) this.marks.delete(server);
   }
 
--- a/src/core/requests/CompletionDesk.ts
+++ b/src/core/requests/CompletionDesk.ts
@@ -3,7 +3,8 @@
 import { Admission, type Applicant } from '../admission/Admission.js';
 import type { AccountLimiter } from '../limits/AccountLimiter.js';
 import type { RetryBudget } from '../limits/RetryBudget.js';
-import { Outcome, refusal, RefusalReason, type Refusal } from '../Outcome.js';
+import { ServerMark } from '../membership/ServerHealth.js';
+import { Outcome, refusal, RefusalReason, RetryReason, type Refusal } from '../Outcome.js';
 import { planFlow } from '../routing/FlowPlan.js';
 import type { Topology } from '../routing/Topology.js';
 import { PendingRequest } from './PendingRequest.js';
@@ -64,6 +65,12 @@
   tokensPerMs: number;
 }
 
+/** Marks on a server that move its streams in progress elsewhere. */
+export const MOVE_REASONS: Readonly<Partial<Record<ServerMark, RetryReason>>> = {
+  [ServerMark.Leaving]: RetryReason.Leaving,
+  [ServerMark.Degraded]: RetryReason.Degraded,
+};
+
 export class CompletionDesk {
   private readonly queues = new Map<string, PipelineQueue>();
 
@@ -114,9 +121,9 @@
     return this.enqueue(request, pipeline, account.weight, listener);
   }
 
-  /** Moves every stream that uses a leaving server to another route. */
-  public moveFrom(server: string): void {
-    for (const session of [...this.sessions]) session.moveFrom(server);
+  /** Moves every stream that uses a leaving or degraded server to another route. */
+  public moveFrom(server: string, reason: RetryReason): void {
+    for (const session of [...this.sessions]) session.moveFrom(server, reason);
   }
 
   private refuseEarly(
@@ -156,7 +163,6 @@
       weight,
       deadline: now + pipeline.deadlineMs,
       cost: maxTokens,
-      runMs: 0,
     };
     this.open += 1;
     const end = () => {
@@ -181,13 +187,13 @@
       idempotent: pipeline.idempotent,
       deadline: applicant.deadline,
     };
-    const refused = admission.submit(applicant, () =>
-      this.run(streamRequest, handle, listener, end),
-    );
-    if (refused !== undefined) {
+    const onLate = (late: Refusal) => {
       end();
-      listener.onRefusal(refused);
-    }
+      listener.onRefusal(late);
+    };
+    const run = () => this.run(streamRequest, handle, listener, end);
+    const refused = admission.submit(applicant, run, onLate);
+    if (refused !== undefined) onLate(refused);
     return handle;
   }
 
@@ -208,7 +214,10 @@
       session = new StreamSession(this.parts.session, request, {
         onToken: (text, index) => listener.onToken(text, index),
         onEnd: (reason: FinishReason, tokens) => {
-          this.parts.budget.succeed(`${request.account}/${request.pipeline}`);
+          this.parts.budget.succeed(
+            `${request.account}/${request.pipeline}`,
+            this.parts.clock.now(),
+          );
           finish();
           listener.onEnd(reason, tokens);
         },
--- a/src/core/requests/PlainDesk.ts
+++ b/src/core/requests/PlainDesk.ts
@@ -135,7 +135,10 @@
           continue;
         }
         lastLost = server.name;
-        if (!repeatable || !this.parts.budget.take(`${request.account}/${request.service}`)) {
+        if (
+          !repeatable ||
+          !this.parts.budget.take(`${request.account}/${request.service}`, this.parts.clock.now())
+        ) {
           return { refusal: this.lost(server.name) };
         }
         this.parts.countRetry(RetryReason.Reset);
@@ -146,7 +149,7 @@
         this.parts.countRetry(RetryReason.Leaving);
         continue;
       }
-      this.parts.budget.succeed(`${request.account}/${request.service}`);
+      this.parts.budget.succeed(`${request.account}/${request.service}`, this.parts.clock.now());
       return { response: result, server: server.name };
     }
   }
--- a/src/core/routing/LoadTable.ts
+++ b/src/core/routing/LoadTable.ts
@@ -7,16 +7,32 @@
   ownAtReport: number;
   reported: number;
   reportedAt: number;
+  /** Factor by which the server is busier than its streams suggest. */
+  correction: number;
 }
 
 interface PeerLoad {
   readonly at: number;
   readonly busyMs: ReadonlyMap<string, number>;
+  /** This instance's own busy time by server when the peer was heard. */
+  readonly ownThen: ReadonlyMap<string, number>;
 }
 
 /** Reports older than this count for nothing, in milliseconds. */
 const REPORT_LIFETIME_MS = 5000;
 
+/** Weight of one report in the mean utilisation. */
+const MEAN_SMOOTHING = 0.02;
+
+/** Below this mean utilisation there is no need to correct. */
+const MIN_UTILISATION = 0.4;
+
+/** Part of the difference that one report corrects. */
+const CORRECTION_GAIN = 0.15;
+
+/** Largest correction either way. */
+const MAX_CORRECTION = 2;
+
 /**
  * Estimates each server's load from three late sources: its own reports, this instance's streams and
  * what peers say of theirs.
@@ -24,6 +40,8 @@
 export class LoadTable {
   private readonly servers = new Map<string, ServerLoad>();
 
+  private meanUtilisation = 0;
+
   private readonly peers = new Map<string, PeerLoad>();
 
   /** Adds the busy time of a stage that this instance starts. */
@@ -37,17 +55,21 @@
     load.own = Math.max(0, load.own - (stage.to - stage.from) * layerMs);
   }
 
-  /** Takes a server's own report. */
-  public report(server: string, busyMs: number, now: number): void {
+  /**
+   * Takes a server's own report.
+   * @param utilisation - part of the time since its last report in which the server worked
+   */
+  public report(server: string, busyMs: number, now: number, utilisation?: number): void {
     const load = this.entry(server);
     load.reported = busyMs;
     load.reportedAt = now;
     load.ownAtReport = load.own;
+    if (utilisation !== undefined) this.correct(load, utilisation);
   }
 
   /** Takes a peer's whole account of its streams in progress. */
   public hear(peer: string, busyMs: ReadonlyMap<string, number>, now: number): void {
-    this.peers.set(peer, { at: now, busyMs });
+    this.peers.set(peer, { at: now, busyMs, ownThen: this.own() });
   }
 
   /** Forgets a peer. */
@@ -64,21 +86,46 @@
     return own;
   }
 
-  /** Estimated busy time that a server adds to each token, in milliseconds. */
+  /**
+   * Estimated busy time that a server adds to each token, in milliseconds.
+   *
+   * Peers see the same reports and choose alike, so what this instance has added to a server since it
+   * heard a peer, that peer has probably added too. Without this, all of them pile onto the server
+   * that looked idle in the last exchange.
+   */
   public busyMs(server: string, now: number): number {
     const load = this.servers.get(server);
-    let known = load?.own ?? 0;
+    const own = load?.own ?? 0;
+    let known = own;
     for (const peer of this.peers.values()) {
-      if (now - peer.at <= REPORT_LIFETIME_MS) known += peer.busyMs.get(server) ?? 0;
+      if (now - peer.at > REPORT_LIFETIME_MS) continue;
+      const sinceHeard = own - (peer.ownThen.get(server) ?? 0);
+      known += Math.max(0, (peer.busyMs.get(server) ?? 0) + sinceHeard);
     }
     if (load === undefined || now - load.reportedAt > REPORT_LIFETIME_MS) return known;
-    return Math.max(known, load.reported + load.own - load.ownAtReport);
+    const busyMs =
+      this.peers.size > 0 ? known : Math.max(known, load.reported + own - load.ownAtReport);
+    return busyMs * load.correction;
+  }
+
+  /**
+   * Streams on slow servers come round less often, so equal busy times do not mean equal work. The
+   * correction drifts until all servers that report work the same part of their time.
+   */
+  private correct(load: ServerLoad, utilisation: number): void {
+    this.meanUtilisation += MEAN_SMOOTHING * (utilisation - this.meanUtilisation);
+    const relative =
+      this.meanUtilisation > MIN_UTILISATION ? utilisation / this.meanUtilisation : 1;
+    const target = this.meanUtilisation > MIN_UTILISATION ? load.correction * relative : 1;
+    const drifted = load.correction + CORRECTION_GAIN * (target - load.correction);
+
+    load.correction = Math.min(MAX_CORRECTION, Math.max(1 / MAX_CORRECTION, drifted));
   }
 
   private entry(server: string): ServerLoad {
     let load = this.servers.get(server);
     if (load === undefined) {
-      load = { own: 0, ownAtReport: 0, reported: 0, reportedAt: -Infinity };
+      load = { own: 0, ownAtReport: 0, reported: 0, reportedAt: -Infinity, correction: 1 };
       this.servers.set(server, load);
     }
     return load;
--- a/src/core/routing/PipelineRouting.ts
+++ b/src/core/routing/PipelineRouting.ts
@@ -8,7 +8,7 @@
 import type { LoadTable } from './LoadTable.js';
 import { planRoute } from './RoutePlanner.js';
 import type { Topology } from './Topology.js';
-import type { Candidate, Route, Stage } from './Types.js';
+import type { Candidate, Route, RouteQuery, Stage } from './Types.js';
 
 /** A stage that does not answer a probe within this time is silent, in milliseconds. */
 const PROBE_TIMEOUT_MS = 300;
@@ -36,12 +36,16 @@
 
 /** Chooses routes from the configuration, the load and the marks on servers. */
 export class PipelineRouting implements Routing {
-  public constructor(private readonly parts: RoutingParts) {}
+  /** @param planner - chooses a route; another one than ours serves as a baseline in measurements */
+  public constructor(
+    private readonly parts: RoutingParts,
+    private readonly planner: (query: RouteQuery) => Route | undefined = planRoute,
+  ) {}
 
   public plan(request: StreamRequest, kept: readonly Stage[]): Route | undefined {
     const now = this.parts.clock.now();
     const candidates = this.parts.topology.of(request.pipeline);
-    return planRoute({
+    return this.planner({
       candidates,
       layers: request.layers,
       homeDomain: this.parts.homeDomain,
@@ -74,23 +78,20 @@
     this.parts.health.mark(server, ServerMark.Loading, this.parts.clock.now());
   }
 
-  public async findSilent(stages: readonly Stage[]): Promise<string | undefined> {
+  public async findSilent(stages: readonly Stage[]): Promise<readonly string[]> {
     const answers = await Promise.all(
-      stages.map((stage) =>
-        this.parts.engine.probe(stage.address, PROBE_TIMEOUT_MS).then(
+      stages.map(({ address, server }) =>
+        this.parts.engine.probe(address, PROBE_TIMEOUT_MS).then(
           () => undefined,
-          () => stage.server,
+          () => server,
         ),
       ),
     );
-    for (const server of answers) {
-      if (server !== undefined) return server;
-    }
-    return undefined;
+    return answers.filter((server) => server !== undefined);
   }
 
   public takeRetry(request: StreamRequest): boolean {
-    return this.parts.budget.take(`${request.account}/${request.pipeline}`);
+    return this.parts.budget.take(`${request.account}/${request.pipeline}`, this.parts.clock.now());
   }
 
   public firstTokenMs(request: StreamRequest, route: Route): number {
--- a/src/core/routing/RoutePlanner.ts
+++ b/src/core/routing/RoutePlanner.ts
@@ -8,10 +8,16 @@
 const HOP_MS = 0.3;
 
 /** A route elsewhere is taken when the home route costs this many times more. */
-const FAR_WORSE = 1.5;
+const FAR_WORSE = 1.2;
 
-/** Busy time at which a server's layers cost twice their unloaded price, in milliseconds. */
-const PRICE_KNEE_MS = 6;
+/** Toll of one layer on a server at `TOLL_BUSY_MS`, in milliseconds. */
+const TOLL_MS = 0.3;
+
+/** Busy time at which the toll is `TOLL_MS`. */
+const TOLL_BUSY_MS = 8;
+
+/** How steeply the toll rises with the busy time. */
+const TOLL_POWER = 4;
 
 interface Arrival {
   cost: number;
@@ -30,12 +36,13 @@
 }
 
 /**
- * Price of one layer on a busy server: convex, so that work moves away before a server saturates.
+ * Price of one layer on a busy server. The toll for congestion is the same for all accelerator
+ * kinds: under load every server must be worked equally, and the slow kinds' own time would
+ * otherwise keep work away from them.
  * @param busyMs - busy time that the server adds to each token
  */
 export function layerPrice(layerMs: number, busyMs: number): number {
-  const pressure = busyMs / PRICE_KNEE_MS;
-  return layerMs * (1 + pressure * pressure);
+  return layerMs + TOLL_MS * (busyMs / TOLL_BUSY_MS) ** TOLL_POWER;
 }
 
 function keptLayers(query: RouteQuery, server: string, from: number, to: number): number {
@@ -50,7 +57,7 @@
 function stageCost(query: RouteQuery, candidate: Candidate, from: number, to: number): number {
   const layers = to - from;
   const busyMs = query.busyMs(candidate.server);
-  const runMs = layers * layerPrice(candidate.layerMs, busyMs) + busyMs;
+  const runMs = layers * layerPrice(candidate.layerMs, busyMs);
   const rebuilt =
     query.kept.length === 0 ? 0 : layers - keptLayers(query, candidate.server, from, to);
   return runMs + candidate.linkMs + HOP_MS + rebuilt * query.rebuildLayerMs;
--- a/src/core/streams/Pace.ts
+++ b/src/core/streams/Pace.ts
@@ -18,6 +18,9 @@
 /** A first token later than this many times its prediction, plus the slack, is silence. */
 const FIRST_TOKEN_FACTOR = 2;
 
+/** Silence before the first token is called at the latest then, in milliseconds. */
+const MAX_FIRST_TOKEN_MS = 2000;
+
 export class Pace {
   private gapMs = 0;
 
@@ -25,6 +28,8 @@
 
   private started = false;
 
+  private extraMs = 0;
+
   /** @param predictedFirstMs - predicted time to the first token */
   public constructor(
     startedAt: number,
@@ -40,18 +45,25 @@
       this.gapMs = this.gapMs === 0 ? gap : this.gapMs + SMOOTHING * (gap - this.gapMs);
     this.started = true;
     this.lastAt = now;
+    this.extraMs = 0;
   }
 
   /** Starts waiting for the first token of a new epoch. */
   public restart(now: number, predictedFirstMs: number): void {
     this.started = false;
     this.lastAt = now;
+    this.extraMs = 0;
     this.predictedFirstMs = predictedFirstMs;
   }
 
+  /** Looks again later: every stage answered, so the silence may be load. */
+  public extend(): void {
+    this.extraMs += MAX_SILENCE_MS;
+  }
+
   /** Time at which the stream counts as silent. */
   public silentAt(): number {
-    return this.lastAt + (this.started ? this.silenceMs() : this.firstTokenMs());
+    return this.lastAt + this.extraMs + (this.started ? this.silenceMs() : this.firstTokenMs());
   }
 
   private silenceMs(): number {
@@ -60,6 +72,9 @@
   }
 
   private firstTokenMs(): number {
-    return this.predictedFirstMs * FIRST_TOKEN_FACTOR + FIRST_TOKEN_SLACK_MS;
+    return Math.min(
+      MAX_FIRST_TOKEN_MS,
+      this.predictedFirstMs * FIRST_TOKEN_FACTOR + FIRST_TOKEN_SLACK_MS,
+    );
   }
 }
--- a/src/core/streams/StreamSession.ts
+++ b/src/core/streams/StreamSession.ts
@@ -46,8 +46,8 @@
   leaving(server: string): void;
   /** Records that a server has not loaded its layers. */
   loading(server: string): void;
-  /** Names a stage that does not answer a probe; undefined when all answer. */
-  findSilent(stages: readonly Stage[]): Promise<string | undefined>;
+  /** Names the servers that do not answer a probe. */
+  findSilent(stages: readonly Stage[]): Promise<readonly string[]>;
   takeRetry(request: StreamRequest): boolean;
   /** Predicted time to the first token on a route, in milliseconds. */
   firstTokenMs(request: StreamRequest, route: Route): number;
@@ -71,6 +71,9 @@
 /** Delay before looking for a route again, in milliseconds. */
 const NO_ROUTE_RETRY_MS = 200;
 
+/** Delay before asking the retry budget again, in milliseconds. */
+const BUDGET_WAIT_MS = 100;
+
 /** Longest time a request waits for a route to appear, in milliseconds. */
 const MAX_NO_ROUTE_MS = 15_000;
 
@@ -111,6 +114,8 @@
 
   private noRouteSince = -1;
 
+  private waitedOut = false;
+
   public constructor(
     private readonly ports: SessionPorts,
     private readonly request: StreamRequest,
@@ -138,11 +143,11 @@
     return this.route?.stages ?? [];
   }
 
-  /** Moves the stream off a server that is leaving, when its route has that server. */
-  public moveFrom(server: string): void {
+  /** Moves the stream off a server that is leaving or degraded, when its route has that server. */
+  public moveFrom(server: string, reason: RetryReason): void {
     if (this.ended || !this.request.idempotent) return;
     if (!this.stages.some((stage) => stage.server === server)) return;
-    this.retry(RetryReason.Leaving, server, false);
+    this.retry(reason, [server], reason !== RetryReason.Leaving);
   }
 
   private attempt(kept: readonly Stage[]): void {
@@ -224,7 +229,7 @@
     if (this.ended || epoch !== this.assembler.epoch) return;
     if (NOTHING_RAN.has(failure.kind) && this.assembler.epoch === 1) this.mayHaveRun = false;
     this.blame(failure);
-    this.retry(RETRY_REASON[failure.kind], failure.server, !UNPAID.has(failure.kind));
+    this.retry(RETRY_REASON[failure.kind], [failure.server], !UNPAID.has(failure.kind));
   }
 
   private blame(failure: EngineFailure): void {
@@ -234,32 +239,35 @@
     else if (failure.kind !== EngineFailureKind.StaleEpoch) routing.suspect(failure.server);
   }
 
-  private retry(reason: RetryReason, lostServer: string, paid: boolean): void {
+  private retry(reason: RetryReason, lost: readonly string[], paid: boolean): void {
     this.ports.counters.retry(reason);
     if (this.mayHaveRun && !this.request.idempotent) {
       this.refuse(
         refusal(
           Outcome.Unknown,
           RefusalReason.ServerLost,
-          `Server ${lostServer} was lost while the request ran. Look up its effect before you send it again.`,
-        ),
-      );
-      return;
-    }
-    if (paid && !this.ports.routing.takeRetry(this.request)) {
-      this.refuse(
-        refusal(
-          this.fateSoFar(),
-          RefusalReason.RetryBudgetSpent,
-          'Too many requests are being retried. Send the request again after the time in Retry-After.',
+          `Server ${lost.join(', ')} was lost while the request ran. Look up its effect before you send it again.`,
         ),
       );
       return;
     }
-    const kept = this.stages.filter((stage) => stage.server !== lostServer);
+    const kept = this.stages.filter((stage) => !lost.includes(stage.server));
     this.release();
     this.assembler.raiseEpoch();
-    this.attempt(kept);
+    this.waitedOut = false;
+    if (paid) this.attemptPaid(kept);
+    else this.attempt(kept);
+  }
+
+  /** Waits until the retry budget allows the next attempt. */
+  private attemptPaid(kept: readonly Stage[]): void {
+    if (this.ended || this.passedDeadline()) return;
+    if (this.ports.routing.takeRetry(this.request)) {
+      this.attempt(kept);
+      return;
+    }
+    this.ports.counters.retry(RetryReason.BudgetWait);
+    this.timer = this.ports.clock.schedule(BUDGET_WAIT_MS, () => this.attemptPaid(kept));
   }
 
   private waitForRoute(kept: readonly Stage[]): void {
@@ -295,17 +303,25 @@
     const { epoch } = this.assembler;
     const { next } = this.assembler;
     const { stages } = this;
-    this.ports.routing.findSilent(stages).then((server) => {
+    this.ports.routing.findSilent(stages).then((silent) => {
       if (this.ended || epoch !== this.assembler.epoch) return;
-      if (next !== this.assembler.next) {
-        this.watchSilence();
-        return;
-      }
-      if (server !== undefined) this.ports.routing.suspect(server);
-      this.retry(RetryReason.Silence, server ?? '', true);
+      if (next !== this.assembler.next) this.watchSilence();
+      else this.handleSilence(silent);
     });
   }
 
+  /** A silence for which no server can be blamed is waited out once: it may be load. */
+  private handleSilence(silent: readonly string[]): void {
+    if (silent.length === 0 && !this.waitedOut) {
+      this.waitedOut = true;
+      this.pace.extend();
+      this.watchSilence();
+      return;
+    }
+    for (const server of silent) this.ports.routing.suspect(server);
+    this.retry(RetryReason.Silence, silent, true);
+  }
+
   private passedDeadline(): boolean {
     if (this.ports.clock.now() < this.request.deadline) return false;
     this.refuse(
--- a/src/core/streams/Types.ts
+++ b/src/core/streams/Types.ts
@@ -69,6 +69,10 @@
 /** A server's own account of itself. */
 export interface ServerReport {
   readonly busyMs: number;
+  /** Part of the time since the last report in which the server worked, from 0 to 1. */
+  readonly utilisation?: number;
+  /** Time that a token spent at the server lately, in milliseconds for each layer. */
+  readonly layerTokenMs?: number;
   readonly leaving: boolean;
   /** Layers in memory; undefined from servers that do not say. */
   readonly loaded?: readonly LayerRange[];
--- a/src/fakes/soak/Operators.ts
+++ b/src/fakes/soak/Operators.ts
@@ -41,6 +41,8 @@
     if (live.length === 0) return;
     const first = this.world.random.pick(live);
     const second = this.world.random.pick(live);
+    // Either ticket puts the server back in service, so an earlier drain no longer counts.
+    server.drainedAt = Infinity;
     this.file(first, server, false, `race ${target} a`);
     this.file(second, server, false, `race ${target} b`);
   }
