--- /dev/null
+++ b/bench/Relay.ts
@@ -0,0 +1,127 @@
+/** Tokens that one entry instance relays on one core, through real sockets. */
+import { createHash } from 'node:crypto';
+import { performance } from 'node:perf_hooks';
+import { Worker } from 'node:worker_threads';
+import { stringify } from 'yaml';
+import { HttpClient } from '../src/adapters/http/HttpClient.js';
+import { ObjectKind } from '../src/core/tickets/Types.js';
+import { EntryInstance } from '../src/entry/EntryInstance.js';
+import { ENTRY_SETTINGS } from '../src/entry/Settings.js';
+import { PlatformServer } from '../src/fakes/PlatformServer.js';
+import { until } from '../src/fakes/DemoFleet.js';
+
+/** What a worker does. */
+export interface RelayWork {
+  readonly role: 'engine' | 'callers';
+  readonly address: string;
+  readonly key: string;
+  readonly pipeline: string;
+  readonly streams: number;
+  readonly tokens: number;
+  /** Time between the tokens of a stream, in milliseconds. */
+  readonly gapMs: number;
+}
+
+/** What a relay run came to. */
+export interface RelayResult {
+  readonly tokensPerS: number;
+  /** Part of the time in which the entry instance's loop was busy. */
+  readonly loopBusy: number;
+  /** Tokens a second on a whole core at this cost for each token. */
+  readonly tokensPerCoreS: number;
+  readonly heapMb: number;
+}
+
+const KEY = 'relay-key';
+const TOKEN = 'relay-operator-token';
+const PIPELINE = 'relay';
+const ANY_PORT = '127.0.0.1:0';
+const TIMEOUT_MS = 10_000;
+
+function startWorker(work: RelayWork): { worker: Worker; message: Promise<{ address: string }> } {
+  const worker = new Worker(new URL('./RelayWorker.js', import.meta.url), { workerData: work });
+  const message = new Promise<{ address: string }>((resolve, reject) => {
+    worker.once('message', resolve);
+    worker.once('error', reject);
+  });
+  return { worker, message };
+}
+
+function ticketFor(address: string): string {
+  const keyHashes = [createHash('sha256').update(KEY).digest('hex')];
+  const limits = { keyHashes, requestsPerSecond: 1e9, concurrency: 1e9 };
+  const layerRanges = [{ pipeline: PIPELINE, from: 0, to: 32 }];
+  return stringify({
+    author: 'bench',
+    reason: 'Relay bench.',
+    changes: [
+      { kind: ObjectKind.ClientAccount, name: 'bench', base: 0, state: limits },
+      {
+        kind: ObjectKind.Pipeline,
+        name: PIPELINE,
+        base: 0,
+        state: { layers: 32, layerMs: { any: 0.0001 } },
+      },
+      {
+        kind: ObjectKind.BackendServer,
+        name: 'engine',
+        base: 0,
+        state: { address, failureDomain: 'bench', accelerator: 'any', layerRanges },
+      },
+    ],
+  });
+}
+
+/** Relays `streams` streams of `tokens` tokens, one each `gapMs`, and measures the loop of the entry instance. */
+export async function relay(streams: number, tokens: number, gapMs: number): Promise<RelayResult> {
+  const work = { key: KEY, pipeline: PIPELINE, streams, tokens, gapMs };
+  const platform = new PlatformServer();
+  const platformAddress = await platform.listen(ANY_PORT);
+  const engine = startWorker({ ...work, role: 'engine', address: '' });
+  const { address } = await engine.message;
+  const entry = new EntryInstance(
+    ENTRY_SETTINGS.parse({
+      instance: 'bench-1',
+      failureDomain: 'bench',
+      callers: { address: ANY_PORT },
+      operators: { address: ANY_PORT, token: TOKEN },
+      peers: { address: ANY_PORT, secret: 'relay-peer-secret-0' },
+      platform: { address: platformAddress },
+    }),
+  );
+  const client = new HttpClient();
+  try {
+    const addresses = await entry.start();
+    await until(() => entry.core.feed.isReady);
+    const body = ticketFor(address);
+    const headers = { authorization: `Bearer ${TOKEN}` };
+    await client.call({
+      address: addresses.operators,
+      method: 'POST',
+      path: '/tickets',
+      headers,
+      body,
+      timeoutMs: TIMEOUT_MS,
+    });
+    await until(() => entry.core.configuration.number === 1);
+    const before = performance.eventLoopUtilization();
+    const startedAt = performance.now();
+    const callers = startWorker({ ...work, role: 'callers', address: addresses.callers });
+    await callers.message;
+    const seconds = (performance.now() - startedAt) / 1000;
+    const { active } = performance.eventLoopUtilization(before);
+    await callers.worker.terminate();
+    const sent = streams * tokens;
+    return {
+      tokensPerS: Math.round(sent / seconds),
+      loopBusy: Math.round((active / 1000 / seconds) * 1000) / 1000,
+      tokensPerCoreS: Math.round(sent / (active / 1000)),
+      heapMb: Math.round(process.memoryUsage().heapUsed / 2 ** 20),
+    };
+  } finally {
+    await engine.worker.terminate();
+    await entry.dispose();
+    await platform.close();
+    client.dispose();
+  }
+}
--- /dev/null
+++ b/bench/RelayWorker.ts
@@ -0,0 +1,87 @@
+/** Runs beside the relay bench on a thread of its own: either the engine that sends, or the callers. */
+import { Agent, createServer, request } from 'node:http';
+import { parentPort, workerData } from 'node:worker_threads';
+import { encodeEnd, encodeToken } from '../src/adapters/http/TokenFrames.js';
+import { hostAndPort, readBody } from '../src/adapters/http/HttpClient.js';
+import { FinishReason, HOP_WORDS, type StreamOpening } from '../src/core/streams/Types.js';
+import type { RelayWork } from './Relay.js';
+
+const MAX_BODY_BYTES = 1024 * 1024;
+const work = workerData as RelayWork;
+
+function sendTokens(opening: StreamOpening, write: (chunk: Buffer) => void, end: () => void): void {
+  const hops = new Int32Array(opening.stages.length * HOP_WORDS);
+  for (const [hop, { from, to }] of opening.stages.entries())
+    hops.set([from, to, opening.epoch], hop * HOP_WORDS);
+  let index = 0;
+  const timer = setInterval(() => {
+    write(
+      encodeToken({
+        epoch: opening.epoch,
+        index,
+        text: ' birch',
+        hops,
+        hopCount: opening.stages.length,
+      }),
+    );
+    index += 1;
+    if (index < opening.maxTokens) return;
+    clearInterval(timer);
+    write(encodeEnd(FinishReason.Length, index));
+    end();
+  }, work.gapMs);
+}
+
+function serveEngine(): void {
+  const server = createServer((message, response) => {
+    readBody(message, MAX_BODY_BYTES).then((body) => {
+      if (message.url !== '/v1/streams') {
+        response.end('{"busyMs":0,"leaving":false}');
+        return;
+      }
+      const opening = JSON.parse(body.toString()) as StreamOpening;
+      response.writeHead(200);
+      sendTokens(
+        opening,
+        (chunk) => response.write(chunk),
+        () => response.end(),
+      );
+    });
+  });
+  server.listen(0, '127.0.0.1', () => {
+    parentPort?.postMessage({
+      address: `127.0.0.1:${(server.address() as { port: number }).port}`,
+    });
+  });
+}
+
+function callOnce(agent: Agent): Promise<void> {
+  return new Promise((resolve) => {
+    const outgoing = request(
+      {
+        ...hostAndPort(work.address),
+        agent,
+        method: 'POST',
+        path: '/v1/completions',
+        headers: { authorization: `Bearer ${work.key}`, 'content-type': 'application/json' },
+      },
+      (message) => {
+        message.on('data', () => {});
+        message.on('end', resolve);
+      },
+    );
+    outgoing.end(
+      JSON.stringify({ model: work.pipeline, prompt: 'x', max_tokens: work.tokens, stream: true }),
+    );
+  });
+}
+
+async function call(): Promise<void> {
+  const agent = new Agent({ keepAlive: true });
+  await Promise.all(Array.from({ length: work.streams }, () => callOnce(agent)));
+  agent.destroy();
+  parentPort?.postMessage({ address: '' });
+}
+
+if (work.role === 'engine') serveEngine();
+else call();
--- /dev/null
+++ b/features/entry/Caller.ts
@@ -0,0 +1,84 @@
+/** A caller of the tests: sends one request and keeps everything that came back. */
+import { request as httpRequest, type IncomingHttpHeaders } from 'node:http';
+import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
+import { DEMO_KEYS } from '../../src/fakes/DemoFleet.js';
+
+export interface Reply {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly trailers: NodeJS.Dict<string>;
+  readonly body: string;
+  /** Whether the response ended as HTTP says. */
+  readonly ended: boolean;
+}
+
+export interface Ask {
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body?: string;
+  readonly headers?: Record<string, string>;
+  /** Hangs up after this many body chunks. */
+  readonly hangUpAfter?: number;
+  readonly onChunk?: (count: number) => void;
+}
+
+const FAILED: Reply = { status: 0, headers: {}, trailers: {}, body: '', ended: false };
+
+/** Sends a request with the demo key. */
+export function ask(call: Ask): Promise<Reply> {
+  return new Promise((resolve) => {
+    const outgoing = httpRequest(
+      {
+        ...hostAndPort(call.address),
+        method: call.method,
+        path: call.path,
+        agent: false,
+        headers: {
+          authorization: `Bearer ${DEMO_KEYS.workshop}`,
+          'content-type': 'application/json',
+          ...call.headers,
+        },
+      },
+      (message) => {
+        let body = '';
+        let chunks = 0;
+        const done = (ended: boolean) =>
+          resolve({
+            status: message.statusCode ?? 0,
+            headers: message.headers,
+            trailers: message.trailers,
+            body,
+            ended,
+          });
+        message.on('data', (chunk: Buffer) => {
+          body += chunk.toString();
+          chunks += 1;
+          call.onChunk?.(chunks);
+          if (chunks === call.hangUpAfter) outgoing.destroy();
+        });
+        message.on('end', () => done(true));
+        message.on('error', () => done(false));
+        message.on('aborted', () => done(false));
+      },
+    );
+    outgoing.on('error', () => resolve(FAILED));
+    outgoing.end(call.body);
+  });
+}
+
+/** Text and finish reason of a streamed answer; whole only with the closing event. */
+export function readStream(body: string): { text: string; whole: boolean; finish: string } {
+  let text = '';
+  let finish = '';
+  for (const event of body.split('\n\n')) {
+    if (!event.startsWith('data: {')) continue;
+    const { choices } = JSON.parse(event.slice('data: '.length)) as {
+      choices?: { text?: string; delta?: { content?: string }; finish_reason: string | null }[];
+    };
+    const choice = choices?.[0];
+    text += choice?.text ?? choice?.delta?.content ?? '';
+    finish = choice?.finish_reason ?? finish;
+  }
+  return { text, finish, whole: body.endsWith('data: [DONE]\n\n') };
+}
--- /dev/null
+++ b/features/entry/fleet.feature
@@ -0,0 +1,77 @@
+@fleet
+Feature: A fleet on loopback keeps its promises through real sockets
+  Background:
+    Given a running fleet
+
+  Scenario Outline: <shape> completions, stream <stream>
+    When a caller asks for 9 tokens in the "<shape>" shape with stream "<stream>"
+    Then the answer is whole in that shape
+
+    Examples:
+      | shape | stream |
+      | text  | false  |
+      | text  | true   |
+      | chat  | false  |
+      | chat  | true   |
+
+  Scenario Outline: Refused: <case>
+    When a caller sends "<method>" "<path>" with "<body>" and headers "<headers>"
+    Then the reply is <status> with outcome "<outcome>" and reason "<reason>"
+
+    Examples:
+      | case              | method | path                 | body                                                | headers                      | status | outcome | reason           |
+      | body is not JSON  | POST   | /v1/completions      | {                                                   |                              | 400    | not-run | bad-request      |
+      | no prompt         | POST   | /v1/completions      | {"model":"glue-schedules"}                          |                              | 400    | not-run | bad-request      |
+      | unknown pipeline  | POST   | /v1/completions      | {"model":"nothing","prompt":"x"}                    |                              | 404    | not-run | unknown-pipeline |
+      | unknown service   | GET    | /services/nothing/x  |                                                     |                              | 404    | not-run | unknown-service  |
+      | wrong key         | POST   | /v1/completions      | {"model":"glue-schedules","prompt":"x"}             | authorization=Bearer wrong   | 401    | not-run | unauthorized     |
+      | no such path      | GET    | /v2/nothing          |                                                     |                              | 400    | not-run | bad-request      |
+      | key with a space  | POST   | /v1/completions      | {"model":"glue-schedules","prompt":"x"}             | idempotency-key=a b          | 400    | not-run | bad-request      |
+      | body too large    | POST   | /v1/completions      | LARGE                                               |                              | 413    | not-run | body-too-large   |
+
+  Scenario Outline: Raw bytes: <case>
+    When a caller writes the raw bytes "<bytes>"
+    Then the connection is answered "<answer>" and closed
+
+    Examples:
+      | case                        | bytes                                                                                                | answer |
+      | two lengths                 | POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n  | 400    |
+      | length twice                | POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcd       | 400    |
+      | header injection            | GET /v1/models HTTP/1.1\r\nHost: x\r\nA: b\rc: d\r\n\r\n                                             | 400    |
+      | no host                     | GET /v1/models HTTP/1.1\r\n\r\n                                                                      | 400    |
+
+  Scenario: A caller that hangs up frees its place
+    When a caller hangs up in the middle of a stream
+    Then no request is open at the instance
+
+  Scenario: A stage dies in the middle of a stream
+    When a stage is killed after 5 tokens of a stream of 60
+    Then the caller gets one whole answer of 60 tokens
+
+  Scenario: A stage freezes in the middle of a stream
+    When a stage freezes for 6000 ms after 5 tokens of a stream of 60
+    Then the caller gets one whole answer of 60 tokens
+
+  Scenario: A keyed booking runs once however often it is sent
+    When a booking is sent 5 times at once through different instances with one key
+    Then every reply is the same and the booking ran once
+    And the same key with another body is refused as "claim-mismatch"
+
+  Scenario: The store is down
+    When the platform is down
+    Then a keyed booking is refused as not run
+    And a booking with a minted key runs once through any instance
+    And completions go on
+    And a ticket filed now is settled once the platform is back
+
+  Scenario: Two operators race for one object
+    When two tickets for the same server are filed at once
+    Then exactly one is accepted and the other names the winner
+
+  Scenario: A drained server gets no new work
+    When a server is drained by ticket
+    Then it gets no new stream after 3 seconds
+
+  Scenario: Every instance is replaced under load
+    When every instance is replaced in turn while streams are sent
+    Then no stream is cut and no ticket went back
--- /dev/null
+++ b/features/entry/fleet.steps.ts
@@ -0,0 +1,424 @@
+import assert from 'node:assert/strict';
+import { connect } from 'node:net';
+import { AfterAll, Given, Then, When, setDefaultTimeout } from '@cucumber/cucumber';
+import { stringify } from 'yaml';
+import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
+import { ObjectKind } from '../../src/core/tickets/Types.js';
+import { FilingStatus, type Filing } from '../../src/core/tickets/TicketCommit.js';
+import {
+  DEMO_PIPELINE,
+  DEMO_SERVICE,
+  DemoFleet,
+  until,
+  type FleetServer,
+} from '../../src/fakes/DemoFleet.js';
+import { answerText } from '../../src/fakes/TokenText.js';
+import { ask, readStream, type Reply } from './Caller.js';
+
+setDefaultTimeout(60_000);
+
+const PROMPT = 'Glue frame 7';
+const BOOKINGS = `/services/${DEMO_SERVICE}/bookings`;
+const LARGE_BYTES = 1_100_000;
+
+let shared: DemoFleet | undefined;
+
+interface FleetWorld {
+  fleet: DemoFleet;
+  shape: string;
+  reply: Reply;
+  replies: Reply[];
+  raw: string;
+  key: string;
+  filings: Filing[];
+  victim: FleetServer;
+}
+
+AfterAll(async () => {
+  await shared?.close();
+});
+
+const callers = (world: FleetWorld, index = 0): string =>
+  world.fleet.entries[index % world.fleet.entries.length].addresses.callers;
+
+function completion(tokens: number, stream: boolean): string {
+  return JSON.stringify({ model: DEMO_PIPELINE, prompt: PROMPT, max_tokens: tokens, stream });
+}
+
+function book(
+  world: FleetWorld,
+  index: number,
+  key: string,
+  call: string,
+  body = '{"resin":2}',
+): Promise<Reply> {
+  const headers = { 'idempotency-key': key, 'x-call-id': call };
+  return ask({ address: callers(world, index), method: 'POST', path: BOOKINGS, body, headers });
+}
+
+function runsOf(world: FleetWorld, call: string): number {
+  let runs = 0;
+  for (const { daemon } of world.fleet.servers) runs += daemon.runs.get(call) ?? 0;
+  return runs;
+}
+
+function serverTicket(
+  world: FleetWorld,
+  server: FleetServer,
+  leaving: boolean,
+  reason: string,
+): string {
+  const { configuration } = world.fleet.entries[0].entry.core;
+  const inForce = configuration.find(ObjectKind.BackendServer, server.name);
+  const change = {
+    kind: ObjectKind.BackendServer,
+    name: server.name,
+    base: inForce?.ticket,
+    state: { ...inForce?.state, leaving },
+  };
+  return stringify({ author: 'test', reason, changes: [change] });
+}
+
+Given('a running fleet', async function start(this: FleetWorld) {
+  shared ??= await DemoFleet.start({ strict: true, balancerMs: 100 });
+  this.fleet = shared;
+});
+
+When(
+  'a caller asks for {int} tokens in the {string} shape with stream {string}',
+  async function run(this: FleetWorld, tokens: number, shape: string, stream: string) {
+    this.shape = `${shape} ${stream}`;
+    const chat = {
+      model: DEMO_PIPELINE,
+      max_tokens: tokens,
+      stream: stream === 'true',
+      messages: [{ role: 'user', content: [{ type: 'text', text: PROMPT }] }],
+    };
+    const isChat = shape === 'chat';
+    this.reply = await ask({
+      address: callers(this),
+      method: 'POST',
+      path: isChat ? '/v1/chat/completions' : '/v1/completions',
+      body: isChat ? JSON.stringify(chat) : completion(tokens, stream === 'true'),
+    });
+  },
+);
+
+Then('the answer is whole in that shape', function check(this: FleetWorld) {
+  const [shape, stream] = this.shape.split(' ');
+  const expected = answerText(shape === 'chat' ? `user: ${PROMPT}` : PROMPT, 9);
+  assert.equal(this.reply.status, 200);
+  if (stream === 'true') {
+    assert.deepEqual(readStream(this.reply.body), {
+      text: expected,
+      whole: true,
+      finish: 'length',
+    });
+    assert.equal(this.reply.trailers['acaciadrum-outcome'], 'complete');
+    return;
+  }
+  const body = JSON.parse(this.reply.body) as {
+    object: string;
+    choices: { text?: string; message?: { content: string }; finish_reason: string }[];
+    usage: { completion_tokens: number };
+  };
+  assert.equal(body.choices[0].message?.content ?? body.choices[0].text, expected);
+  assert.equal(body.object, shape === 'chat' ? 'chat.completion' : 'text_completion');
+  assert.equal(body.usage.completion_tokens, 9);
+  assert.equal(this.reply.headers['acaciadrum-outcome'], 'complete');
+});
+
+When(
+  /^a caller sends "(POST|GET)" "([^"]+)" with "(.*)" and headers "([^"]*)"$/,
+  async function run(
+    this: FleetWorld,
+    method: string,
+    path: string,
+    body: string,
+    headers: string,
+  ) {
+    const pair = headers.split('=');
+    this.reply = await ask({
+      address: callers(this),
+      method,
+      path,
+      body: body === 'LARGE' ? 'x'.repeat(LARGE_BYTES) : body,
+      headers: headers === '' ? {} : { [pair[0]]: pair[1] },
+    });
+  },
+);
+
+Then(
+  'the reply is {int} with outcome {string} and reason {string}',
+  function check(this: FleetWorld, status: number, outcome: string, reason: string) {
+    assert.equal(this.reply.status, status);
+    assert.equal(this.reply.headers['acaciadrum-outcome'], outcome);
+    assert.equal(this.reply.headers['acaciadrum-reason'], reason);
+    assert.ok(
+      (JSON.parse(this.reply.body) as { error: { message: string } }).error.message.length > 0,
+    );
+  },
+);
+
+When('a caller writes the raw bytes {string}', async function run(this: FleetWorld, bytes: string) {
+  const { host, port } = hostAndPort(callers(this));
+  const text = bytes.replaceAll('\\r', '\r').replaceAll('\\n', '\n');
+  this.raw = await new Promise((resolve) => {
+    let answer = '';
+    const socket = connect(port, host, () => socket.write(text));
+    socket.on('data', (chunk) => {
+      answer += chunk.toString();
+    });
+    socket.on('error', () => {});
+    socket.on('close', () => resolve(answer));
+  });
+});
+
+Then(
+  'the connection is answered {string} and closed',
+  function check(this: FleetWorld, status: string) {
+    assert.match(this.raw, new RegExp(`^HTTP/1.1 ${status} `));
+  },
+);
+
+When('a caller hangs up in the middle of a stream', async function run(this: FleetWorld) {
+  await ask({
+    address: callers(this),
+    method: 'POST',
+    path: '/v1/completions',
+    body: completion(200, true),
+    hangUpAfter: 3,
+  });
+});
+
+Then('no request is open at the instance', async function check(this: FleetWorld) {
+  await until(() => this.fleet.entries[0].entry.core.completions.active === 0, 2000);
+  assert.equal(this.fleet.entries[0].entry.core.load.own().size, 0);
+});
+
+/** Sends a stream and breaks a server of its route after some tokens. */
+async function streamWhile(
+  world: FleetWorld,
+  tokens: number,
+  after: number,
+  harm: (server: FleetServer) => void,
+): Promise<void> {
+  const reply = await ask({
+    address: callers(world),
+    method: 'POST',
+    path: '/v1/completions',
+    body: completion(tokens, true),
+    onChunk: (count) => {
+      if (count !== after) return;
+      const busy = [...world.fleet.entries[0].entry.core.load.own().keys()];
+      const victim = world.fleet.servers.find(({ name }) => name === busy.at(-1));
+      assert.ok(victim !== undefined);
+      Object.assign(world, { victim });
+      harm(victim);
+    },
+  });
+  Object.assign(world, { reply });
+}
+
+When(
+  'a stage is killed after {int} tokens of a stream of {int}',
+  async function run(this: FleetWorld, after: number, tokens: number) {
+    await streamWhile(this, tokens, after, ({ daemon }) => daemon.close());
+  },
+);
+
+When(
+  'a stage freezes for {int} ms after {int} tokens of a stream of {int}',
+  async function run(this: FleetWorld, ms: number, after: number, tokens: number) {
+    await streamWhile(this, tokens, after, ({ daemon }) => daemon.freeze(ms));
+  },
+);
+
+Then(
+  'the caller gets one whole answer of {int} tokens',
+  function check(this: FleetWorld, tokens: number) {
+    assert.ok(this.victim !== undefined);
+    assert.deepEqual(readStream(this.reply.body), {
+      text: answerText(PROMPT, tokens),
+      whole: true,
+      finish: 'length',
+    });
+    assert.equal(this.fleet.violations(), 0);
+  },
+);
+
+When(
+  'a booking is sent {int} times at once through different instances with one key',
+  async function run(this: FleetWorld, times: number) {
+    this.key = 'booking-once';
+    const sent = Array.from({ length: times }, (_, index) => book(this, index, this.key, this.key));
+    this.replies = await Promise.all(sent);
+  },
+);
+
+Then('every reply is the same and the booking ran once', function check(this: FleetWorld) {
+  for (const reply of this.replies) {
+    assert.equal(reply.headers['acaciadrum-outcome'], 'complete');
+    assert.equal(reply.body, this.replies[0].body);
+  }
+  assert.equal(runsOf(this, this.key), 1);
+});
+
+Then(
+  'the same key with another body is refused as {string}',
+  async function check(this: FleetWorld, reason: string) {
+    const reply = await book(this, 0, this.key, this.key, '{"resin":3}');
+    assert.equal(reply.headers['acaciadrum-reason'], reason);
+    assert.equal(runsOf(this, this.key), 1);
+  },
+);
+
+When('the platform is down', function run(this: FleetWorld) {
+  this.fleet.platform.faults.down = true;
+});
+
+Then('a keyed booking is refused as not run', async function check(this: FleetWorld) {
+  const reply = await book(this, 0, 'while-down', 'while-down');
+  assert.equal(reply.headers['acaciadrum-outcome'], 'not-run');
+  assert.equal(reply.headers['acaciadrum-reason'], 'claim-unavailable');
+  assert.equal(runsOf(this, 'while-down'), 0);
+});
+
+Then(
+  'a booking with a minted key runs once through any instance',
+  async function check(this: FleetWorld) {
+    const minted = await ask({
+      address: callers(this, 0),
+      method: 'POST',
+      path: '/v1/request-keys',
+    });
+    const { key } = JSON.parse(minted.body) as { key: string };
+    const replies = await Promise.all(
+      [1, 2, 3, 0].map((index) => book(this, index, key, 'minted')),
+    );
+    for (const reply of replies)
+      assert.equal(reply.headers['acaciadrum-outcome'], 'complete', reply.body);
+    assert.equal(runsOf(this, 'minted'), 1);
+  },
+);
+
+Then('completions go on', async function check(this: FleetWorld) {
+  const reply = await ask({
+    address: callers(this, 1),
+    method: 'POST',
+    path: '/v1/completions',
+    body: completion(5, false),
+  });
+  assert.equal(reply.headers['acaciadrum-outcome'], 'complete');
+});
+
+Then(
+  'a ticket filed now is settled once the platform is back',
+  async function check(this: FleetWorld) {
+    const text = serverTicket(
+      this,
+      this.fleet.servers[0],
+      false,
+      'Filed while the platform is down.',
+    );
+    const filing = await this.fleet.file(text, 'filed-while-down');
+    assert.equal(filing.status, FilingStatus.Unknown);
+    this.fleet.platform.faults.down = false;
+    const settled = await this.fleet.entries[0].entry.core.commit.settle('filed-while-down');
+    assert.notEqual(settled.status, FilingStatus.Unknown);
+  },
+);
+
+When('two tickets for the same server are filed at once', async function run(this: FleetWorld) {
+  const text = serverTicket(this, this.fleet.servers[0], false, 'Race.');
+  this.filings = await Promise.all([
+    this.fleet.file(text, 'race-one'),
+    this.fleet.file(text, 'race-two'),
+  ]);
+});
+
+Then('exactly one is accepted and the other names the winner', function check(this: FleetWorld) {
+  const accepted = this.filings.filter(({ status }) => status === FilingStatus.Accepted);
+  const refused = this.filings.filter(({ status }) => status === FilingStatus.Refused);
+  assert.equal(accepted.length, 1);
+  assert.equal(refused.length, 1);
+  assert.match(refused[0].message, new RegExp(`ticket ${accepted[0].number}\\b`));
+});
+
+When('a server is drained by ticket', async function run(this: FleetWorld) {
+  this.victim = this.fleet.servers.find(({ name }) => name === 'almaty-2-a') as FleetServer;
+  const filing = await this.fleet.file(serverTicket(this, this.victim, true, 'Drain.'));
+  assert.equal(filing.status, FilingStatus.Accepted);
+});
+
+Then('it gets no new stream after 3 seconds', async function check(this: FleetWorld) {
+  await until(
+    () =>
+      this.fleet.entries.every(
+        ({ entry }) =>
+          entry.core.configuration.state(ObjectKind.BackendServer, this.victim.name)?.leaving ===
+          true,
+      ),
+    3000,
+  );
+  const sent = Array.from({ length: 12 }, (_, index) =>
+    ask({
+      address: callers(this, index),
+      method: 'POST',
+      path: '/v1/completions',
+      body: completion(4, false),
+    }),
+  );
+  const replies = await Promise.all(sent);
+  for (const reply of replies) assert.equal(reply.headers['acaciadrum-outcome'], 'complete');
+  for (const { entry } of this.fleet.entries)
+    assert.equal(entry.core.load.own().get(this.victim.name), undefined);
+  await this.fleet.file(serverTicket(this, this.victim, false, 'Back in service.'));
+});
+
+When(
+  'every instance is replaced in turn while streams are sent',
+  async function run(this: FleetWorld) {
+    const { fleet } = this;
+    const before = fleet.entries.length;
+    let stop = false;
+    this.replies = [];
+    const worker = async (index: number): Promise<void> => {
+      while (!stop) {
+        // The balancer sends only to instances whose /readyz says so.
+        const ready = fleet.entries.filter(({ entry }) => entry.core.feed.isReady);
+        const address = ready[(index + this.replies.length) % ready.length].addresses.callers;
+        this.replies.push(
+          await ask({
+            address,
+            method: 'POST',
+            path: '/v1/completions',
+            body: completion(20, true),
+          }),
+        );
+      }
+    };
+    const workers = Array.from({ length: 8 }, (_, index) => worker(index));
+    for (let replaced = 0; replaced < before; replaced += 1) {
+      const [old] = fleet.entries;
+      const fresh = await fleet.startEntry(
+        `${old.failureDomain}-fresh-${replaced}`,
+        old.failureDomain,
+      );
+      await until(() => fresh.entry.core.feed.isReady);
+      fleet.entries.shift();
+      fleet.platform.memory.instances.delete(old.name);
+      await old.entry.stop();
+    }
+    stop = true;
+    await Promise.all(workers);
+  },
+);
+
+Then('no stream is cut and no ticket went back', function check(this: FleetWorld) {
+  assert.ok(this.replies.length > 20);
+  for (const reply of this.replies) assert.ok(readStream(reply.body).whole, reply.body.slice(-200));
+  const numbers = this.fleet.entries.map(({ entry }) => entry.core.configuration.number);
+  assert.equal(new Set(numbers).size, 1);
+  assert.equal(this.fleet.violations(), 0);
+});
--- /dev/null
+++ b/features/entry/processes.steps.ts
@@ -0,0 +1,230 @@
+import assert from 'node:assert/strict';
+import { execFile, spawn, type ChildProcess } from 'node:child_process';
+import { createHash } from 'node:crypto';
+import { mkdtemp, writeFile } from 'node:fs/promises';
+import { createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { promisify } from 'node:util';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { stringify } from 'yaml';
+import { ObjectKind } from '../../src/core/tickets/Types.js';
+import { DEMO_KEYS } from '../../src/fakes/DemoFleet.js';
+import { ask, readStream, type Reply } from './Caller.js';
+
+const MAIN = 'dist/src/cli/main.js';
+const TOKEN = 'process-operator-token';
+const LOOK_MS = 100;
+const START_LIMIT_MS = 20_000;
+const run = promisify(execFile);
+
+interface Node {
+  readonly name: string;
+  readonly callers: string;
+  readonly operators: string;
+  readonly peers: string;
+  readonly child: ChildProcess;
+}
+
+interface ProcessWorld {
+  folder: string;
+  children: ChildProcess[];
+  entries: Node[];
+  replies: Reply[];
+  exitCode: number;
+  output: string;
+}
+
+/** A port that was free a moment ago. */
+function freeAddress(): Promise<string> {
+  return new Promise((resolve) => {
+    const server = createServer().listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as { port: number };
+      server.close(() => resolve(`127.0.0.1:${port}`));
+    });
+  });
+}
+
+async function start(
+  world: ProcessWorld,
+  command: string,
+  name: string,
+  settings: object,
+): Promise<ChildProcess> {
+  const file = join(world.folder, `${name}.yaml`);
+  await writeFile(file, stringify(settings));
+  const child = spawn(process.execPath, [MAIN, command, '--settings', file], { stdio: 'ignore' });
+  world.children.push(child);
+  return child;
+}
+
+async function untilTrue(holds: () => Promise<boolean>): Promise<void> {
+  const deadline = Date.now() + START_LIMIT_MS;
+  while (!(await holds())) {
+    assert.ok(Date.now() < deadline, 'the processes did not start in time');
+    await new Promise((resolve) => {
+      setTimeout(resolve, LOOK_MS);
+    });
+  }
+}
+
+After(function stop(this: ProcessWorld) {
+  for (const child of this.children ?? []) child.kill('SIGKILL');
+});
+
+Given(
+  'a platform, two entry instances and two backend servers as processes',
+  { timeout: 60_000 },
+  async function begin(this: ProcessWorld) {
+    this.folder = await mkdtemp(join(tmpdir(), 'acaciadrum-'));
+    this.children = [];
+    this.entries = [];
+    const platform = await freeAddress();
+    const nodes = [];
+    for (const name of ['entry-1', 'entry-2']) {
+      nodes.push({
+        name,
+        callers: await freeAddress(),
+        operators: await freeAddress(),
+        peers: await freeAddress(),
+      });
+    }
+    const instances = nodes.map(({ name, peers }) => ({
+      name,
+      address: peers,
+      failureDomain: 'home',
+    }));
+    await start(this, 'platform', 'platform', { address: platform, instances });
+    for (const node of nodes) {
+      const child = await start(this, 'entry', node.name, {
+        instance: node.name,
+        failureDomain: 'home',
+        callers: { address: node.callers },
+        operators: { address: node.operators, token: TOKEN },
+        peers: { address: node.peers, secret: 'process-peer-secret' },
+        platform: { address: platform },
+        stop: { balancerMs: 300 },
+      });
+      this.entries.push({ ...node, child });
+    }
+    const servers = [];
+    for (const name of ['server-a', 'server-b']) {
+      const address = await freeAddress();
+      await start(this, 'backend', name, { name, address, loadMs: 50 });
+      servers.push({ name, address });
+    }
+    await writeFile(join(this.folder, 'ticket.yaml'), ticketFor(servers));
+    await untilTrue(async () => {
+      const replies = await Promise.all(
+        this.entries.map(({ callers }) =>
+          ask({ address: callers, method: 'GET', path: '/readyz' }),
+        ),
+      );
+      return replies.every(({ status }) => status === 200);
+    });
+  },
+);
+
+function ticketFor(servers: readonly { name: string; address: string }[]): string {
+  const keyHashes = [createHash('sha256').update(DEMO_KEYS.workshop).digest('hex')];
+  const account = { keyHashes, requestsPerSecond: 1000, concurrency: 1000 };
+  const changes = [
+    { kind: ObjectKind.ClientAccount, name: 'workshop', base: 0, state: account },
+    {
+      kind: ObjectKind.Pipeline,
+      name: 'model',
+      base: 0,
+      state: { layers: 8, layerMs: { any: 0.05 } },
+    },
+    ...servers.map(({ name, address }, index) => ({
+      kind: ObjectKind.BackendServer,
+      name,
+      base: 0,
+      state: {
+        address,
+        failureDomain: 'home',
+        accelerator: 'any',
+        layerRanges: [{ pipeline: 'model', from: index * 4, to: index * 4 + 4 }],
+      },
+    })),
+  ];
+  return stringify({ author: 'test', reason: 'First ticket.', changes });
+}
+
+Given(
+  'a ticket filed with the command line',
+  { timeout: 60_000 },
+  async function file(this: ProcessWorld) {
+    const operator = ['--server', this.entries[0].operators, '--token', TOKEN];
+    const { stdout } = await run(process.execPath, [
+      MAIN,
+      'ticket',
+      'file',
+      ...operator,
+      join(this.folder, 'ticket.yaml'),
+    ]);
+    assert.match(stdout, /Ticket 1 is accepted[^]*In force on 2 of 2 live instances/);
+    const explained = await run(process.execPath, [
+      MAIN,
+      'ticket',
+      'explain',
+      ...operator,
+      'Pipeline',
+      'model',
+    ]);
+    assert.match(explained.stdout, /since ticket 1[^]*First ticket/);
+    await untilTrue(async () => {
+      const body = JSON.stringify({ model: 'model', prompt: 'x', max_tokens: 1 });
+      const replies = await Promise.all(
+        this.entries.map(({ callers }) =>
+          ask({ address: callers, method: 'POST', path: '/v1/completions', body }),
+        ),
+      );
+      return replies.every(({ status }) => status === 200);
+    });
+  },
+);
+
+When(
+  'one entry instance gets SIGTERM while {int} streams run',
+  { timeout: 60_000 },
+  async function stop(this: ProcessWorld, count: number) {
+    const [first] = this.entries;
+    const body = JSON.stringify({ model: 'model', prompt: 'x', max_tokens: 150, stream: true });
+    const sent = Array.from({ length: count }, () =>
+      ask({ address: first.callers, method: 'POST', path: '/v1/completions', body }),
+    );
+    setTimeout(() => first.child.kill('SIGTERM'), 150);
+    const exited = new Promise<number>((resolve) => {
+      first.child.once('exit', (code) => resolve(code ?? -1));
+    });
+    this.replies = await Promise.all(sent);
+    this.exitCode = await exited;
+  },
+);
+
+Then('every stream is whole and the process ends by itself', function check(this: ProcessWorld) {
+  for (const { body } of this.replies) assert.ok(readStream(body).whole, body.slice(-300));
+  assert.equal(this.exitCode, 0);
+});
+
+When('the settings check reads {string}', async function check(this: ProcessWorld, text: string) {
+  const file = join(await mkdtemp(join(tmpdir(), 'acaciadrum-')), 'settings.yaml');
+  await writeFile(file, text.replaceAll(';', '\n'));
+  try {
+    this.output = (await run(process.execPath, [MAIN, 'settings', 'check', file])).stdout;
+    this.exitCode = 0;
+  } catch (error) {
+    const failed = error as { code: number; stderr: string };
+    this.output = failed.stderr;
+    this.exitCode = failed.code;
+  }
+});
+
+Then(
+  'it exits with {int} and prints {string}',
+  function check(this: ProcessWorld, code: number, output: string) {
+    assert.equal(this.exitCode, code);
+    assert.ok(this.output.includes(output), this.output);
+  },
+);
--- a/src/core/admission/Admission.ts
+++ b/src/core/admission/Admission.ts
@@ -41,8 +41,11 @@
   );
 }
 
-/** Weight of the newest run in the mean service time. */
-const SMOOTHING = 0.05;
+/** Part of the past that each new run leaves in the sums. */
+const PAST_DECAY = 0.95;
+
+/** Nothing is predicted from fewer tokens. */
+const MIN_PAST_TOKENS = 100;
 
 /** The queue of one pipeline on one instance. */
 export class Admission {
@@ -55,7 +58,10 @@
   /** Expected work that waits, in tokens, by account. */
   private readonly backlog = new Map<string, Backlog>();
 
-  private msPerToken = 0;
+  /** Decayed sums over past runs: their time and their tokens. */
+  private pastMs = 0;
+
+  private pastTokens = 0;
 
   public constructor(
     concurrency: number,
@@ -136,6 +142,16 @@
     this.takeOut(applicant);
   }
 
+  /** Long answers weigh more than short ones, whose time is mostly that to the first token. */
+  private recordRun(durationMs: number, tokens: number): void {
+    this.pastMs = this.pastMs * PAST_DECAY + durationMs;
+    this.pastTokens = this.pastTokens * PAST_DECAY + Math.max(1, tokens);
+  }
+
+  private get msPerToken(): number {
+    return this.pastTokens < MIN_PAST_TOKENS ? 0 : this.pastMs / this.pastTokens;
+  }
+
   private addBacklog({ account, weight }: Applicant, cost: number): void {
     const left = (this.backlog.get(account)?.cost ?? 0) + cost;
     if (left <= 0) this.backlog.delete(account);
@@ -163,11 +179,7 @@
     try {
       await run();
     } finally {
-      const perToken = (this.now() - startedAt) / Math.max(1, applicant.cost);
-      this.msPerToken =
-        this.msPerToken === 0
-          ? perToken
-          : this.msPerToken + SMOOTHING * (perToken - this.msPerToken);
+      this.recordRun(this.now() - startedAt, applicant.cost);
     }
   }
 
--- a/src/core/gossip/Gossip.ts
+++ b/src/core/gossip/Gossip.ts
@@ -6,7 +6,9 @@
 import type { LoadTable } from '../routing/LoadTable.js';
 import type { Configuration } from '../tickets/Configuration.js';
 import type { TicketFeed } from '../tickets/TicketFeed.js';
+import { DeltaLog } from './DeltaLog.js';
 import type { KnownPeer, Peers } from './Peers.js';
+import { PeerView } from './PeerView.js';
 
 /** What gossip works with. */
 export interface GossipParts {
@@ -35,6 +37,13 @@
 /** Time between reads of the platform's list, in milliseconds. */
 const LIST_MS = 1000;
 
+/** Entries of each kind in one message, shared out over the peers; the rest follows in the next. */
+const ENTRY_BUDGET = 400;
+
+const MIN_ENTRIES = 10;
+
+const MAX_ENTRIES = 40;
+
 /** Tickets passed on in one exchange. */
 const MAX_TICKETS = 16;
 
@@ -44,6 +53,14 @@
 export class Gossip {
   private readonly timers: Disposable[] = [];
 
+  private readonly views = new Map<string, PeerView>();
+
+  private readonly busy = new DeltaLog();
+
+  private readonly rates = new DeltaLog();
+
+  private readonly inFlight = new DeltaLog();
+
   private disposed = false;
 
   private rounds = 0;
@@ -61,20 +78,36 @@
     for (const timer of this.timers) timer.dispose();
   }
 
-  /** What this instance says of itself. */
-  public state(): PeerState {
+  /**
+   * What this instance says of itself.
+   * @param addressee - the peer that it says it to; it hears only what it has not seen
+   */
+  public state(addressee = ''): PeerState {
     const now = this.parts.clock.now();
-    const { identity } = this.parts;
+    const { identity, limiter, load } = this.parts;
+    const view = this.viewOf(addressee);
+    const demands = limiter.demands(now);
+    this.busy.update(load.own());
+    this.rates.update(new Map(demands.map(({ account, rate }) => [account, rate])));
+    this.inFlight.update(new Map(demands.map(({ account, inFlight }) => [account, inFlight])));
+    const most = this.entryLimit();
+    const busy = this.busy.since(view.acknowledged.busy, most);
+    const rates = this.rates.since(view.acknowledged.rates, most);
+    const inFlight = this.inFlight.since(view.acknowledged.inFlight, most);
     return {
       ...identity,
       applied: this.parts.configuration.number,
       headAgeMs: this.parts.feed.headAgeMs,
       ready: this.parts.feed.isReady,
       leaving: this.parts.isLeaving(),
-      guarantee: this.parts.limiter.guarantee,
-      busy: [...this.parts.load.own()].map(([server, busyMs]) => ({ server, busyMs })),
+      guarantee: limiter.guarantee,
+      sequences: { busy: busy.sequence, rates: rates.sequence, inFlight: inFlight.sequence },
+      seenIncarnation: view.peerIncarnation,
+      seen: view.seen,
+      busy: busy.entries.map(({ name, value }) => ({ server: name, busyMs: value })),
+      rates: rates.entries.map(({ name, value }) => ({ account: name, value })),
+      inFlight: inFlight.entries.map(({ name, value }) => ({ account: name, value })),
       marks: this.parts.health.list(now),
-      demands: this.parts.limiter.demands(now),
       heirs: this.parts.peers.heirList(),
     };
   }
@@ -83,7 +116,7 @@
   public answer(message: PeerExchange): PeerExchange {
     this.take(message);
     return {
-      state: this.state(),
+      state: this.state(message.state.instance),
       tickets: this.parts.feed.after(message.state.applied, MAX_TICKETS),
     };
   }
@@ -96,7 +129,10 @@
     const tickets =
       peer.state === undefined ? [] : this.parts.feed.after(peer.state.applied, MAX_TICKETS);
     try {
-      const reply = await this.parts.link.exchange(peer.address, { state: this.state(), tickets });
+      const reply = await this.parts.link.exchange(peer.address, {
+        state: this.state(peer.name),
+        tickets,
+      });
       this.take(reply);
       if (reply.state.applied - this.parts.configuration.number > SNAPSHOT_LAG) {
         this.parts.feed.takeSnapshot(await this.parts.link.snapshot(peer.address));
@@ -116,11 +152,37 @@
   public async readList(): Promise<void> {
     try {
       this.parts.peers.takeList(await this.parts.list.list(), this.parts.clock.now());
+      this.prune();
     } catch {
       this.parts.log('The platform gives no instance list; the known peers stay.');
     }
   }
 
+  /** Fewer entries a message the more peers there are, so that the bytes of a second stay bounded. */
+  private entryLimit(): number {
+    const share = Math.floor(ENTRY_BUDGET / Math.max(1, this.views.size));
+    return Math.min(MAX_ENTRIES, Math.max(MIN_ENTRIES, share));
+  }
+
+  /** Forgets what was said by peers that are gone. */
+  private prune(): void {
+    for (const name of this.views.keys()) {
+      if (this.parts.peers.find(name) !== undefined) continue;
+      this.views.delete(name);
+      this.parts.load.forget(name);
+      this.parts.limiter.forget(name);
+    }
+  }
+
+  private viewOf(peer: string): PeerView {
+    let view = this.views.get(peer);
+    if (view === undefined) {
+      view = new PeerView();
+      if (peer !== '') this.views.set(peer, view);
+    }
+    return view;
+  }
+
   private take(message: PeerExchange): void {
     const now = this.parts.clock.now();
     const { state } = message;
@@ -128,14 +190,12 @@
     this.parts.peers.hear(state, now);
     this.parts.feed.take(message.tickets);
     if (state.ready) this.parts.feed.hearHead(state.applied, state.headAgeMs);
-    this.parts.load.hear(
-      state.instance,
-      new Map(state.busy.map(({ server, busyMs }) => [server, busyMs])),
-      now,
-    );
+    const view = this.viewOf(state.instance);
+    view.take(state, this.parts.identity.incarnation);
+    this.parts.load.hear(state.instance, view.busy, now);
     for (const { server, mark, remainingMs } of state.marks)
       this.parts.health.mark(server, mark, now, remainingMs);
-    this.parts.limiter.hear(state.instance, state.guarantee, state.demands, now);
+    this.parts.limiter.hear(state.instance, state.guarantee, view.demands(), now);
     this.refreshShares(now);
   }
 
--- a/src/core/limits/AccountLimiter.ts
+++ b/src/core/limits/AccountLimiter.ts
@@ -84,6 +84,11 @@
     this.peers.set(peer, { at: now, guarantee, demands: byAccount });
   }
 
+  /** Forgets a peer that is gone. */
+  public forget(peer: string): void {
+    this.peers.delete(peer);
+  }
+
   /**
    * Takes a place for one request.
    * @returns why the request is refused, or undefined when it has its place
@@ -128,7 +133,6 @@
         continue;
       }
       found.push({ account, rate: use.wantedRate, inFlight: use.wantedInFlight });
-      use.wantedInFlight = use.inFlight;
     }
     return found;
   }
@@ -185,6 +189,7 @@
     if (elapsed < WINDOW_MS) return;
     use.wantedRate = (use.wantedRate + (use.arrivals * 1000) / elapsed) / 2;
     use.arrivals = 0;
+    use.wantedInFlight = use.inFlight;
     use.windowStart = now;
   }
 }
--- a/src/ports/Peer.ts
+++ b/src/ports/Peer.ts
@@ -1,5 +1,4 @@
 /** The link between entry instances. Everything said over it is a hint or a copy of an accepted ticket. */
-import type { AccountDemand } from '../core/limits/AccountLimiter.js';
 import type { ServerMark } from '../core/membership/ServerHealth.js';
 import type { CommittedTicket, Snapshot } from '../core/tickets/Types.js';
 import type { StoredAnswer } from '../core/claims/Types.js';
@@ -11,6 +10,19 @@
   readonly busyMs: number;
 }
 
+/** A quantity of one account: requests a second, or requests in progress. */
+export interface AccountValue {
+  readonly account: string;
+  readonly value: number;
+}
+
+/** How far the changes of each kind go. */
+export interface Sequences {
+  readonly busy: number;
+  readonly rates: number;
+  readonly inFlight: number;
+}
+
 /** A mark on a server as a peer heard it. */
 export interface HeardMark {
   readonly server: string;
@@ -38,9 +50,18 @@
   readonly leaving: boolean;
   /** Fraction of every limit that the instance owns. */
   readonly guarantee: number;
+  /** How far the entries below go. */
+  readonly sequences: Sequences;
+  /** Incarnation of the addressee that was last heard, and how far it was seen. */
+  readonly seenIncarnation: string;
+  readonly seen: Sequences;
+  /** Busy times that changed since the addressee last saw them. */
   readonly busy: readonly ServerBusy[];
   readonly marks: readonly HeardMark[];
-  readonly demands: readonly AccountDemand[];
+  /** Wanted requests a second that changed. */
+  readonly rates: readonly AccountValue[];
+  /** Wanted requests in progress that changed. */
+  readonly inFlight: readonly AccountValue[];
   readonly heirs: readonly Heir[];
 }
 
