--- a/bench/BatchServer.ts
+++ b/bench/BatchServer.ts
@@ -10,9 +10,6 @@
 /** Fixed cost of a batch step, in milliseconds. */
 const STEP_MS = 0.1;
 
-/** Weight of one step in the smoothed length. */
-const STEP_SMOOTHING = 0.1;
-
 /** Window over which utilisation is measured, in milliseconds. */
 const WINDOW_MS = 1000;
 
@@ -34,8 +31,12 @@
   /** Part of the last whole second in which the server worked. */
   public utilisation = 0;
 
-  /** Length of the last steps, smoothed, in milliseconds. */
-  public stepMs = 0;
+  /** Time of the steps of the last whole second, as a multiple of what they should take. */
+  public slowdown: number | undefined;
+
+  private expectedMs = 0;
+
+  private actualMs = 0;
 
   private busyBeforeMs = 0;
 
@@ -72,6 +73,9 @@
   private measure(): void {
     this.utilisation = Math.min(1, (this.busyTotalMs - this.busyBeforeMs) / WINDOW_MS);
     this.busyBeforeMs = this.busyTotalMs;
+    this.slowdown = this.expectedMs === 0 ? undefined : this.actualMs / this.expectedMs;
+    this.expectedMs = 0;
+    this.actualMs = 0;
     this.clock.schedule(WINDOW_MS, () => this.measure());
   }
 
@@ -82,9 +86,10 @@
     this.waiting = [];
     let stepMs = STEP_MS;
     for (const item of batch) stepMs += this.takeChunk(item);
+    this.expectedMs += stepMs;
     stepMs *= this.slowness;
     this.busyTotalMs += stepMs;
-    this.stepMs += STEP_SMOOTHING * (stepMs - this.stepMs);
+    this.actualMs += stepMs;
     const thawMs = Math.max(0, this.frozenUntil - this.clock.now());
     this.clock.schedule(stepMs + thawMs, () => {
       this.running = false;
--- a/bench/BenchEngine.ts
+++ b/bench/BenchEngine.ts
@@ -102,14 +102,8 @@
       throw new Failure(FailureKind.ConnectionLost, 'No answer in time.');
     }
     await this.clock.sleep(REFUSED_MS);
-    const { loadMs: busyMs, utilisation } = server;
-    const layers = this.fleet.servers.get(address)?.layerRanges[0] ?? { from: 0, to: 1 };
-    return {
-      busyMs,
-      utilisation,
-      layerTokenMs: server.stepMs / (layers.to - layers.from),
-      leaving: false,
-    };
+    const { loadMs: busyMs, utilisation, slowdown } = server;
+    return { busyMs, utilisation, leaving: false, ...(slowdown !== undefined && { slowdown }) };
   }
 
   /** Breaks every stream that uses a server, as a crash does. */
--- /dev/null
+++ b/bench/Limits.ts
@@ -0,0 +1,170 @@
+/** `bench limits`: how far the sum over all instances passes an account's limit, and how much of it stays unused. */
+import { AccountLimiter } from '../src/core/limits/AccountLimiter.js';
+import { SeededRandom } from '../src/fakes/SeededRandom.js';
+import { VirtualClock } from '../src/fakes/VirtualClock.js';
+
+/** How demand falls on the instances. */
+export enum Demand {
+  Even = 'even',
+  /** Nine in ten requests come to one instance. */
+  Skewed = 'skewed',
+  /** As skewed, but the instance changes every five seconds. */
+  Shifting = 'shifting',
+  /** Skewed, and its failure domain is cut off half-way. */
+  CutOff = 'cut-off',
+}
+
+/** Figures of one case. */
+export interface LimitRow {
+  readonly demand: Demand;
+  /** Wanted requests a second, as a multiple of the limit. */
+  readonly load: number;
+  readonly seed: number;
+  /** Mean of what was admitted, as a part of the limit. */
+  readonly admitted: number;
+  /** Highest second, as a part of the limit. */
+  readonly highestSecond: number;
+  /** Part of min(limit, demand) that was not admitted. */
+  readonly unused: number;
+}
+
+interface Instance {
+  readonly domain: number;
+  readonly limiter: AccountLimiter;
+}
+
+const DOMAINS = 3;
+const PER_DOMAIN = 2;
+const LIMIT = 300;
+const ACCOUNT = 'account';
+const RUN_MS = 40_000;
+const WARM_UP_MS = 5000;
+const CUT_AT_MS = 20_000;
+const EXCHANGE_MS = 500;
+const SHIFT_MS = 5000;
+const HOT_SHARE = 0.9;
+const CASES = [0.8, 2];
+
+class LimitRun {
+  private readonly clock = new VirtualClock();
+
+  private readonly random: SeededRandom;
+
+  private readonly instances: Instance[] = [];
+
+  private readonly seconds: number[] = [];
+
+  private readonly contacts = new Map<string, number>();
+
+  private rounds = 0;
+
+  private cut = false;
+
+  public constructor(
+    private readonly demand: Demand,
+    private readonly load: number,
+    private readonly seed: number,
+  ) {
+    this.random = new SeededRandom(seed);
+    for (let index = 0; index < DOMAINS * PER_DOMAIN; index += 1) {
+      const limiter = new AccountLimiter({ domains: DOMAINS, homeInstances: PER_DOMAIN });
+      this.instances.push({ domain: Math.floor(index / PER_DOMAIN), limiter });
+    }
+  }
+
+  public run(): LimitRow {
+    this.exchange();
+    this.arrive();
+    if (this.demand === Demand.CutOff) {
+      this.clock.schedule(CUT_AT_MS, () => {
+        this.cut = true;
+      });
+    }
+    this.clock.runSync(RUN_MS);
+    const measured = this.seconds
+      .slice(WARM_UP_MS / 1000, RUN_MS / 1000)
+      .map((count) => count / LIMIT);
+    const mean = measured.reduce((sum, part) => sum + part, 0) / measured.length;
+    const wanted = Math.min(1, this.load);
+    const round = (value: number) => Math.round(value * 1000) / 1000;
+    return {
+      demand: this.demand,
+      load: this.load,
+      seed: this.seed,
+      admitted: round(mean),
+      highestSecond: round(Math.max(...measured)),
+      unused: round(Math.max(0, wanted - mean) / wanted),
+    };
+  }
+
+  private arrive(): void {
+    const gapMs = (-Math.log(1 - this.random.next()) * 1000) / (LIMIT * this.load);
+    this.clock.schedule(gapMs, () => {
+      const now = this.clock.now();
+      const { limiter } = this.instances[this.target(now)];
+      if (
+        limiter.enter(ACCOUNT, { requestsPerSecond: LIMIT, concurrency: 1e6 }, now) === undefined
+      ) {
+        const second = Math.floor(now / 1000);
+        this.seconds[second] = (this.seconds[second] ?? 0) + 1;
+        limiter.leave(ACCOUNT);
+      }
+      this.arrive();
+    });
+  }
+
+  private target(now: number): number {
+    const count = this.instances.length;
+    if (this.demand === Demand.Even || this.random.next() > HOT_SHARE)
+      return Math.floor(this.random.next() * count);
+    return this.demand === Demand.Shifting ? Math.floor(now / SHIFT_MS) % count : 0;
+  }
+
+  /** Each instance exchanges as gossip does: one peer at home each round, one elsewhere every other. */
+  private exchange(): void {
+    this.rounds += 1;
+    for (const [index, instance] of this.instances.entries()) {
+      const home = this.instances.findIndex(
+        (peer, at) => at !== index && peer.domain === instance.domain,
+      );
+      this.swap(index, home);
+      if (this.rounds % 2 > 0) continue;
+      this.swap(index, this.oldestElsewhere(index));
+    }
+    this.clock.schedule(EXCHANGE_MS, () => this.exchange());
+  }
+
+  private oldestElsewhere(index: number): number {
+    let best = -1;
+    for (const [at, peer] of this.instances.entries()) {
+      if (peer.domain === this.instances[index].domain) continue;
+      if (best < 0 || this.contactAt(index, at) < this.contactAt(index, best)) best = at;
+    }
+    return best;
+  }
+
+  private contactAt(a: number, b: number): number {
+    return this.contacts.get(`${Math.min(a, b)} ${Math.max(a, b)}`) ?? 0;
+  }
+
+  private swap(first: number, second: number): void {
+    const a = this.instances[first];
+    const b = this.instances[second];
+    if (this.cut && a.domain !== b.domain && (a.domain === 0 || b.domain === 0)) return;
+    const now = this.clock.now();
+    this.contacts.set(`${Math.min(first, second)} ${Math.max(first, second)}`, now);
+    a.limiter.hear(`i${second}`, b.limiter.guarantee, b.limiter.demands(now), now);
+    b.limiter.hear(`i${first}`, a.limiter.guarantee, a.limiter.demands(now), now);
+  }
+}
+
+/** Runs every case for every seed. */
+export async function limits(seeds: readonly number[]): Promise<LimitRow[]> {
+  const rows: LimitRow[] = [];
+  for (const demand of Object.values(Demand)) {
+    for (const load of CASES) {
+      for (const seed of seeds) rows.push(new LimitRun(demand, load, seed).run());
+    }
+  }
+  return rows;
+}
--- a/features/core/admission/admission.feature
+++ b/features/core/admission/admission.feature
@@ -2,16 +2,19 @@
   Scenario Outline: <case>
     Given a queue with 2 places
     And past runs "<past>"
+    And a pause of <pause> ms
     And 2 running and <waiting> waiting requests of 100 tokens of account "a"
     When account "<account>" asks for 100 tokens within <deadline> ms
     Then the answer is "<answer>"
 
     Examples: past runs are tokens:ms
-      | case                                        | past                    | waiting | account | deadline | answer               |
-      | a free prediction admits                    |                         | 0       | a       | 1000     | queued               |
-      | time for its own run                        | 100:1000 100:1000       | 0       | a       | 1500     | queued               |
-      | no time for its own run                     | 100:1000 100:1000       | 0       | a       | 900      | deadline-unreachable |
-      | no time behind its own account              | 100:1000 100:1000       | 8       | a       | 4000     | deadline-unreachable |
-      | another account has its turn earlier        | 100:1000 100:1000       | 8       | b       | 4000     | queued               |
-      | short answers do not spoil the prediction   | 1:100 1:100 100:1000 100:1000 | 0 | a       | 1500     | queued               |
-      | a full queue                                |                         | 10      | b       | 99999    | queue-full           |
+      | case                                        | past                    | pause | waiting | account | deadline | answer               |
+      | a free prediction admits |  | 0 | 0 | a | 1000 | queued |
+      | time for its own run | 100:1000 100:1000 | 0 | 0 | a | 1500 | queued |
+      | no time for its own run | 100:1000 100:1000 | 0 | 0 | a | 900 | deadline-unreachable |
+      | no time behind its own account | 100:1000 100:1000 | 0 | 8 | a | 4000 | deadline-unreachable |
+      | another account has its turn earlier | 100:1000 100:1000 | 0 | 8 | b | 4000 | queued |
+      | short answers do not spoil the prediction | 1:100 1:100 100:1000 100:1000 | 0 | 0 | a | 1500 | queued |
+      | a full queue |  | 0 | 10 | b | 99999 | queue-full |
+      | a bad past fades out | 100:9000 100:9000 | 60000 | 0 | a | 1500 | queued |
+      | a bad past that is fresh | 100:9000 100:9000 | 0 | 0 | a | 1500 | deadline-unreachable |
--- a/features/core/admission/admission.steps.ts
+++ b/features/core/admission/admission.steps.ts
@@ -51,6 +51,10 @@
   }
 });
 
+Given('a pause of {int} ms', function set(this: AdmissionWorld, pauseMs: number) {
+  this.now += pauseMs;
+});
+
 Given(
   '{int} running and {int} waiting requests of {int} tokens of account {string}',
   async function set(
--- a/src/cli/BenchCommands.ts
+++ b/src/cli/BenchCommands.ts
@@ -2,6 +2,7 @@
 import { Command, Option } from 'clipanion';
 import { User } from '../../bench/Fleet.js';
 import { Policy } from '../../bench/Policies.js';
+import { limits } from '../../bench/Limits.js';
 import { recovery } from '../../bench/Recovery.js';
 import { FULL_PLAN, throughput } from '../../bench/Throughput.js';
 import { control } from '../../bench/Control.js';
@@ -104,6 +105,21 @@
   }
 }
 
+export class BenchLimitsCommand extends BenchCommand {
+  public static override paths = [['bench', 'limits']];
+
+  public static override usage = Command.Usage({
+    description: 'How well an account limit holds over all instances, in virtual time.',
+    examples: [['All cases', 'acaciadrum bench limits --seeds 1,2,3']],
+  });
+
+  public seeds = Option.String('--seeds', '1,2,3', { description: 'Seeds of the load.' });
+
+  protected measure(): Promise<readonly object[]> {
+    return limits(numbers(this.seeds));
+  }
+}
+
 export class BenchControlCommand extends BenchCommand {
   public static override paths = [['bench', 'control']];
 
--- a/src/cli/TicketCommands.ts
+++ b/src/cli/TicketCommands.ts
@@ -3,7 +3,7 @@
 import { randomBytes } from 'node:crypto';
 import { Command, Option } from 'clipanion';
 import { stringify } from 'yaml';
-import type { Status } from '../adapters/http/OperatorServer.js';
+import type { InstanceStatus, Status } from '../adapters/http/OperatorServer.js';
 import { parseYaml } from '../adapters/yaml/CheckedYaml.js';
 import { describeFaults } from '../core/Failure.js';
 import { checkTicket } from '../core/tickets/TicketCheck.js';
@@ -19,6 +19,9 @@
 
 const IN_FORCE_WAIT_MS = 15_000;
 const LOOK_MS = 200;
+
+/** An instance that was not heard of for this long is not counted as live, in milliseconds. */
+const LIVE_MS = 5000;
 const SUBMISSION_BYTES = 12;
 
 const EXIT_CODES: Readonly<Record<FilingStatus, number>> = {
@@ -27,6 +30,10 @@
   [FilingStatus.Unknown]: 2,
 };
 
+function isLive({ ready, heardMsAgo }: InstanceStatus): boolean {
+  return ready && heardMsAgo >= 0 && heardMsAgo <= LIVE_MS;
+}
+
 abstract class OperatorCommand extends Command {
   public server = Option.String('--server', process.env.ACACIADRUM_SERVER ?? '127.0.0.1:8090', {
     description: 'Operators address of any instance (or ACACIADRUM_SERVER).',
@@ -127,7 +134,7 @@
       return EXIT_CODES[value.status];
     }
     const status = await this.waitInForce(client, value.number);
-    const live = status.instances.filter((instance) => instance.ready);
+    const live = status.instances.filter(isLive);
     const behind = live.filter((instance) => instance.applied < value.number);
     this.print(
       { ...value, live: live.length, behind: behind.map((instance) => instance.instance) },
@@ -135,6 +142,9 @@
         [
           value.message,
           `In force on ${live.length - behind.length} of ${live.length} live instances.`,
+          ...status.instances
+            .filter((instance) => !isLive(instance))
+            .map((instance) => `Not heard of: ${instance.instance} in ${instance.failureDomain}.`),
           ...behind.map(
             (instance) =>
               `Not yet on ${instance.instance} in ${instance.failureDomain}; it applies the ticket when it can be reached.`,
@@ -150,7 +160,7 @@
     for (;;) {
       const { value } = await client.get<Status>('/status');
       const behind = value.instances.filter(
-        (instance) => instance.ready && instance.applied < number,
+        (instance) => isLive(instance) && instance.applied < number,
       );
       if (behind.length === 0 || Date.now() > deadline) return value;
       await new Promise((resolve) => {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,6 +9,7 @@
 } from './DaemonCommands.js';
 import {
   BenchControlCommand,
+  BenchLimitsCommand,
   BenchRecoveryCommand,
   BenchThroughputCommand,
 } from './BenchCommands.js';
@@ -47,6 +48,7 @@
   DemoCommand,
   BenchThroughputCommand,
   BenchRecoveryCommand,
+  BenchLimitsCommand,
   BenchControlCommand,
   SoakCommand,
 ];
--- a/src/core/admission/Admission.ts
+++ b/src/core/admission/Admission.ts
@@ -26,8 +26,8 @@
   readonly weight: number;
 }
 
-/** A start is too late when less than this part of the predicted run time is left. */
-const LATE_START = 0.9;
+/** Some runs take longer than the mean by this factor. */
+const RUN_MARGIN = 1.25;
 
 /** Shortest delay that a refused caller is told, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 1000;
@@ -41,8 +41,8 @@
   );
 }
 
-/** Part of the past that each new run leaves in the sums. */
-const PAST_DECAY = 0.95;
+/** Past runs fade out with this time constant, in milliseconds. */
+const PAST_LIFETIME_MS = 5000;
 
 /** Nothing is predicted from fewer tokens. */
 const MIN_PAST_TOKENS = 100;
@@ -63,6 +63,8 @@
 
   private pastTokens = 0;
 
+  private pastAt = 0;
+
   public constructor(
     concurrency: number,
     private readonly bounds: AdmissionBounds,
@@ -119,7 +121,7 @@
       );
     }
     const wait = this.predictedWaitMs(applicant.account, applicant.weight);
-    if (this.now() + wait + applicant.cost * this.msPerToken > applicant.deadline) {
+    if (this.now() + wait + this.runMs(applicant.cost) > applicant.deadline) {
       return unreachable(wait);
     }
     this.waitingIds.add(applicant.id);
@@ -144,12 +146,25 @@
 
   /** Long answers weigh more than short ones, whose time is mostly that to the first token. */
   private recordRun(durationMs: number, tokens: number): void {
-    this.pastMs = this.pastMs * PAST_DECAY + durationMs;
-    this.pastTokens = this.pastTokens * PAST_DECAY + Math.max(1, tokens);
+    const part = this.pastPart();
+    this.pastMs = this.pastMs * part + durationMs;
+    this.pastTokens = this.pastTokens * part + Math.max(1, tokens);
+    this.pastAt = this.now();
+  }
+
+  /** Part of the past that still counts: a bad past must not refuse every request for ever. */
+  private pastPart(): number {
+    return Math.exp((this.pastAt - this.now()) / PAST_LIFETIME_MS);
   }
 
   private get msPerToken(): number {
-    return this.pastTokens < MIN_PAST_TOKENS ? 0 : this.pastMs / this.pastTokens;
+    const isKnown = this.pastTokens * this.pastPart() >= MIN_PAST_TOKENS;
+    return isKnown ? this.pastMs / this.pastTokens : 0;
+  }
+
+  /** Predicted run time with room for the slower half of runs, in milliseconds. */
+  private runMs(cost: number): number {
+    return this.queue.pending <= 1 ? 0 : cost * this.msPerToken * RUN_MARGIN;
   }
 
   private addBacklog({ account, weight }: Applicant, cost: number): void {
@@ -171,7 +186,7 @@
     onLate: (refused: Refusal) => void,
   ): Promise<void> {
     if (!this.takeOut(applicant)) return;
-    if (this.now() + applicant.cost * this.msPerToken * LATE_START > applicant.deadline) {
+    if (this.now() + this.runMs(applicant.cost) > applicant.deadline) {
       onLate(unreachable(0));
       return;
     }
--- a/src/core/gossip/Peers.ts
+++ b/src/core/gossip/Peers.ts
@@ -21,6 +21,10 @@
 /** A peer missing from the list and silent for this long is forgotten, in milliseconds. */
 const FORGET_MS = 60_000;
 
+function lastContact({ triedAt, heardAt }: KnownPeer): number {
+  return Math.max(triedAt, heardAt);
+}
+
 export class Peers {
   private readonly known = new Map<string, KnownPeer>();
 
@@ -99,12 +103,12 @@
     return names.size;
   }
 
-  /** The peer that was not tried for longest, at home or elsewhere. */
+  /** The peer that was not tried or heard for longest, at home or elsewhere. */
   public nextPartner(homeDomain: string, atHome: boolean): KnownPeer | undefined {
     let best: KnownPeer | undefined;
     for (const peer of this.known.values()) {
       if ((peer.failureDomain === homeDomain) !== atHome) continue;
-      if (best === undefined || peer.triedAt < best.triedAt) best = peer;
+      if (best === undefined || lastContact(peer) < lastContact(best)) best = peer;
     }
     return best;
   }
--- a/src/core/limits/AccountLimiter.ts
+++ b/src/core/limits/AccountLimiter.ts
@@ -49,6 +49,9 @@
 /** Spare that an owner keeps for itself, as a multiple of its demand. */
 const OWNER_HEADROOM = 1.2;
 
+/** An account that wants fewer requests a second is forgotten. */
+const IDLE_RATE = 0.01;
+
 /** Rate tokens that may be saved up, in seconds of the share. */
 const BURST_S = 1;
 
@@ -128,7 +131,7 @@
     const found: AccountDemand[] = [];
     for (const [account, use] of this.uses) {
       this.rollWindow(use, now);
-      if (use.inFlight === 0 && use.wantedRate < 0.01) {
+      if (use.inFlight === 0 && use.arrivals === 0 && use.wantedRate < IDLE_RATE) {
         this.uses.delete(account);
         continue;
       }
--- a/src/core/membership/Prober.ts
+++ b/src/core/membership/Prober.ts
@@ -30,17 +30,12 @@
 /** Probes that must fail in a row before a server is suspect. */
 const FAILURES_TO_SUSPECT = 2;
 
-/** A server is degraded when its tokens take this many times the median. */
-const DEGRADED_FACTOR = 8;
-
-/** No server is called degraded below this time for each layer, in milliseconds. */
-const DEGRADED_MIN_MS = 4;
+/** A server is degraded when its steps take this many times what they should. */
+const DEGRADED_SLOWDOWN = 4;
 
 export class Prober {
   private readonly failures = new Map<string, number>();
 
-  private readonly speeds = new Map<string, number>();
-
   private readonly probing = new Set<string>();
 
   private timer: Disposable | undefined;
@@ -89,22 +84,17 @@
     health.clear(server, ServerMark.Suspect);
     load.report(server, report.busyMs, now, report.utilisation);
     if (report.leaving) health.mark(server, ServerMark.Leaving, now);
-    this.judgeSpeed(server, report.layerTokenMs, now);
+    this.judgeSpeed(server, report.slowdown, now);
     const wanted = configuration.state(ObjectKind.BackendServer, server)?.layerRanges ?? [];
     if (report.loaded !== undefined && !holdsAll(report.loaded, wanted)) {
       health.mark(server, ServerMark.Loading, now);
     } else health.clear(server, ServerMark.Loading);
   }
 
-  /** Marks a server that is far slower than the median of those that report. */
-  private judgeSpeed(server: string, layerTokenMs: number | undefined, now: number): void {
-    if (layerTokenMs === undefined) return;
-    this.speeds.set(server, layerTokenMs);
-    const sorted = [...this.speeds.values()].sort((a, b) => a - b);
-    const median = sorted[Math.floor(sorted.length / 2)];
-    if (layerTokenMs > median * DEGRADED_FACTOR && layerTokenMs > DEGRADED_MIN_MS) {
-      this.parts.health.mark(server, ServerMark.Degraded, now);
-    }
+  /** Marks a server that runs its work far slower than its kind should; a long queue does not count. */
+  private judgeSpeed(server: string, slowdown: number | undefined, now: number): void {
+    if (slowdown === undefined || slowdown < DEGRADED_SLOWDOWN) return;
+    this.parts.health.mark(server, ServerMark.Degraded, now);
   }
 
   private countFailure(server: string): void {
--- a/src/core/routing/PipelineRouting.ts
+++ b/src/core/routing/PipelineRouting.ts
@@ -45,7 +45,7 @@
   public plan(request: StreamRequest, kept: readonly Stage[]): Route | undefined {
     const now = this.parts.clock.now();
     const candidates = this.parts.topology.of(request.pipeline);
-    return this.planner({
+    const query: RouteQuery = {
       candidates,
       layers: request.layers,
       homeDomain: this.parts.homeDomain,
@@ -53,7 +53,15 @@
       usable: (server) => this.isUsable(server, now),
       kept,
       rebuildLayerMs: REBUILD_PART * this.meanLayerMs(candidates) * this.positions(request),
-    });
+    };
+    // A degraded server is better than none.
+    return (
+      this.planner(query) ??
+      this.planner({
+        ...query,
+        usable: (server) => this.isUsable(server, now, ServerMark.Degraded),
+      })
+    );
   }
 
   public begin(request: StreamRequest, route: Route): void {
@@ -98,9 +106,13 @@
     return route.costMs * (1 + PREFILL_PART * this.positions(request));
   }
 
-  /** Whether a server may get new work. */
-  public isUsable(server: string, now: number): boolean {
-    if (this.parts.health.markOf(server, now) !== undefined) return false;
+  /**
+   * Whether a server may get new work.
+   * @param allowed - a mark that does not count against it
+   */
+  public isUsable(server: string, now: number, allowed?: ServerMark): boolean {
+    const mark = this.parts.health.markOf(server, now);
+    if (mark !== undefined && mark !== allowed) return false;
     return this.parts.configuration.state(ObjectKind.BackendServer, server)?.leaving === false;
   }
 
--- a/src/core/streams/Types.ts
+++ b/src/core/streams/Types.ts
@@ -71,8 +71,8 @@
   readonly busyMs: number;
   /** Part of the time since the last report in which the server worked, from 0 to 1. */
   readonly utilisation?: number;
-  /** Time that a token spent at the server lately, in milliseconds for each layer. */
-  readonly layerTokenMs?: number;
+  /** Time of its steps since the last report, as a multiple of what their work should take. */
+  readonly slowdown?: number;
   readonly leaving: boolean;
   /** Layers in memory; undefined from servers that do not say. */
   readonly loaded?: readonly LayerRange[];
