Work out the ideal number of running streams at home, and only when its servers changed

Change: the program covers the failure domain's own servers, and is solved again only when they changed; a route choice looks elsewhere only if home is congested, and works out each busy time once.

--- a/bench/Simulation.ts
+++ b/bench/Simulation.ts
@@ -154,7 +154,7 @@
   private addInstance(domain: string): void {
     const { clock, configuration, invariants } = this;
     const engine = this.engine.from(domain);
-    const { fleet, policy } = this.options;
+    const { policy } = this.options;
     const load = new LoadTable();
     const health = new ServerHealth();
     const budget = new RetryBudget();
@@ -171,7 +171,6 @@
       homeDomain: domain,
     };
     const routing = new PipelineRouting(parts, (query) => PLANNERS[policy](query, random));
-    const count = fleet.domains.length * INSTANCES_PER_DOMAIN;
     const counters = {
       retry: () => {
         this.retries += 1;
@@ -185,7 +184,8 @@
       topology,
       limiter: new AccountLimiter({ domains: 1, homeInstances: 1 }),
       budget,
-      instances: () => count,
+      homeDomain: domain,
+      homeInstances: () => INSTANCES_PER_DOMAIN,
     });
     const prober = new Prober({
       clock,
--- a/src/core/EntryCore.ts
+++ b/src/core/EntryCore.ts
@@ -171,7 +171,8 @@
       topology,
       limiter,
       budget,
-      instances: () => 1 + this.peers.live(clock.now()).length,
+      homeDomain,
+      homeInstances: () => 1 + this.peers.liveIn(homeDomain, clock.now()),
     });
     this.plain = new PlainDesk({
       clock,
--- a/src/core/requests/CompletionDesk.ts
+++ b/src/core/requests/CompletionDesk.ts
@@ -6,6 +6,7 @@
 import { ServerMark } from '../membership/ServerHealth.js';
 import { Outcome, refusal, RefusalReason, RetryReason, type Refusal } from '../Outcome.js';
 import { planFlow } from '../routing/FlowPlan.js';
+import type { Candidate } from '../routing/Types.js';
 import type { Topology } from '../routing/Topology.js';
 import { PendingRequest } from './PendingRequest.js';
 import {
@@ -44,23 +45,24 @@
   readonly topology: Topology;
   readonly limiter: AccountLimiter;
   readonly budget: RetryBudget;
-  /** Live instances that share the pipelines with this one, itself included. */
-  readonly instances: () => number;
+  readonly homeDomain: string;
+  /** Live instances of the own failure domain, this one included. */
+  readonly homeInstances: () => number;
 }
 
 const MAX_QUEUED = 2000;
 const MAX_QUEUED_BYTES = 64 * 1024 * 1024;
 
 /** Running streams beyond the ideal number keep servers busy while others wait at a stage. */
-const CONCURRENCY_HEADROOM = 1.25;
+const CONCURRENCY_HEADROOM = 2;
 
 /** Minimum of running streams an instance may have. */
 const MIN_CONCURRENCY = 4;
 
 interface PipelineQueue {
   readonly admission: Admission;
-  /** Ticket for which the concurrency was computed. */
-  number: number;
+  /** Servers for which the token rate was computed. */
+  candidates: readonly Candidate[] | undefined;
   instances: number;
   tokensPerMs: number;
 }
@@ -239,7 +241,7 @@
       const bounds = { maxEntries: MAX_QUEUED, maxBytes: MAX_QUEUED_BYTES };
       queue = {
         admission: new Admission(MIN_CONCURRENCY, bounds, () => this.parts.clock.now()),
-        number: -1,
+        candidates: undefined,
         instances: 0,
         tokensPerMs: 0,
       };
@@ -249,16 +251,26 @@
     return queue;
   }
 
-  /** Sets the running streams so that, by Little's law, the servers' token rate gives the wanted gap. */
+  /**
+   * Sets the running streams so that, by Little's law, the token rate of the servers at home gives the
+   * wanted gap. The plan is made again only when the pipeline's servers changed.
+   */
   private resize(name: string, pipeline: Pipeline, queue: PipelineQueue): void {
-    const { number } = this.parts.configuration;
-    const instances = this.parts.instances();
-    if (queue.number === number && queue.instances === instances) return;
-    if (queue.number !== number)
-      queue.tokensPerMs = planFlow(this.parts.topology.of(name), pipeline.layers).tokensPerMs;
-    queue.number = number;
+    const candidates = this.parts.topology.of(name);
+    const instances = this.parts.homeInstances();
+    if (queue.candidates === candidates && queue.instances === instances) return;
+    if (queue.candidates !== candidates)
+      queue.tokensPerMs = this.tokensPerMs(candidates, pipeline.layers);
+    queue.candidates = candidates;
     queue.instances = instances;
     const streams = (queue.tokensPerMs * pipeline.tokenGapMs * CONCURRENCY_HEADROOM) / instances;
     queue.admission.setConcurrency(Math.max(MIN_CONCURRENCY, streams));
   }
+
+  /** Token rate of the home domain's servers, or of all when home does not cover every layer. */
+  private tokensPerMs(candidates: readonly Candidate[], layers: number): number {
+    const home = candidates.filter(({ failureDomain }) => failureDomain === this.parts.homeDomain);
+    const atHome = planFlow(home, layers).tokensPerMs;
+    return atHome > 0 ? atHome : planFlow(candidates, layers).tokensPerMs;
+  }
 }
--- a/src/core/routing/PipelineRouting.ts
+++ b/src/core/routing/PipelineRouting.ts
@@ -49,7 +49,7 @@
       candidates,
       layers: request.layers,
       homeDomain: this.parts.homeDomain,
-      busyMs: (server) => this.parts.load.busyMs(server, now),
+      busyMs: this.busyTimes(now),
       usable: (server) => this.isUsable(server, now),
       kept,
       rebuildLayerMs: REBUILD_PART * this.meanLayerMs(candidates) * this.positions(request),
@@ -116,6 +116,19 @@
     return this.parts.configuration.state(ObjectKind.BackendServer, server)?.leaving === false;
   }
 
+  /** Busy times that are each worked out once for one route choice. */
+  private busyTimes(now: number): (server: string) => number {
+    const known = new Map<string, number>();
+    return (server) => {
+      let busyMs = known.get(server);
+      if (busyMs === undefined) {
+        busyMs = this.parts.load.busyMs(server, now);
+        known.set(server, busyMs);
+      }
+      return busyMs;
+    };
+  }
+
   private positions(request: StreamRequest): number {
     return request.prompt.length / CHARACTERS_PER_TOKEN;
   }
--- a/src/core/routing/RoutePlanner.ts
+++ b/src/core/routing/RoutePlanner.ts
@@ -161,11 +161,26 @@
   const home = usable.filter((candidate) => candidate.failureDomain === query.homeDomain);
   const homeRoute = home.length === 0 ? undefined : shortestPath(query, home);
   if (home.length === usable.length) return homeRoute;
-  if (homeRoute !== undefined && homeRoute.costMs <= cheapestCost(query, usable) * FAR_WORSE)
-    return homeRoute;
+  if (homeRoute !== undefined) {
+    // No route elsewhere is cheaper than home without its congestion, so most choices end here.
+    if (homeRoute.costMs <= costWithoutToll(query, home, homeRoute) * FAR_WORSE) return homeRoute;
+    if (homeRoute.costMs <= cheapestCost(query, usable) * FAR_WORSE) return homeRoute;
+  }
   return shortestPath(query, usable) ?? homeRoute;
 }
 
+/** A route's cost if its servers were idle. */
+function costWithoutToll(query: RouteQuery, home: readonly Candidate[], route: Route): number {
+  let toll = 0;
+  for (const stage of route.stages) {
+    const candidate = home.find(({ server }) => server === stage.server);
+    if (candidate === undefined) continue;
+    const price = layerPrice(candidate.layerMs, query.busyMs(stage.server));
+    toll += (stage.to - stage.from) * (price - candidate.layerMs);
+  }
+  return route.costMs - toll;
+}
+
 /** Lower bound of any route's cost: each layer on its cheapest usable server, without links. */
 function cheapestCost(query: RouteQuery, usable: readonly Candidate[]): number {
   let sum = 0;
--- a/src/core/routing/Topology.ts
+++ b/src/core/routing/Topology.ts
@@ -2,6 +2,22 @@
 import { ObjectKind } from '../tickets/Types.js';
 import type { Candidate } from './Types.js';
 
+function isEqual(a: Candidate, b: Candidate): boolean {
+  return (
+    a.server === b.server &&
+    a.address === b.address &&
+    a.failureDomain === b.failureDomain &&
+    a.from === b.from &&
+    a.to === b.to &&
+    a.layerMs === b.layerMs &&
+    a.linkMs === b.linkMs
+  );
+}
+
+function areEqual(a: readonly Candidate[], b: readonly Candidate[]): boolean {
+  return a.length === b.length && a.every((candidate, index) => isEqual(candidate, b[index]));
+}
+
 /** Candidates of each pipeline, rebuilt when the configuration changes. */
 export class Topology {
   private candidates = new Map<string, Candidate[]>();
@@ -16,15 +32,25 @@
     return this.candidates.get(pipeline) ?? [];
   }
 
+  /** Rebuilds the lists; one that did not change stays the same object, so that readers can tell. */
   private rebuild(): void {
     this.number = this.configuration.number;
-    this.candidates = new Map();
+    const before = this.candidates;
+    this.candidates = this.collect();
+    for (const [pipeline, list] of this.candidates) {
+      const old = before.get(pipeline);
+      if (old !== undefined && areEqual(old, list)) this.candidates.set(pipeline, old);
+    }
+  }
+
+  private collect(): Map<string, Candidate[]> {
+    const candidates = new Map<string, Candidate[]>();
     for (const object of this.configuration.list(ObjectKind.BackendServer)) {
       for (const range of object.state.layerRanges) {
         const pipeline = this.configuration.state(ObjectKind.Pipeline, range.pipeline);
         const layerMs = pipeline?.layerMs[object.state.accelerator];
         if (pipeline === undefined || layerMs === undefined || range.to > pipeline.layers) continue;
-        const list = this.candidates.get(range.pipeline) ?? [];
+        const list = candidates.get(range.pipeline) ?? [];
         const { address, failureDomain, linkMs } = object.state;
         list.push({
           server: object.name,
@@ -35,8 +61,9 @@
           layerMs,
           linkMs,
         });
-        this.candidates.set(range.pipeline, list);
+        candidates.set(range.pipeline, list);
       }
     }
+    return candidates;
   }
 }
