Keep streams when capacity is lost; tests for limits and exchanges; split large files

Changes: running streams follow the usable servers, looked at twice a second; a chain of planned stops keeps minted keys findable (an heir that stops hands on what it inherited; heirs expire with their keys); 'ticket file' waits for the first word of listed instances; tables of cases for limits and exchanges.

--- a/bench/Simulation.ts
+++ b/bench/Simulation.ts
@@ -185,6 +185,7 @@
       limiter: new AccountLimiter({ domains: 1, homeInstances: 1 }),
       budget,
       homeDomain: domain,
+      isUsable: (server) => routing.isUsable(server, clock.now()),
       homeInstances: () => INSTANCES_PER_DOMAIN,
     });
     const prober = new Prober({
--- /dev/null
+++ b/features/core/limits/account-limiter.steps.ts
@@ -0,0 +1,25 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { limitRow, type Demand, type LimitRow } from '../../../bench/Limits.js';
+
+interface LimitWorld {
+  row: LimitRow;
+}
+
+When(
+  'the limit is run with {string} demand at {float} times the limit for seed {int}',
+  function run(this: LimitWorld, demand: string, load: number, seed: number) {
+    this.row = limitRow(demand as Demand, load, seed);
+  },
+);
+
+Then(
+  'no second admits more than {float} times the limit',
+  function check(this: LimitWorld, most: number) {
+    assert.ok(this.row.admitted > 0.5 && this.row.highestSecond <= most, JSON.stringify(this.row));
+  },
+);
+
+Then('at most {float} of it stays unused', function check(this: LimitWorld, most: number) {
+  assert.ok(this.row.unused <= most, JSON.stringify(this.row));
+});
--- /dev/null
+++ b/src/adapters/http/AccountKeys.ts
@@ -0,0 +1,41 @@
+import { createHash, timingSafeEqual } from 'node:crypto';
+import type { Configuration } from '../../core/tickets/Configuration.js';
+import { ObjectKind } from '../../core/tickets/Types.js';
+
+const SCHEME = 'Bearer ';
+
+/** Finds the account of a bearer key. Only hashes of keys are held and compared. */
+export class AccountKeys {
+  private accountByHash = new Map<string, string>();
+
+  private indexedNumber = -1;
+
+  public constructor(private readonly configuration: Configuration) {}
+
+  /**
+   * The account whose key an Authorization header carries.
+   * @returns undefined when the key is missing or unknown
+   */
+  public accountOf(authorization: string | undefined): string | undefined {
+    if (authorization?.startsWith(SCHEME) !== true) return undefined;
+    this.index();
+    const hash = createHash('sha256').update(authorization.slice(SCHEME.length)).digest();
+    const account = this.accountByHash.get(hash.toString('hex'));
+    if (account === undefined) return undefined;
+    const known = this.configuration.state(ObjectKind.ClientAccount, account)?.keyHashes ?? [];
+    let matches = false;
+    for (const candidate of known) {
+      if (timingSafeEqual(Buffer.from(candidate, 'hex'), hash)) matches = true;
+    }
+    return matches ? account : undefined;
+  }
+
+  private index(): void {
+    if (this.indexedNumber === this.configuration.number) return;
+    this.indexedNumber = this.configuration.number;
+    this.accountByHash = new Map();
+    for (const { name, state } of this.configuration.list(ObjectKind.ClientAccount)) {
+      for (const hash of state.keyHashes) this.accountByHash.set(hash, name);
+    }
+  }
+}
--- a/src/adapters/http/CallerServer.ts
+++ b/src/adapters/http/CallerServer.ts
@@ -1,5 +1,5 @@
 /** The callers' listener. */
-import { createHash, timingSafeEqual } from 'node:crypto';
+import { createHash } from 'node:crypto';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { RunResult } from '../../core/claims/KeyedCalls.js';
 import type { StoredAnswer } from '../../core/claims/Types.js';
@@ -7,6 +7,7 @@
 import { ObjectKind } from '../../core/tickets/Types.js';
 import type { ForwardedAnswer, ForwardedCall } from '../../ports/Peer.js';
 import { Timing } from '../metrics/Metrics.js';
+import { AccountKeys } from './AccountKeys.js';
 import { CompletionExchange } from './CompletionExchange.js';
 import { CompletionShape, parseCompletion, type CompletionBody } from './CompletionBody.js';
 import { endToEndHeaders } from './HttpPlainTransport.js';
@@ -26,8 +27,6 @@
   '/v1/chat/completions': CompletionShape.Chat,
 };
 
-const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex');
-
 /** SHA-256 over everything that makes two requests the same. */
 export function digestOf(
   method: string,
@@ -44,9 +43,7 @@
 export class CallerServer {
   private readonly server: Server;
 
-  private accountByHash = new Map<string, string>();
-
-  private indexedNumber = -1;
+  private readonly keys: AccountKeys;
 
   private open = 0;
 
@@ -58,6 +55,7 @@
   };
 
   public constructor(private readonly parts: CallerParts) {
+    this.keys = new AccountKeys(parts.configuration);
     this.server = createLimitedServer((message, response) => {
       this.serve(message, response).catch(() => response.destroy());
     });
@@ -127,7 +125,7 @@
   ): Promise<void> {
     const early = this.refuseEarly();
     if (early !== undefined) throw new RefusedRequest(early);
-    const account = this.authenticate(message);
+    const account = this.keys.accountOf(message.headers.authorization);
     if (account === undefined) {
       throw new RefusedRequest(
         refusal(
@@ -173,31 +171,6 @@
     return undefined;
   }
 
-  private authenticate(message: IncomingMessage): string | undefined {
-    const header = message.headers.authorization ?? '';
-    if (!header.startsWith('Bearer ')) return undefined;
-    this.indexKeys();
-    const hash = sha256(header.slice('Bearer '.length));
-    const account = this.accountByHash.get(hash);
-    if (account === undefined) return undefined;
-    const known =
-      this.parts.configuration.state(ObjectKind.ClientAccount, account)?.keyHashes ?? [];
-    let matches = false;
-    for (const candidate of known) {
-      if (timingSafeEqual(Buffer.from(candidate, 'hex'), Buffer.from(hash, 'hex'))) matches = true;
-    }
-    return matches ? account : undefined;
-  }
-
-  private indexKeys(): void {
-    if (this.indexedNumber === this.parts.configuration.number) return;
-    this.indexedNumber = this.parts.configuration.number;
-    this.accountByHash = new Map();
-    for (const { name, state } of this.parts.configuration.list(ObjectKind.ClientAccount)) {
-      for (const hash of state.keyHashes) this.accountByHash.set(hash, name);
-    }
-  }
-
   /** Reads a body within the size and idle limits. */
   private async readBody(message: IncomingMessage): Promise<Buffer> {
     const { maxBodyBytes } = this.parts;
--- a/src/cli/BenchCommands.ts
+++ b/src/cli/BenchCommands.ts
@@ -100,8 +100,16 @@
 
   public seeds = Option.String('--seeds', '1,2,3', { description: 'Seeds of fleets and load.' });
 
+  public servers = Option.String('--servers', '1', {
+    description: 'Servers hit at the same moment.',
+  });
+
   protected measure(): Promise<readonly object[]> {
-    return recovery(choose(this.users, Object.values(User)), numbers(this.seeds));
+    return recovery(
+      choose(this.users, Object.values(User)),
+      numbers(this.seeds),
+      Number(this.servers),
+    );
   }
 }
 
--- a/src/cli/TicketCommands.ts
+++ b/src/cli/TicketCommands.ts
@@ -20,6 +20,9 @@
 const IN_FORCE_WAIT_MS = 15_000;
 const LOOK_MS = 200;
 
+/** An instance that is listed but was never heard of is waited for this long, in milliseconds. */
+const FIRST_WORD_MS = 3000;
+
 /** An instance that was not heard of for this long is not counted as live, in milliseconds. */
 const LIVE_MS = 5000;
 const SUBMISSION_BYTES = 12;
@@ -156,13 +159,14 @@
   }
 
   private async waitInForce(client: OperatorClient, number: number): Promise<Status> {
-    const deadline = Date.now() + IN_FORCE_WAIT_MS;
+    const startedAt = Date.now();
     for (;;) {
       const { value } = await client.get<Status>('/status');
-      const behind = value.instances.filter(
-        (instance) => isLive(instance) && instance.applied < number,
-      );
-      if (behind.length === 0 || Date.now() > deadline) return value;
+      const waitedMs = Date.now() - startedAt;
+      const behind = value.instances.filter((item) => isLive(item) && item.applied < number);
+      const unheard = value.instances.filter((item) => item.heardMsAgo < 0);
+      const isWaiting = behind.length > 0 || (unheard.length > 0 && waitedMs < FIRST_WORD_MS);
+      if (!isWaiting || waitedMs > IN_FORCE_WAIT_MS) return value;
       await new Promise((resolve) => {
         setTimeout(resolve, LOOK_MS);
       });
--- a/src/core/EntryCore.ts
+++ b/src/core/EntryCore.ts
@@ -1,9 +1,10 @@
 /** The decisions of one entry instance, put together from ports. */
 import { ClaimDriver } from './claims/ClaimDriver.js';
-import { KeyedCalls, type KeyedRequest, type RunResult } from './claims/KeyedCalls.js';
+import { KeyedCalls } from './claims/KeyedCalls.js';
 import { KeyMint, type KeyOrigin } from './claims/KeyMint.js';
+import { PeerKeys } from './claims/PeerKeys.js';
 import { Gossip } from './gossip/Gossip.js';
-import { PEER_LIVE_MS, Peers, type KnownPeer } from './gossip/Peers.js';
+import { Peers } from './gossip/Peers.js';
 import type { Invariants } from './Invariant.js';
 import { LeaseKeeper } from './leases/LeaseKeeper.js';
 import { AccountLimiter } from './limits/AccountLimiter.js';
@@ -79,15 +80,6 @@
 /** Time between looks at what is still open while stopping, in milliseconds. */
 const DRAIN_LOOK_MS = 50;
 
-/** Longest time to forward one request, in milliseconds. */
-const MAX_FORWARD_MS = 30_000;
-
-/** Delay before a request is forwarded again, in milliseconds. */
-const FORWARD_AGAIN_MS = 100;
-
-/** Hand-over attempts to the same peer before the keys are lost. */
-const HAND_OVER_ATTEMPTS = 20;
-
 export class EntryCore implements PeerService {
   public readonly configuration: Configuration;
 
@@ -117,6 +109,8 @@
 
   private readonly orders: OrderDriver;
 
+  private readonly peerKeys: PeerKeys;
+
   private readonly origin: KeyOrigin;
 
   private gossipParts: Gossip | undefined;
@@ -172,6 +166,7 @@
       limiter,
       budget,
       homeDomain,
+      isUsable: (server) => routing.isUsable(server, clock.now()),
       homeInstances: () => 1 + this.peers.liveIn(homeDomain, clock.now()),
     });
     this.plain = new PlainDesk({
@@ -187,13 +182,21 @@
     });
     const holder = `${this.origin.instance}~${this.origin.incarnation}`;
     this.mint = new KeyMint(this.origin, () => random.id(NONCE_BYTES));
+    this.peerKeys = new PeerKeys({
+      clock,
+      link: ports.link,
+      peers: this.peers,
+      mint: this.mint,
+      origin: this.origin,
+      homeDomain,
+      runsHere: (attempt) => this.keyed.isRunning(attempt),
+      broadcast: () => this.gossip.broadcast(),
+      log: logFor('entry'),
+    });
     this.keyed = new KeyedCalls(
       new ClaimDriver({ table, clock }, holder, SETTLE_LIMIT_MS),
       this.mint,
-      {
-        isRunning: (claimHolder, attempt) => this.askHolder(claimHolder, attempt),
-        forward: (origin, request) => this.forwardKeyed(origin, request),
-      },
+      this.peerKeys,
       this.origin,
       clock,
       () => random.id(ATTEMPT_BYTES),
@@ -278,7 +281,7 @@
     this.currentPhase = Phase.Refusing;
     this.mint.stop();
     while (this.open + openElsewhere() > 0) await pause(this.ports.clock, DRAIN_LOOK_MS);
-    await this.handOverKeys();
+    await this.peerKeys.handOverKeys();
     await this.lease.release();
   }
 
@@ -312,35 +315,9 @@
   }
 
   public handOver(keys: Parameters<PeerService['handOver']>[0]): void {
-    this.mint.inherit(keys, this.ports.clock.now());
-    this.peers.inherit(keys.incarnation, this.origin.instance);
-  }
-
-  /** Hands the minted keys to one peer, and to no other once the first attempt was made. */
-  private async handOverKeys(): Promise<void> {
-    const handed = this.mint.handOver();
-    if (handed.keys.length === 0) return;
-    const live = this.peers.live(this.ports.clock.now());
-    const heir = live.sort((a, b) => this.closeness(b) - this.closeness(a))[0] as
-      KnownPeer | undefined;
-    if (heir === undefined) return;
-    for (let attempt = 0; attempt < HAND_OVER_ATTEMPTS; attempt += 1) {
-      try {
-        await this.ports.link.handOver(heir.address, handed);
-        this.peers.inherit(this.origin.incarnation, heir.name);
-        await this.gossip.broadcast();
-        return;
-      } catch {
-        await pause(this.ports.clock, DRAIN_LOOK_MS);
-      }
-    }
-    this.ports.logFor('entry')(
-      `Peer ${heir.name} did not take the minted keys; their fate is unknown to callers.`,
-    );
-  }
-
-  private closeness(peer: KnownPeer): number {
-    return peer.failureDomain === this.identity.failureDomain ? 1 : 0;
+    const now = this.ports.clock.now();
+    this.mint.inherit(keys, now);
+    this.peers.inherit(keys.incarnations, this.origin.instance, now);
   }
 
   private homeInstances(): string[] {
@@ -353,39 +330,4 @@
     if (domain !== this.identity.failureDomain) return false;
     return ranksAmong(`probe/${server}`, this.identity.instance, this.homeInstances(), PROBERS);
   }
-
-  private async askHolder(holder: string, attempt: string): Promise<boolean> {
-    const [instance = '', incarnation = ''] = holder.split('~');
-    if (instance === this.origin.instance) {
-      return incarnation === this.origin.incarnation && this.isRunning(attempt);
-    }
-    const peer = this.peers.find(instance);
-    if (peer === undefined) return false;
-    return this.ports.link.isRunning(peer.address, attempt).catch(() => false);
-  }
-
-  /**
-   * Forwards a minted key's request, again and again: its holder runs it at most once, and answers a
-   * repeat with what the first one came to.
-   */
-  private async forwardKeyed(
-    origin: KeyOrigin,
-    request: KeyedRequest,
-  ): Promise<RunResult | undefined> {
-    const { clock, link } = this.ports;
-    const deadline = clock.now() + MAX_FORWARD_MS;
-    while (clock.now() < deadline) {
-      const heir = this.peers.heirOf(origin.incarnation);
-      const peer = this.peers.find(heir ?? origin.instance);
-      if (peer === undefined) return undefined;
-      try {
-        const result = await link.forward(peer.address, request);
-        return result.answer === undefined && result.refusal === undefined ? undefined : result;
-      } catch {
-        if (clock.now() - peer.heardAt > PEER_LIVE_MS) return undefined;
-        await pause(clock, FORWARD_AGAIN_MS);
-      }
-    }
-    return undefined;
-  }
 }
--- a/src/core/claims/KeyMint.ts
+++ b/src/core/claims/KeyMint.ts
@@ -57,10 +57,15 @@
 
   private serial = 0;
 
+  /** Incarnations whose keys are held here. */
+  private readonly incarnations: Set<string>;
+
   public constructor(
     private readonly origin: KeyOrigin,
     private readonly nonce: () => string,
-  ) {}
+  ) {
+    this.incarnations = new Set([origin.incarnation]);
+  }
 
   /** Mints a key; undefined when the instance stops or holds too many. */
   public mint(account: string, now: number): string | undefined {
@@ -137,11 +142,12 @@
       const { account, digest, answer } = entry;
       keys.push({ key, account, digest, ...(answer && { answer }) });
     }
-    return { incarnation: this.origin.incarnation, keys };
+    return { incarnations: [...this.incarnations], keys };
   }
 
   /** Takes over the keys of a stopped instance. Taking the same set twice changes nothing. */
   public inherit(handed: HandOver, now: number): void {
+    for (const incarnation of handed.incarnations) this.incarnations.add(incarnation);
     for (const { key, account, digest, answer } of handed.keys) {
       if (this.keys.has(key)) continue;
       this.keys.set(key, {
--- a/src/core/gossip/Gossip.ts
+++ b/src/core/gossip/Gossip.ts
@@ -108,7 +108,7 @@
       rates: rates.entries.map(({ name, value }) => ({ account: name, value })),
       inFlight: inFlight.entries.map(({ name, value }) => ({ account: name, value })),
       marks: this.parts.health.list(now),
-      heirs: this.parts.peers.heirList(),
+      heirs: this.parts.peers.heirList(now),
     };
   }
 
--- a/src/core/gossip/Peers.ts
+++ b/src/core/gossip/Peers.ts
@@ -1,5 +1,6 @@
 /** What this instance knows of its peers: the platform's list joined with what they say themselves. */
 import type { ListedInstance } from '../../ports/Types.js';
+import { MINTED_KEY_LIFETIME_MS } from '../claims/KeyMint.js';
 import type { Heir, PeerState } from '../../ports/Peer.js';
 
 /** A peer as last heard of. */
@@ -21,6 +22,14 @@
 /** A peer missing from the list and silent for this long is forgotten, in milliseconds. */
 const FORGET_MS = 60_000;
 
+interface KnownHeir {
+  readonly instance: string;
+  readonly until: number;
+}
+
+/** Times that peers pass on differ by less than this, in milliseconds. */
+const HEIR_TOLERANCE_MS = 1000;
+
 function lastContact({ triedAt, heardAt }: KnownPeer): number {
   return Math.max(triedAt, heardAt);
 }
@@ -28,7 +37,7 @@
 export class Peers {
   private readonly known = new Map<string, KnownPeer>();
 
-  private readonly heirs = new Map<string, string>();
+  private readonly heirs = new Map<string, KnownHeir>();
 
   public constructor(private readonly self: string) {}
 
@@ -57,23 +66,41 @@
   /** Takes what a peer says of itself. */
   public hear(state: PeerState, now: number): void {
     if (state.instance === this.self) return;
-    for (const heir of state.heirs) this.heirs.set(heir.incarnation, heir.instance);
+    for (const { incarnation, instance, remainingMs } of state.heirs) {
+      this.takeHeir(incarnation, instance, now + remainingMs);
+    }
     const { instance: name, address, failureDomain, leaving } = state;
     const triedAt = this.known.get(name)?.triedAt ?? -Infinity;
     this.known.set(name, { name, address, failureDomain, leaving, heardAt: now, triedAt, state });
   }
 
-  /** Records who holds the keys of a stopped incarnation. */
-  public inherit(incarnation: string, instance: string): void {
-    this.heirs.set(incarnation, instance);
+  /** Records who holds the keys of stopped incarnations. */
+  public inherit(incarnations: readonly string[], instance: string, now: number): void {
+    for (const incarnation of incarnations)
+      this.takeHeir(incarnation, instance, now + MINTED_KEY_LIFETIME_MS);
   }
 
-  public heirOf(incarnation: string): string | undefined {
-    return this.heirs.get(incarnation);
+  /** The instance that holds the keys of an incarnation that stopped. */
+  public heirOf(incarnation: string, now: number): string | undefined {
+    const heir = this.heirs.get(incarnation);
+    return heir !== undefined && heir.until > now ? heir.instance : undefined;
+  }
+
+  /** Every heir whose keys have not expired. */
+  public heirList(now: number): Heir[] {
+    const list: Heir[] = [];
+    for (const [incarnation, { instance, until }] of this.heirs) {
+      if (until <= now) this.heirs.delete(incarnation);
+      else list.push({ incarnation, instance, remainingMs: until - now });
+    }
+    return list;
   }
 
-  public heirList(): Heir[] {
-    return [...this.heirs].map(([incarnation, instance]) => ({ incarnation, instance }));
+  /** The latest hand-over of an incarnation's keys counts. */
+  private takeHeir(incarnation: string, instance: string, until: number): void {
+    const known = this.heirs.get(incarnation);
+    if (known === undefined || until > known.until + HEIR_TOLERANCE_MS)
+      this.heirs.set(incarnation, { instance, until });
   }
 
   public find(name: string): KnownPeer | undefined {
--- a/src/core/requests/CompletionDesk.ts
+++ b/src/core/requests/CompletionDesk.ts
@@ -46,6 +46,8 @@
   readonly limiter: AccountLimiter;
   readonly budget: RetryBudget;
   readonly homeDomain: string;
+  /** Whether a server may get new work. */
+  readonly isUsable: (server: string) => boolean;
   /** Live instances of the own failure domain, this one included. */
   readonly homeInstances: () => number;
 }
@@ -56,6 +58,9 @@
 /** Running streams beyond the ideal number keep servers busy while others wait at a stage. */
 const CONCURRENCY_HEADROOM = 2;
 
+/** Time between looks at which servers are usable, in milliseconds. */
+const RESIZE_MS = 500;
+
 /** Minimum of running streams an instance may have. */
 const MIN_CONCURRENCY = 4;
 
@@ -64,7 +69,9 @@
   /** Servers for which the token rate was computed. */
   candidates: readonly Candidate[] | undefined;
   instances: number;
-  tokensPerMs: number;
+  /** Names of the servers that were usable then. */
+  servers: string;
+  resizedAt: number;
 }
 
 /** Marks on a server that move its streams in progress elsewhere. */
@@ -243,7 +250,8 @@
         admission: new Admission(MIN_CONCURRENCY, bounds, () => this.parts.clock.now()),
         candidates: undefined,
         instances: 0,
-        tokensPerMs: 0,
+        servers: '',
+        resizedAt: -Infinity,
       };
       this.queues.set(name, queue);
     }
@@ -252,19 +260,26 @@
   }
 
   /**
-   * Sets the running streams so that, by Little's law, the token rate of the servers at home gives the
-   * wanted gap. The plan is made again only when the pipeline's servers changed.
+   * Sets the running streams so that, by Little's law, the token rate of the usable servers at home
+   * gives the wanted gap. Streams in progress keep their place when servers are lost; new ones wait.
    */
   private resize(name: string, pipeline: Pipeline, queue: PipelineQueue): void {
+    const now = this.parts.clock.now();
     const candidates = this.parts.topology.of(name);
     const instances = this.parts.homeInstances();
-    if (queue.candidates === candidates && queue.instances === instances) return;
-    if (queue.candidates !== candidates)
-      queue.tokensPerMs = this.tokensPerMs(candidates, pipeline.layers);
+    const isSame = queue.candidates === candidates && queue.instances === instances;
+    if (isSame && now - queue.resizedAt < RESIZE_MS) return;
+    queue.resizedAt = now;
+    const usable = candidates.filter(({ server }) => this.parts.isUsable(server));
+    const servers = usable.map(({ server }) => server).join();
+    if (!isSame || servers !== queue.servers) {
+      const tokensPerMs = this.tokensPerMs(usable, pipeline.layers);
+      const streams = (tokensPerMs * pipeline.tokenGapMs * CONCURRENCY_HEADROOM) / instances;
+      queue.admission.setConcurrency(Math.max(MIN_CONCURRENCY, streams));
+    }
     queue.candidates = candidates;
     queue.instances = instances;
-    const streams = (queue.tokensPerMs * pipeline.tokenGapMs * CONCURRENCY_HEADROOM) / instances;
-    queue.admission.setConcurrency(Math.max(MIN_CONCURRENCY, streams));
+    queue.servers = servers;
   }
 
   /** Token rate of the home domain's servers, or of all when home does not cover every layer. */
--- a/src/ports/Peer.ts
+++ b/src/ports/Peer.ts
@@ -34,6 +34,8 @@
 export interface Heir {
   readonly incarnation: string;
   readonly instance: string;
+  /** Time until the keys have expired, in milliseconds. */
+  readonly remainingMs: number;
 }
 
 /** What an instance says of itself in an exchange. */
@@ -102,7 +104,8 @@
 
 /** Minted keys handed to a peer by an instance that stops. */
 export interface HandOver {
-  readonly incarnation: string;
+  /** Incarnations whose keys these are: the stopping one and those that it inherited. */
+  readonly incarnations: readonly string[];
   readonly keys: readonly MintedKey[];
 }
 
