--- a/bench/Recovery.ts
+++ b/bench/Recovery.ts
@@ -158,6 +158,7 @@
 export async function recovery(
   users: readonly User[],
   seeds: readonly number[],
+  serversHit: number,
 ): Promise<RecoveryRow[]> {
   const rows: RecoveryRow[] = [];
   for (const user of users) {
