Bound what control costs at size: list reads, probes, what is kept of peers

Cause: worked out for 390 nodes: the instance list read each second is 35 KB/s a node, probes 12 KB/s, and what each peer said 55 MB, against budgets of 10 KB/s and 64 MB. Change: the list is read every 0.1 s a peer, at most 8 probes a second go out, oldest first, what a peer said is dropped 15 s after its last word, and a message has at least 6 entries of each kind in place of 10.

--- a/src/core/gossip/Gossip.ts
+++ b/src/core/gossip/Gossip.ts
@@ -34,13 +34,17 @@
 /** Every so many exchanges another one goes to a peer elsewhere. */
 const ELSEWHERE_EVERY = 2;
 
-/** Time between reads of the platform's list, in milliseconds. */
-const LIST_MS = 1000;
+/** Time between reads of the platform's list, in milliseconds: longer the longer the list is. */
+const MIN_LIST_MS = 1000;
+const LIST_MS_PER_PEER = 100;
+
+/** What a peer said is forgotten after this time without a word from it, in milliseconds. */
+const VIEW_LIFETIME_MS = 15_000;
 
 /** Entries of each kind in one message, shared out over the peers; the rest follows in the next. */
 const ENTRY_BUDGET = 400;
 
-const MIN_ENTRIES = 10;
+const MIN_ENTRIES = 6;
 
 const MAX_ENTRIES = 40;
 
@@ -69,8 +73,14 @@
 
   /** Starts exchanging. */
   public start(): void {
-    this.repeat(LIST_MS, () => this.readList());
-    this.repeat(EXCHANGE_MS, () => this.round());
+    this.repeat(
+      () => Math.max(MIN_LIST_MS, this.parts.peers.count * LIST_MS_PER_PEER),
+      () => this.readList(),
+    );
+    this.repeat(
+      () => EXCHANGE_MS,
+      () => this.round(),
+    );
   }
 
   public dispose(): void {
@@ -152,7 +162,6 @@
   public async readList(): Promise<void> {
     try {
       this.parts.peers.takeList(await this.parts.list.list(), this.parts.clock.now());
-      this.prune();
     } catch {
       this.parts.log('The platform gives no instance list; the known peers stay.');
     }
@@ -164,10 +173,12 @@
     return Math.min(MAX_ENTRIES, Math.max(MIN_ENTRIES, share));
   }
 
-  /** Forgets what was said by peers that are gone. */
+  /** Forgets what was said by peers that are gone or long silent. */
   private prune(): void {
+    const now = this.parts.clock.now();
     for (const name of this.views.keys()) {
-      if (this.parts.peers.find(name) !== undefined) continue;
+      const heardAt = this.parts.peers.find(name)?.heardAt ?? -Infinity;
+      if (now - heardAt <= VIEW_LIFETIME_MS) continue;
       this.views.delete(name);
       this.parts.load.forget(name);
       this.parts.limiter.forget(name);
@@ -209,6 +220,7 @@
 
   private async round(): Promise<void> {
     this.rounds += 1;
+    this.prune();
     this.refreshShares(this.parts.clock.now());
     const home = this.parts.peers.nextPartner(this.parts.identity.failureDomain, true);
     const elsewhere =
@@ -220,12 +232,12 @@
     }
   }
 
-  private repeat(everyMs: number, action: () => Promise<void>): void {
+  private repeat(everyMs: () => number, action: () => Promise<void>): void {
     const index = this.timers.length;
     const run = () => {
       if (this.disposed) return;
       action();
-      this.timers[index] = this.parts.clock.schedule(everyMs, run);
+      this.timers[index] = this.parts.clock.schedule(everyMs(), run);
     };
     this.timers.push({ dispose: () => {} });
     run();
--- a/src/core/gossip/Peers.ts
+++ b/src/core/gossip/Peers.ts
@@ -103,6 +103,11 @@
       this.heirs.set(incarnation, { instance, until });
   }
 
+  /** Peers known, live or not. */
+  public get count(): number {
+    return this.known.size;
+  }
+
   public find(name: string): KnownPeer | undefined {
     return this.known.get(name);
   }
--- a/src/core/membership/Prober.ts
+++ b/src/core/membership/Prober.ts
@@ -19,8 +19,11 @@
   readonly log: (message: string) => void;
 }
 
-/** Time between two probes of a server, in milliseconds. */
-const PROBE_EVERY_MS = 1000;
+/** Least time between two probes of a server, in milliseconds; just below two rounds. */
+const PROBE_EVERY_MS = 990;
+
+/** Probes of one round; with more servers each one's turn comes less often. */
+const MAX_PROBES = 4;
 
 /** A suspect is probed back in this often, in milliseconds. */
 const SUSPECT_EVERY_MS = 500;
@@ -40,7 +43,7 @@
 
   private timer: Disposable | undefined;
 
-  private rounds = 0;
+  private readonly probedAt = new Map<string, number>();
 
   public constructor(private readonly parts: ProberParts) {}
 
@@ -53,17 +56,32 @@
   }
 
   private round(): void {
-    this.rounds += 1;
     const now = this.parts.clock.now();
-    const everyServer = this.rounds % (PROBE_EVERY_MS / SUSPECT_EVERY_MS) === 0;
-    for (const { name, state } of this.parts.configuration.list(ObjectKind.BackendServer)) {
-      const suspect = this.parts.health.markOf(name, now) === ServerMark.Suspect;
-      if (suspect || (everyServer && this.parts.isMine(name, state.failureDomain)))
-        this.probe(name, state.address);
+    const servers = this.parts.configuration.list(ObjectKind.BackendServer);
+    const suspects = servers.filter(
+      ({ name }) => this.parts.health.markOf(name, now) === ServerMark.Suspect,
+    );
+    const due = servers
+      .filter(
+        ({ name, state }) => this.isDue(name, now) && this.parts.isMine(name, state.failureDomain),
+      )
+      .sort((a, b) => this.lastProbe(a.name) - this.lastProbe(b.name))
+      .slice(0, MAX_PROBES);
+    for (const { name, state } of new Set([...suspects, ...due])) {
+      this.probedAt.set(name, now);
+      this.probe(name, state.address);
     }
     this.timer = this.parts.clock.schedule(SUSPECT_EVERY_MS, () => this.round());
   }
 
+  private isDue(server: string, now: number): boolean {
+    return now - this.lastProbe(server) >= PROBE_EVERY_MS;
+  }
+
+  private lastProbe(server: string): number {
+    return this.probedAt.get(server) ?? -Infinity;
+  }
+
   private async probe(server: string, address: string): Promise<void> {
     if (this.probing.has(server)) return;
     this.probing.add(server);
