--- a/bench/Control.ts
+++ b/bench/Control.ts
@@ -245,6 +245,20 @@
 };
 
 const SERIES: readonly Series[] = [
+  {
+    what: 'relay delay p50',
+    over: 'streams',
+    unit: 'us',
+    sizes: [50, 100, 200, 400],
+    measure: async (size) => (await relay(size, 100, 40)).delayP50Us,
+  },
+  {
+    what: 'relay delay p99',
+    over: 'streams',
+    unit: 'us',
+    sizes: [50, 100, 200, 400],
+    measure: async (size) => (await relay(size, 100, 40)).delayP99Us,
+  },
   {
     what: 'relay cpu',
     over: 'streams',
--- a/bench/Relay.ts
+++ b/bench/Relay.ts
@@ -30,6 +30,9 @@
   /** Tokens a second on a whole core at this cost for each token. */
   readonly tokensPerCoreS: number;
   readonly heapMb: number;
+  /** Time from the engine's write to the caller's read, in microseconds. */
+  readonly delayP50Us: number;
+  readonly delayP99Us: number;
 }
 
 const KEY = 'relay-key';
@@ -38,9 +41,14 @@
 const ANY_PORT = '127.0.0.1:0';
 const TIMEOUT_MS = 10_000;
 
-function startWorker(work: RelayWork): { worker: Worker; message: Promise<{ address: string }> } {
+interface WorkerWord {
+  readonly address: string;
+  readonly delayUs?: { readonly p50: number; readonly p99: number };
+}
+
+function startWorker(work: RelayWork): { worker: Worker; message: Promise<WorkerWord> } {
   const worker = new Worker(new URL('./RelayWorker.js', import.meta.url), { workerData: work });
-  const message = new Promise<{ address: string }>((resolve, reject) => {
+  const message = new Promise<WorkerWord>((resolve, reject) => {
     worker.once('message', resolve);
     worker.once('error', reject);
   });
@@ -107,7 +115,7 @@
     const before = performance.eventLoopUtilization();
     const startedAt = performance.now();
     const callers = startWorker({ ...work, role: 'callers', address: addresses.callers });
-    await callers.message;
+    const { delayUs } = await callers.message;
     const seconds = (performance.now() - startedAt) / 1000;
     const { active } = performance.eventLoopUtilization(before);
     await callers.worker.terminate();
@@ -116,6 +124,8 @@
       tokensPerS: Math.round(sent / seconds),
       loopBusy: Math.round((active / 1000 / seconds) * 1000) / 1000,
       tokensPerCoreS: Math.round(sent / (active / 1000)),
+      delayP50Us: delayUs?.p50 ?? 0,
+      delayP99Us: delayUs?.p99 ?? 0,
       heapMb: Math.round(process.memoryUsage().heapUsed / 2 ** 20),
     };
   } finally {
--- a/bench/RelayWorker.ts
+++ b/bench/RelayWorker.ts
@@ -1,4 +1,5 @@
 /** Runs beside the relay bench on a thread of its own: either the engine that sends, or the callers. */
+import { build, type Histogram } from 'hdr-histogram-js';
 import { Agent, createServer, request } from 'node:http';
 import { parentPort, workerData } from 'node:worker_threads';
 import { encodeEnd, encodeToken } from '../src/adapters/http/TokenFrames.js';
@@ -7,6 +8,8 @@
 import type { RelayWork } from './Relay.js';
 
 const MAX_BODY_BYTES = 1024 * 1024;
+const NS_PER_US = 1000n;
+const STAMP = /"text":" (\d+)"/g;
 const work = workerData as RelayWork;
 
 function sendTokens(opening: StreamOpening, write: (chunk: Buffer) => void, end: () => void): void {
@@ -19,7 +22,8 @@
       encodeToken({
         epoch: opening.epoch,
         index,
-        text: ' birch',
+        // The callers' thread reads the same monotonic clock.
+        text: ` ${process.hrtime.bigint() / NS_PER_US}`,
         hops,
         hopCount: opening.stages.length,
       }),
@@ -55,7 +59,13 @@
   });
 }
 
-function callOnce(agent: Agent): Promise<void> {
+/** Records the time since each token in a chunk left the engine. */
+function recordDelays(chunk: string, delays: Histogram): void {
+  const now = process.hrtime.bigint() / NS_PER_US;
+  for (const [, stamp] of chunk.matchAll(STAMP)) delays.recordValue(Number(now - BigInt(stamp)));
+}
+
+function callOnce(agent: Agent, delays: Histogram): Promise<void> {
   return new Promise((resolve) => {
     const outgoing = request(
       {
@@ -66,7 +76,7 @@
         headers: { authorization: `Bearer ${work.key}`, 'content-type': 'application/json' },
       },
       (message) => {
-        message.on('data', () => {});
+        message.on('data', (chunk: Buffer) => recordDelays(chunk.toString(), delays));
         message.on('end', resolve);
       },
     );
@@ -78,9 +88,11 @@
 
 async function call(): Promise<void> {
   const agent = new Agent({ keepAlive: true });
-  await Promise.all(Array.from({ length: work.streams }, () => callOnce(agent)));
+  const delays = build({ highestTrackableValue: 60_000_000 });
+  await Promise.all(Array.from({ length: work.streams }, () => callOnce(agent, delays)));
   agent.destroy();
-  parentPort?.postMessage({ address: '' });
+  const delayUs = { p50: delays.getValueAtPercentile(50), p99: delays.getValueAtPercentile(99) };
+  parentPort?.postMessage({ address: '', delayUs });
 }
 
 if (work.role === 'engine') serveEngine();
--- a/bench/Simulation.ts
+++ b/bench/Simulation.ts
@@ -194,7 +194,7 @@
       configuration,
       load,
       health,
-      isMine: () => true,
+      isMine: (_server, failureDomain) => failureDomain === domain,
       log: () => {},
     });
     health.onMark((server, mark) => {
@@ -204,15 +204,19 @@
     this.instances.push({ domain, desk, load, health, prober });
   }
 
-  /** Each instance hears every other one's streams in progress, late. */
+  /** Each instance hears every other one's streams in progress and marks, late. */
   private exchange(): void {
-    for (const [index, { load, domain }] of this.instances.entries()) {
+    for (const [index, { load, health, domain }] of this.instances.entries()) {
       const own = load.own();
+      const marks = health.list(this.clock.now());
       const delayMs = this.random.between(0, EXCHANGE_MS);
       this.clock.schedule(delayMs, () => {
         for (const [other, peer] of this.instances.entries()) {
           if (other === index || this.isCut(domain, peer.domain)) continue;
           peer.load.hear(`i${index}`, own, this.clock.now());
+          for (const { server, mark, remainingMs } of marks) {
+            peer.health.mark(server, mark, this.clock.now(), remainingMs);
+          }
         }
       });
     }
--- /dev/null
+++ b/features/bench/goodput.steps.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { drawFleet, type User } from '../../bench/Fleet.js';
+import type { Policy } from '../../bench/Policies.js';
+import { Simulation } from '../../bench/Simulation.js';
+import { measure, type ThroughputRow } from '../../bench/Throughput.js';
+import { Outcome } from '../../src/core/Outcome.js';
+
+interface GoodputWorld {
+  simulation: Simulation;
+  seconds: number;
+  row: ThroughputRow;
+}
+
+const TIMEOUT = { timeout: 300_000 };
+
+When(
+  'the fleet of {string} runs at load {float} with seed {int} under {string} for {int} seconds',
+  TIMEOUT,
+  async function run(
+    this: GoodputWorld,
+    user: string,
+    load: number,
+    seed: number,
+    policy: string,
+    seconds: number,
+  ) {
+    this.seconds = seconds;
+    this.simulation = new Simulation({
+      fleet: drawFleet(user as User, seed),
+      policy: policy as Policy,
+      seed,
+      load,
+    });
+    await this.simulation.run(seconds * 1000);
+  },
+);
+
+Then(
+  'its tokens are at least {float} of the bound and every answer was in time',
+  function check(this: GoodputWorld, part: number) {
+    const { boundPerMs, engine, records } = this.simulation;
+    assert.ok(engine.counts.tokens >= part * boundPerMs * this.seconds * 1000);
+    assert.ok(
+      records.every(({ outcome }) => outcome === undefined || outcome === Outcome.Complete),
+    );
+  },
+);
+
+When(
+  'the whole bench measures {string} at load {float} with seed {int} under {string}',
+  TIMEOUT,
+  async function run(this: GoodputWorld, user: string, load: number, seed: number, policy: string) {
+    this.row = await measure(user as User, policy as Policy, load, seed);
+  },
+);
+
+Then(
+  'its goodput is at least {float} of the bound',
+  function check(this: GoodputWorld, part: number) {
+    assert.ok(this.row.goodput >= part, JSON.stringify(this.row));
+  },
+);
--- a/src/core/streams/Pace.ts
+++ b/src/core/streams/Pace.ts
@@ -10,7 +10,7 @@
 const MIN_SILENCE_MS = 400;
 
 /** Silence is called at the latest then, in milliseconds. */
-const MAX_SILENCE_MS = 1500;
+const MAX_SILENCE_MS = 1200;
 
 /** Longest wait for the first token beyond its prediction, in milliseconds. */
 const FIRST_TOKEN_SLACK_MS = 1000;
