Pass corrections of load on to peers that do not probe the servers

Instances of other domains did not know which servers are busier than their streams suggest. Change: corrections travel in exchanges, only what changed; an instance's own report goes first.

--- a/bench/Simulation.ts
+++ b/bench/Simulation.ts
@@ -209,11 +209,14 @@
     for (const [index, { load, health, domain }] of this.instances.entries()) {
       const own = load.own();
       const marks = health.list(this.clock.now());
+      const corrections = load.corrections(this.clock.now());
       const delayMs = this.random.between(0, EXCHANGE_MS);
       this.clock.schedule(delayMs, () => {
         for (const [other, peer] of this.instances.entries()) {
           if (other === index || this.isCut(domain, peer.domain)) continue;
           peer.load.hear(`i${index}`, own, this.clock.now());
+          for (const [server, factor] of corrections)
+            peer.load.adopt(server, factor, this.clock.now());
           for (const { server, mark, remainingMs } of marks) {
             peer.health.mark(server, mark, this.clock.now(), remainingMs);
           }
--- a/src/core/gossip/Gossip.ts
+++ b/src/core/gossip/Gossip.ts
@@ -65,6 +65,8 @@
 
   private readonly inFlight = new DeltaLog();
 
+  private readonly corrections = new DeltaLog();
+
   private disposed = false;
 
   private rounds = 0;
@@ -100,7 +102,9 @@
     this.busy.update(load.own());
     this.rates.update(new Map(demands.map(({ account, rate }) => [account, rate])));
     this.inFlight.update(new Map(demands.map(({ account, inFlight }) => [account, inFlight])));
+    this.corrections.update(load.corrections(now));
     const most = this.entryLimit();
+    const corrections = this.corrections.since(view.acknowledged.corrections, most);
     const busy = this.busy.since(view.acknowledged.busy, most);
     const rates = this.rates.since(view.acknowledged.rates, most);
     const inFlight = this.inFlight.since(view.acknowledged.inFlight, most);
@@ -111,12 +115,18 @@
       ready: this.parts.feed.isReady,
       leaving: this.parts.isLeaving(),
       guarantee: limiter.guarantee,
-      sequences: { busy: busy.sequence, rates: rates.sequence, inFlight: inFlight.sequence },
+      sequences: {
+        busy: busy.sequence,
+        rates: rates.sequence,
+        inFlight: inFlight.sequence,
+        corrections: corrections.sequence,
+      },
       seenIncarnation: view.peerIncarnation,
       seen: view.seen,
       busy: busy.entries.map(({ name, value }) => ({ server: name, busyMs: value })),
       rates: rates.entries.map(({ name, value }) => ({ account: name, value })),
       inFlight: inFlight.entries.map(({ name, value }) => ({ account: name, value })),
+      corrections: corrections.entries.map(({ name, value }) => ({ server: name, factor: value })),
       marks: this.parts.health.list(now),
       heirs: this.parts.peers.heirList(now),
     };
@@ -204,6 +214,8 @@
     const view = this.viewOf(state.instance);
     view.take(state, this.parts.identity.incarnation);
     this.parts.load.hear(state.instance, view.busy, now);
+    for (const { server, factor } of state.corrections)
+      this.parts.load.adopt(server, factor === 0 ? 1 : factor, now);
     for (const { server, mark, remainingMs } of state.marks)
       this.parts.health.mark(server, mark, now, remainingMs);
     this.parts.limiter.hear(state.instance, state.guarantee, view.demands(), now);
--- a/src/core/gossip/PeerView.ts
+++ b/src/core/gossip/PeerView.ts
@@ -1,7 +1,7 @@
 import type { PeerState, Sequences } from '../../ports/Peer.js';
 import type { AccountDemand } from '../limits/AccountLimiter.js';
 
-const NOTHING_SEEN: Sequences = { busy: 0, rates: 0, inFlight: 0 };
+const NOTHING_SEEN: Sequences = { busy: 0, rates: 0, inFlight: 0, corrections: 0 };
 
 /** What one peer has said so far, put together from its deltas, and how far each side has seen the other. */
 export class PeerView {
@@ -55,6 +55,7 @@
       busy: Math.max(this.seenOfPeer.busy, state.sequences.busy),
       rates: Math.max(this.seenOfPeer.rates, state.sequences.rates),
       inFlight: Math.max(this.seenOfPeer.inFlight, state.sequences.inFlight),
+      corrections: Math.max(this.seenOfPeer.corrections, state.sequences.corrections),
     };
   }
 
--- a/src/core/routing/LoadTable.ts
+++ b/src/core/routing/LoadTable.ts
@@ -72,6 +72,22 @@
     this.peers.set(peer, { at: now, busyMs, ownThen: this.own() });
   }
 
+  /** Corrections from this instance's own reports, for peers that do not probe the servers. */
+  public corrections(now: number): Map<string, number> {
+    const found = new Map<string, number>();
+    for (const [server, { correction, reportedAt }] of this.servers) {
+      if (now - reportedAt <= REPORT_LIFETIME_MS && correction !== 1) found.set(server, correction);
+    }
+    return found;
+  }
+
+  /** Takes a peer's correction of a server that this instance has no report of. */
+  public adopt(server: string, correction: number, now: number): void {
+    const load = this.entry(server);
+    if (now - load.reportedAt <= REPORT_LIFETIME_MS) return;
+    load.correction = Math.min(MAX_CORRECTION, Math.max(1 / MAX_CORRECTION, correction));
+  }
+
   /** Forgets a peer. */
   public forget(peer: string): void {
     this.peers.delete(peer);
@@ -102,7 +118,8 @@
       const sinceHeard = own - (peer.ownThen.get(server) ?? 0);
       known += Math.max(0, (peer.busyMs.get(server) ?? 0) + sinceHeard);
     }
-    if (load === undefined || now - load.reportedAt > REPORT_LIFETIME_MS) return known;
+    if (load === undefined) return known;
+    if (now - load.reportedAt > REPORT_LIFETIME_MS) return known * load.correction;
     const busyMs =
       this.peers.size > 0 ? known : Math.max(known, load.reported + own - load.ownAtReport);
     return busyMs * load.correction;
--- a/src/ports/Peer.ts
+++ b/src/ports/Peer.ts
@@ -10,6 +10,12 @@
   readonly busyMs: number;
 }
 
+/** Factor by which a server is busier than its streams suggest; 0 takes an earlier one back. */
+export interface ServerCorrection {
+  readonly server: string;
+  readonly factor: number;
+}
+
 /** A quantity of one account: requests a second, or requests in progress. */
 export interface AccountValue {
   readonly account: string;
@@ -21,6 +27,7 @@
   readonly busy: number;
   readonly rates: number;
   readonly inFlight: number;
+  readonly corrections: number;
 }
 
 /** A mark on a server as a peer heard it. */
@@ -64,6 +71,8 @@
   readonly rates: readonly AccountValue[];
   /** Wanted requests in progress that changed. */
   readonly inFlight: readonly AccountValue[];
+  /** Corrections that changed, of servers that the instance probes. */
+  readonly corrections: readonly ServerCorrection[];
   readonly heirs: readonly Heir[];
 }
 
