Cut a failure domain from the platform through real sockets

Cause: cuts were proved in virtual time only; faults of settings pointed to the page of ticket fields. Change: each failure domain of the loopback fleet reaches the platform over a way that can be cut; settings name their own page. Conclusion: tickets reach a domain that has peers but no platform. A cut between domains stays with the random runs.

--- a/features/entry/fleet.feature
+++ b/features/entry/fleet.feature
@@ -64,6 +64,12 @@
     And completions go on
     And a ticket filed now is settled once the platform is back
 
+  Scenario: A failure domain is cut off from the platform
+    When "almaty-3" is cut off from the platform
+    Then its instances serve completions and refuse keyed bookings as not run
+    And a ticket filed elsewhere is in force there within 5 seconds
+    And after the cut its instances hold the newest ticket
+
   Scenario: Two operators race for one object
     When two tickets for the same server are filed at once
     Then exactly one is accepted and the other names the winner
--- a/features/entry/fleet.steps.ts
+++ b/features/entry/fleet.steps.ts
@@ -329,6 +329,57 @@
   },
 );
 
+When('{string} is cut off from the platform', function cut(this: FleetWorld, domain: string) {
+  this.key = domain;
+  this.fleet.cables.get(domain)?.cut();
+});
+
+/** Entry instances of the failure domain that is cut off. */
+const cutOff = (world: FleetWorld) =>
+  world.fleet.entries.filter(({ failureDomain }) => failureDomain === world.key);
+
+Then(
+  'its instances serve completions and refuse keyed bookings as not run',
+  async function check(this: FleetWorld) {
+    const body = completion(5, false);
+    for (const { name, addresses } of cutOff(this)) {
+      const reply = await ask({
+        address: addresses.callers,
+        method: 'POST',
+        path: '/v1/completions',
+        body,
+      });
+      assert.equal(reply.headers['acaciadrum-outcome'], 'complete');
+      const index = this.fleet.entries.findIndex((entry) => entry.name === name);
+      const booked = await book(this, index, `cut-${name}`, `cut-${name}`);
+      assert.equal(booked.headers['acaciadrum-reason'], 'claim-unavailable');
+      assert.equal(runsOf(this, `cut-${name}`), 0);
+    }
+  },
+);
+
+Then(
+  'a ticket filed elsewhere is in force there within {int} seconds',
+  async function check(this: FleetWorld, seconds: number) {
+    const filing = await this.fleet.file(
+      serverTicket(this, this.fleet.servers[0], false, 'During the cut.'),
+    );
+    assert.equal(filing.status, FilingStatus.Accepted);
+    await until(
+      () => cutOff(this).every(({ entry }) => entry.core.configuration.number >= filing.number),
+      seconds * 1000,
+    );
+  },
+);
+
+Then('after the cut its instances hold the newest ticket', async function check(this: FleetWorld) {
+  this.fleet.cables.get(this.key)?.mend();
+  const filing = await this.fleet.file(
+    serverTicket(this, this.fleet.servers[0], false, 'After the cut.'),
+  );
+  await this.fleet.untilInForce(filing.number);
+});
+
 When('two tickets for the same server are filed at once', async function run(this: FleetWorld) {
   const text = serverTicket(this, this.fleet.servers[0], false, 'Race.');
   this.filings = await Promise.all([
--- a/src/adapters/yaml/CheckedYaml.ts
+++ b/src/adapters/yaml/CheckedYaml.ts
@@ -13,6 +13,8 @@
 
 const MAX_ALIASES = 20;
 
+const SETTINGS_PAGE = 'docs/SETTINGS.md';
+
 function lineFinder(document: Document, lines: LineCounter): LineFinder {
   return (path) => {
     for (let { length } = path; length > 0; length -= 1) {
@@ -56,7 +58,7 @@
   }
 }
 
-/** Parses YAML and checks it against a schema. */
+/** Parses the YAML of a settings file and checks it against a schema. */
 export function readChecked<S extends z.ZodType>(
   text: string,
   schema: S,
@@ -64,5 +66,7 @@
   const parsed = parseYaml(text);
   if (parsed.isErr) return err(parsed.error);
   const checked = schema.safeParse(parsed.value.value);
-  return checked.success ? ok(checked.data) : err(schemaFaults(checked.error, parsed.value.lineOf));
+  return checked.success
+    ? ok(checked.data)
+    : err(schemaFaults(checked.error, parsed.value.lineOf, SETTINGS_PAGE));
 }
--- a/src/core/tickets/TicketCheck.ts
+++ b/src/core/tickets/TicketCheck.ts
@@ -107,13 +107,19 @@
 /** Finds the line of a path within the document; 0 when unknown. */
 export type LineFinder = (path: readonly PropertyKey[]) => number;
 
-/** Turns the issues of a schema check into faults with lines. */
-export function schemaFaults(error: z.ZodError, lineOf: LineFinder): Fault[] {
+/** Where operators read what the fields of a ticket take. */
+const TICKET_PAGE = 'docs/OPERATORS.md, "The fields of a ticket",';
+
+/**
+ * Turns the issues of a schema check into faults with lines.
+ * @param page - where to read what the fields take
+ */
+export function schemaFaults(error: z.ZodError, lineOf: LineFinder, page: string): Fault[] {
   return error.issues.map((issue) => ({
     line: lineOf(issue.path),
     path: issue.path.join('.'),
     problem: issue.message,
-    remedy: 'See docs/OPERATORS.md, "The fields of a ticket", for what the field takes.',
+    remedy: `See ${page} for what the field takes.`,
   }));
 }
 
@@ -160,7 +166,7 @@
   inForce: ReadonlyMap<string, Pipeline> = new Map(),
 ): CheckedTicket {
   const parsed = ticketSchema.safeParse(document);
-  if (!parsed.success) return { faults: schemaFaults(parsed.error, lineOf) };
+  if (!parsed.success) return { faults: schemaFaults(parsed.error, lineOf, TICKET_PAGE) };
   const changes = parsed.data.changes.map(({ remove: _remove, ...rest }) => rest);
   const ticket: ChangeTicket = { ...parsed.data, changes };
   const faults: Fault[] = [];
--- /dev/null
+++ b/src/fakes/Cable.ts
@@ -0,0 +1,59 @@
+import { connect, createServer, type Server, type Socket } from 'node:net';
+import { hostAndPort } from '../adapters/http/HttpClient.js';
+
+/** A way between two processes on loopback that can be cut: what is under way is lost, and nothing passes. */
+export class Cable {
+  private readonly sockets = new Set<Socket>();
+
+  private readonly server: Server;
+
+  private isCut = false;
+
+  public constructor(private readonly target: string) {
+    this.server = createServer((near) => this.join(near));
+  }
+
+  /** Listens; resolves to the address of the near end. */
+  public listen(): Promise<string> {
+    return new Promise((resolve) => {
+      this.server.listen(0, '127.0.0.1', () => {
+        resolve(`127.0.0.1:${(this.server.address() as { port: number }).port}`);
+      });
+    });
+  }
+
+  public cut(): void {
+    this.isCut = true;
+    for (const socket of this.sockets) socket.destroy();
+  }
+
+  public mend(): void {
+    this.isCut = false;
+  }
+
+  public close(): void {
+    this.cut();
+    this.server.close();
+  }
+
+  private join(near: Socket): void {
+    if (this.isCut) {
+      near.destroy();
+      return;
+    }
+    const { host, port } = hostAndPort(this.target);
+    const far = connect(port, host);
+    for (const [from, to] of [
+      [near, far],
+      [far, near],
+    ]) {
+      this.sockets.add(from);
+      from.on('error', () => {});
+      from.on('close', () => {
+        this.sockets.delete(from);
+        to.destroy();
+      });
+      from.pipe(to);
+    }
+  }
+}
--- a/src/fakes/DemoFleet.ts
+++ b/src/fakes/DemoFleet.ts
@@ -7,6 +7,7 @@
 import { EntryInstance, type EntryAddresses } from '../entry/EntryInstance.js';
 import { ENTRY_SETTINGS } from '../entry/Settings.js';
 import { BackendDaemon } from './BackendDaemon.js';
+import { Cable } from './Cable.js';
 import { PlatformServer } from './PlatformServer.js';
 
 /** A running entry instance of the fleet. */
@@ -67,6 +68,11 @@
 
   public platformAddress = '';
 
+  /** The ways from each failure domain to the platform. */
+  public readonly cables = new Map<string, Cable>();
+
+  private readonly cableAddresses = new Map<string, string>();
+
   private readonly client = new HttpClient();
 
   private constructor(private readonly options: FleetOptions) {}
@@ -97,7 +103,7 @@
       callers: { address: ANY_PORT },
       operators: { address: ANY_PORT, token: OPERATOR_TOKEN },
       peers: { address: ANY_PORT, secret: PEER_SECRET },
-      platform: { address: this.platformAddress },
+      platform: { address: await this.cableTo(failureDomain) },
       stop: { balancerMs: this.options.balancerMs ?? 100 },
     });
     const entry = new EntryInstance(settings, this.options.strict ?? false);
@@ -156,9 +162,20 @@
     return sum;
   }
 
+  private async cableTo(failureDomain: string): Promise<string> {
+    const known = this.cableAddresses.get(failureDomain);
+    if (known !== undefined) return known;
+    const cable = new Cable(this.platformAddress);
+    const address = await cable.listen();
+    this.cables.set(failureDomain, cable);
+    this.cableAddresses.set(failureDomain, address);
+    return address;
+  }
+
   public async close(): Promise<void> {
     await Promise.all(this.entries.map(({ entry }) => entry.dispose()));
     await Promise.all(this.servers.map(({ daemon }) => daemon.close()));
+    for (const cable of this.cables.values()) cable.close();
     await this.platform.close();
     this.client.dispose();
   }
