Serve every kind of request of the demo from separate processes

Cause: the feature with separate processes sent streams only. Change: it sends streamed and whole completions, a plain read and a keyed booking at both entry instances, and compares the two replies of the booking. Conclusion: the processes serve what the demo serves.

--- a/features/entry/processes.feature
+++ b/features/entry/processes.feature
@@ -2,6 +2,7 @@
   Scenario: SIGTERM to one entry under load ends no request
     Given a platform, two entry instances and two backend servers as processes
     And a ticket filed with the command line
+    Then every kind of request of the demo is answered whole at each instance
     When one entry instance gets SIGTERM while 30 streams run
     Then every stream is whole and the process ends by itself
 
--- a/features/entry/processes.steps.ts
+++ b/features/entry/processes.steps.ts
@@ -10,6 +10,7 @@
 import { stringify } from 'yaml';
 import { ObjectKind } from '../../src/core/tickets/Types.js';
 import { DEMO_KEYS } from '../../src/fakes/DemoFleet.js';
+import { answerText } from '../../src/fakes/TokenText.js';
 import { ask, readStream, type Reply } from './Caller.js';
 
 const MAIN = 'dist/src/cli/main.js';
@@ -136,6 +137,7 @@
       base: 0,
       state: { layers: 8, layerMs: { any: 0.05 } },
     },
+    { kind: ObjectKind.PlainService, name: 'orders', base: 0, state: {} },
     ...servers.map(({ name, address }, index) => ({
       kind: ObjectKind.BackendServer,
       name,
@@ -144,6 +146,7 @@
         address,
         failureDomain: 'home',
         accelerator: 'any',
+        services: ['orders'],
         layerRanges: [{ pipeline: 'model', from: index * 4, to: index * 4 + 4 }],
       },
     })),
@@ -185,6 +188,48 @@
   },
 );
 
+Then(
+  'every kind of request of the demo is answered whole at each instance',
+  async function check(this: ProcessWorld) {
+    const chat = { model: 'model', max_tokens: 4, messages: [{ role: 'user', content: 'x' }] };
+    const text = { model: 'model', max_tokens: 4, prompt: 'x', stream: true };
+    const keyed = { 'idempotency-key': 'process-booking', 'x-call-id': 'process-booking' };
+    const bookings: string[] = [];
+    for (const { callers: address } of this.entries) {
+      const streamed = await ask({
+        address,
+        method: 'POST',
+        path: '/v1/completions',
+        body: JSON.stringify(text),
+      });
+      assert.deepEqual(readStream(streamed.body), {
+        text: answerText('x', 4),
+        whole: true,
+        finish: 'length',
+      });
+      const whole = await ask({
+        address,
+        method: 'POST',
+        path: '/v1/chat/completions',
+        body: JSON.stringify(chat),
+      });
+      assert.ok(whole.body.includes(answerText('user: x', 4)));
+      const read = await ask({ address, method: 'GET', path: '/services/orders/stock/1' });
+      assert.equal(read.headers['acaciadrum-outcome'], 'complete');
+      const booked = await ask({
+        address,
+        method: 'POST',
+        path: '/services/orders/bookings',
+        body: '{}',
+        headers: keyed,
+      });
+      assert.equal(booked.headers['acaciadrum-outcome'], 'complete');
+      bookings.push(booked.body);
+    }
+    assert.equal(bookings[0], bookings[1]);
+  },
+);
+
 When(
   'one entry instance gets SIGTERM while {int} streams run',
   { timeout: 60_000 },
