End a refused request once

Cause: a request refused by its queue was ended again when its connection closed: it counted as open minus one, gave up a place of its account's limit twice and was counted as caller-gone too. A planned stop waits for the open count, so it could have ended with a request still running. Change: the pending request knows that it is over, whichever way it ended; the desk settles it with the refusal. Conclusion: the mend is in the handle that all ways out share, not in the listener.

--- /dev/null
+++ b/features/core/requests/completion-desk.steps.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { Invariants } from '../../../src/core/Invariant.js';
+import { AccountLimiter } from '../../../src/core/limits/AccountLimiter.js';
+import { RetryBudget } from '../../../src/core/limits/RetryBudget.js';
+import type { Refusal, RefusalReason } from '../../../src/core/Outcome.js';
+import {
+  CompletionDesk,
+  type CompletionListener,
+} from '../../../src/core/requests/CompletionDesk.js';
+import { Topology } from '../../../src/core/routing/Topology.js';
+import { Configuration } from '../../../src/core/tickets/Configuration.js';
+import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
+import { changesOf, drawFleet, PIPELINE, User } from '../../../bench/Fleet.js';
+
+interface DeskWorld {
+  desk: CompletionDesk;
+  reasons: RefusalReason[];
+}
+
+const TOO_LARGE_BYTES = 1e9;
+
+Given('a desk with one pipeline and one account', function set(this: DeskWorld) {
+  const clock = new VirtualClock();
+  const configuration = new Configuration(new Invariants(true));
+  const changes = changesOf(drawFleet(User.Shamshyrak, 1));
+  configuration.apply({ number: 1, submission: '', at: '', author: '', reason: '', changes });
+  this.reasons = [];
+  this.desk = new CompletionDesk({
+    // Nothing of a refused request reaches a session.
+    session: {} as never,
+    clock,
+    configuration,
+    topology: new Topology(configuration),
+    limiter: new AccountLimiter({ domains: 1, homeInstances: 1 }),
+    budget: new RetryBudget(),
+    homeDomain: '',
+    isUsable: () => true,
+    homeInstances: () => 1,
+  });
+});
+
+When(
+  'a request too large for the queue is submitted and its caller then hangs up',
+  function run(this: DeskWorld) {
+    const listener = {
+      onRefusal: ({ reason }: Refusal) => this.reasons.push(reason),
+    } as unknown as CompletionListener;
+    const request = {
+      id: 'r',
+      account: 'account-1',
+      pipeline: PIPELINE,
+      prompt: '',
+      maxTokens: 1,
+      priority: 0,
+    };
+    this.desk.submit({ ...request, bytes: TOO_LARGE_BYTES }, listener).dispose();
+  },
+);
+
+Then('it was refused once, as {string}', function check(this: DeskWorld, reason: string) {
+  assert.deepEqual(this.reasons, [reason]);
+});
+
+Then('no request counts as open', function check(this: DeskWorld) {
+  assert.equal(this.desk.active, 0);
+});
--- a/src/core/requests/CompletionDesk.ts
+++ b/src/core/requests/CompletionDesk.ts
@@ -197,6 +197,7 @@
       deadline: applicant.deadline,
     };
     const onLate = (late: Refusal) => {
+      handle.settle();
       end();
       listener.onRefusal(late);
     };
@@ -212,7 +213,7 @@
     listener: CompletionListener,
     end: () => void,
   ): Promise<void> {
-    if (handle.gone) return Promise.resolve();
+    if (handle.isOver) return Promise.resolve();
     return new Promise((resolve) => {
       let session: StreamSession | undefined;
       const finish = () => {
--- a/src/core/requests/PendingRequest.ts
+++ b/src/core/requests/PendingRequest.ts
@@ -5,13 +5,23 @@
 export class PendingRequest implements Disposable {
   public session: StreamSession | undefined;
 
-  public gone = false;
+  private over = false;
 
   public constructor(private readonly onGone: () => void) {}
 
+  /** Whether the request has ended, or its caller is gone. */
+  public get isOver(): boolean {
+    return this.over;
+  }
+
+  /** Records that the request was refused before it ran; disposing it does nothing from here on. */
+  public settle(): void {
+    this.over = true;
+  }
+
   public dispose(): void {
-    if (this.gone) return;
-    this.gone = true;
+    if (this.over) return;
+    this.over = true;
     if (this.session === undefined) this.onGone();
     else this.session.cancel();
   }
