--- a/bench/Recovery.ts
+++ b/bench/Recovery.ts
@@ -1,6 +1,7 @@
 /** `bench recovery`: time from a fault to the next token of the same stream, and to the goodput before. */
 import { Outcome } from '../src/core/Outcome.js';
 import { drawFleet, User } from './Fleet.js';
+import { percentile } from './Percentile.js';
 import { Policy } from './Policies.js';
 import { Simulation, type RequestRecord } from './Simulation.js';
 
@@ -65,11 +66,6 @@
   [BenchFault.InstanceLost]: (simulation) => simulation.lose(simulation.instances[0]),
 };
 
-function percentile(values: readonly number[], part: number): number {
-  const sorted = [...values].sort((a, b) => a - b);
-  return Math.round(sorted[Math.floor((sorted.length - 1) * part)] ?? 0);
-}
-
 /** Token counts over time. */
 class RateLog {
   private readonly counts: number[] = [];
@@ -143,8 +139,8 @@
     fault,
     seed,
     hit: hit.length,
-    nextTokenP50Ms: percentile(waits, 0.5),
-    nextTokenP95Ms: percentile(waits, 0.95),
+    nextTokenP50Ms: Math.round(percentile(waits, 0.5)),
+    nextTokenP95Ms: Math.round(percentile(waits, 0.95)),
     goodputBackMs: goodputBack(log),
     lost: lost.length,
     extraWork:
--- a/bench/Simulation.ts
+++ b/bench/Simulation.ts
@@ -273,7 +273,6 @@
         bytes: prompt.length,
       },
       {
-        onDispatch: () => {},
         onToken: () => {
           const at = this.clock.now();
           if (record.firstAt === 0) record.firstAt = at;
--- a/bench/Throughput.ts
+++ b/bench/Throughput.ts
@@ -1,6 +1,7 @@
 /** `bench throughput`: goodput against the bound, by policy and load. */
 import { Outcome } from '../src/core/Outcome.js';
 import { DEADLINE_MS, drawFleet, FIRST_TOKEN_MS, TOKEN_GAP_MS, User } from './Fleet.js';
+import { percentile } from './Percentile.js';
 import { Policy } from './Policies.js';
 import { Simulation } from './Simulation.js';
 
@@ -29,10 +30,7 @@
 const WARM_UP_MS = 18_000;
 const MEASURE_MS = 25_000;
 
-function percentile(values: readonly number[], part: number): number {
-  const sorted = [...values].sort((a, b) => a - b);
-  return Math.round((sorted[Math.floor((sorted.length - 1) * part)] ?? 0) * 10) / 10;
-}
+const tenths = (value: number): number => Math.round(value * 10) / 10;
 
 const round = (value: number): number => Math.round(value * 1000) / 1000;
 
@@ -74,8 +72,8 @@
     tokens: round((simulation.engine.counts.tokens - tokensBefore) / boundTokens),
     inTime: round(inTime.length / Math.max(1, ended.length)),
     refused: round((ended.length - answers.length) / Math.max(1, ended.length)),
-    firstTokenP95Ms: percentile(firsts, 0.95),
-    tokenGapP95Ms: percentile(gaps, 0.95),
+    firstTokenP95Ms: tenths(percentile(firsts, 0.95)),
+    tokenGapP95Ms: tenths(percentile(gaps, 0.95)),
     withinTargets: round(within.length / Math.max(1, answers.length)),
     busy: round(busy),
   };
--- a/features/core/requests/completion-desk.steps.ts
+++ b/features/core/requests/completion-desk.steps.ts
@@ -4,11 +4,9 @@
 import { AccountLimiter } from '../../../src/core/limits/AccountLimiter.js';
 import { RetryBudget } from '../../../src/core/limits/RetryBudget.js';
 import type { Refusal, RefusalReason } from '../../../src/core/Outcome.js';
-import {
-  CompletionDesk,
-  type CompletionListener,
-} from '../../../src/core/requests/CompletionDesk.js';
+import { CompletionDesk } from '../../../src/core/requests/CompletionDesk.js';
 import { Topology } from '../../../src/core/routing/Topology.js';
+import type { AnswerListener } from '../../../src/core/streams/StreamSession.js';
 import { Configuration } from '../../../src/core/tickets/Configuration.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
 import { changesOf, drawFleet, PIPELINE, User } from '../../../bench/Fleet.js';
@@ -45,7 +43,7 @@
   function run(this: DeskWorld) {
     const listener = {
       onRefusal: ({ reason }: Refusal) => this.reasons.push(reason),
-    } as unknown as CompletionListener;
+    } as unknown as AnswerListener;
     const request = {
       id: 'r',
       account: 'account-1',
--- a/src/adapters/http/CompletionExchange.ts
+++ b/src/adapters/http/CompletionExchange.ts
@@ -1,7 +1,8 @@
 import type { ServerResponse } from 'node:http';
 import type { RunResult } from '../../core/claims/KeyedCalls.js';
 import { Outcome, type Refusal } from '../../core/Outcome.js';
-import type { CompletionListener, CompletionRequest } from '../../core/requests/CompletionDesk.js';
+import type { CompletionRequest } from '../../core/requests/CompletionDesk.js';
+import type { AnswerListener } from '../../core/streams/StreamSession.js';
 import type { FinishReason } from '../../core/streams/Types.js';
 import { Timing } from '../metrics/Metrics.js';
 import { DONE, formatFor, refusalEvent, type AnswerFormat } from './AnswerFormat.js';
@@ -62,7 +63,6 @@
     let events = '';
     return new Promise((resolve) => {
       this.parts.completions.submit(this.request, {
-        onDispatch: () => {},
         onToken: (token) => {
           this.recordToken();
           if (this.body.stream) events += this.format.chunk(token);
@@ -83,9 +83,8 @@
     });
   }
 
-  private streamListener(response: ServerResponse): CompletionListener {
+  private streamListener(response: ServerResponse): AnswerListener {
     return {
-      onDispatch: () => {},
       onToken: (text) => {
         this.recordToken();
         if (!response.headersSent) this.beginStream(response);
@@ -101,10 +100,9 @@
     };
   }
 
-  private wholeListener(response: ServerResponse): CompletionListener {
+  private wholeListener(response: ServerResponse): AnswerListener {
     let answer = '';
     return {
-      onDispatch: () => {},
       onToken: (text) => {
         this.recordToken();
         answer += text;
--- a/src/adapters/http/JsonServer.ts
+++ b/src/adapters/http/JsonServer.ts
@@ -1,6 +1,5 @@
 /** A small HTTP server for JSON endpoints, with size and time limits. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
 import { hostAndPort, readBody } from './HttpClient.js';
 
 /** A request to a JSON endpoint. */
@@ -65,8 +64,6 @@
 export class JsonServer {
   public readonly server: Server;
 
-  public readonly sockets = new Set<Socket>();
-
   public constructor(
     private readonly handler: JsonHandler,
     private readonly maxBodyBytes: number,
--- a/src/core/requests/CompletionDesk.ts
+++ b/src/core/requests/CompletionDesk.ts
@@ -8,6 +8,7 @@
 import { planFlow } from '../routing/FlowPlan.js';
 import type { Candidate } from '../routing/Types.js';
 import type { Topology } from '../routing/Topology.js';
+import { enterAccount } from './AccountGate.js';
 import { PendingRequest } from './PendingRequest.js';
 import {
   StreamSession,
@@ -32,11 +33,6 @@
   readonly bytes: number;
 }
 
-/** Listens to an answer; `onDispatch` comes before anything of the request can run. */
-export interface CompletionListener extends AnswerListener {
-  onDispatch(): void;
-}
-
 /** What the desk works with. */
 export interface DeskParts {
   readonly session: SessionPorts;
@@ -80,6 +76,14 @@
   [ServerMark.Degraded]: RetryReason.Degraded,
 };
 
+function unknownPipeline(name: string): Refusal {
+  return refusal(
+    Outcome.NotRun,
+    RefusalReason.UnknownPipeline,
+    `No pipeline is named ${name}. Name one from GET /v1/models.`,
+  );
+}
+
 export class CompletionDesk {
   private readonly queues = new Map<string, PipelineQueue>();
 
@@ -107,26 +111,17 @@
    * Takes a request.
    * @returns a handle that cancels the request when its caller is gone
    */
-  public submit(request: CompletionRequest, listener: CompletionListener): Disposable {
+  public submit(request: CompletionRequest, listener: AnswerListener): Disposable {
     const pipeline = this.parts.configuration.state(ObjectKind.Pipeline, request.pipeline);
     const account = this.parts.configuration.state(ObjectKind.ClientAccount, request.account);
-    const refused = this.refuseEarly(request, pipeline, account !== undefined);
+    const refused =
+      pipeline === undefined
+        ? unknownPipeline(request.pipeline)
+        : enterAccount(this.parts.limiter, request.account, account, this.parts.clock.now());
     if (refused !== undefined || pipeline === undefined || account === undefined) {
       if (refused !== undefined) listener.onRefusal(refused);
       return { dispose: () => {} };
     }
-    const now = this.parts.clock.now();
-    const limited = this.parts.limiter.enter(request.account, account, now);
-    if (limited !== undefined) {
-      listener.onRefusal(
-        refusal(
-          Outcome.NotRun,
-          limited,
-          `Account ${request.account} is at its limit. Send the request again after the time in Retry-After.`,
-        ),
-      );
-      return { dispose: () => {} };
-    }
     return this.enqueue(request, pipeline, account.weight, listener);
   }
 
@@ -135,33 +130,11 @@
     for (const session of [...this.sessions]) session.moveFrom(server, reason);
   }
 
-  private refuseEarly(
-    request: CompletionRequest,
-    pipeline: Pipeline | undefined,
-    knownAccount: boolean,
-  ): Refusal | undefined {
-    if (pipeline === undefined) {
-      return refusal(
-        Outcome.NotRun,
-        RefusalReason.UnknownPipeline,
-        `No pipeline is named ${request.pipeline}. Name one from GET /v1/models.`,
-      );
-    }
-    if (!knownAccount) {
-      return refusal(
-        Outcome.NotRun,
-        RefusalReason.Unauthorized,
-        'The account is gone. Ask your operators for a key.',
-      );
-    }
-    return undefined;
-  }
-
   private enqueue(
     request: CompletionRequest,
     pipeline: Pipeline,
     weight: number,
-    listener: CompletionListener,
+    listener: AnswerListener,
   ): Disposable {
     const now = this.parts.clock.now();
     const maxTokens =
@@ -210,7 +183,7 @@
   private run(
     request: StreamRequest,
     handle: PendingRequest,
-    listener: CompletionListener,
+    listener: AnswerListener,
     end: () => void,
   ): Promise<void> {
     if (handle.isOver) return Promise.resolve();
@@ -238,7 +211,6 @@
       });
       handle.session = session;
       this.sessions.add(session);
-      listener.onDispatch();
       session.start();
     });
   }
--- a/src/core/requests/PlainDesk.ts
+++ b/src/core/requests/PlainDesk.ts
@@ -12,6 +12,7 @@
   type ObjectInForce,
   type PlainService,
 } from '../tickets/Types.js';
+import { enterAccount } from './AccountGate.js';
 import type { PlainCall, PlainResponse, PlainTransport } from './PlainTransport.js';
 
 /** A call as its caller makes it. */
@@ -97,20 +98,7 @@
       );
     }
     const account = configuration.state(ObjectKind.ClientAccount, request.account);
-    if (account === undefined) {
-      return refusal(
-        Outcome.NotRun,
-        RefusalReason.Unauthorized,
-        'The account is gone. Ask your operators for a key.',
-      );
-    }
-    const limited = limiter.enter(request.account, account, clock.now());
-    if (limited === undefined) return undefined;
-    return refusal(
-      Outcome.NotRun,
-      limited,
-      `Account ${request.account} is at its limit. Send the request again after the time in Retry-After.`,
-    );
+    return enterAccount(limiter, request.account, account, clock.now());
   }
 
   private async trySend(request: PlainRequest): Promise<PlainResult> {
--- a/src/core/routing/LoadTable.ts
+++ b/src/core/routing/LoadTable.ts
@@ -33,6 +33,10 @@
 /** Largest correction either way. */
 const MAX_CORRECTION = 2;
 
+function clampCorrection(correction: number): number {
+  return Math.min(MAX_CORRECTION, Math.max(1 / MAX_CORRECTION, correction));
+}
+
 /**
  * Estimates each server's load from three late sources: its own reports, this instance's streams and
  * what peers say of theirs.
@@ -85,7 +89,7 @@
   public adopt(server: string, correction: number, now: number): void {
     const load = this.entry(server);
     if (now - load.reportedAt <= REPORT_LIFETIME_MS) return;
-    load.correction = Math.min(MAX_CORRECTION, Math.max(1 / MAX_CORRECTION, correction));
+    load.correction = clampCorrection(correction);
   }
 
   /** Forgets a peer. */
@@ -135,8 +139,7 @@
       this.meanUtilisation > MIN_UTILISATION ? utilisation / this.meanUtilisation : 1;
     const target = this.meanUtilisation > MIN_UTILISATION ? load.correction * relative : 1;
     const drifted = load.correction + CORRECTION_GAIN * (target - load.correction);
-
-    load.correction = Math.min(MAX_CORRECTION, Math.max(1 / MAX_CORRECTION, drifted));
+    load.correction = clampCorrection(drifted);
   }
 
   private entry(server: string): ServerLoad {
--- a/src/core/routing/RoutePlanner.ts
+++ b/src/core/routing/RoutePlanner.ts
@@ -1,4 +1,5 @@
 /** Chooses routes by shortest path over layer boundaries. */
+import { segmentCuts } from './FlowPlan.js';
 import type { Candidate, Route, RouteQuery, Stage } from './Types.js';
 
 /** One-way time between two failure domains, in milliseconds. */
@@ -26,15 +27,6 @@
   previous: Arrival | undefined;
 }
 
-function boundariesOf(query: RouteQuery): number[] {
-  const cuts = new Set<number>([0, query.layers]);
-  for (const candidate of query.candidates) {
-    cuts.add(candidate.from);
-    cuts.add(candidate.to);
-  }
-  return [...cuts].sort((a, b) => a - b);
-}
-
 /**
  * Price of one layer on a busy server. The toll for congestion is the same for all accelerator
  * kinds: under load every server must be worked equally, and the slow kinds' own time would
@@ -130,8 +122,11 @@
   }
 }
 
-function shortestPath(query: RouteQuery, candidates: readonly Candidate[]): Route | undefined {
-  const boundaries = boundariesOf(query);
+function shortestPath(
+  query: RouteQuery,
+  candidates: readonly Candidate[],
+  boundaries: readonly number[],
+): Route | undefined {
   const arrivals = boundaries.map(() => new Map<string, Arrival>());
   offer(arrivals[0], query.homeDomain, {
     cost: 0,
@@ -157,16 +152,17 @@
  * @returns undefined when the usable servers do not cover every layer
  */
 export function planRoute(query: RouteQuery): Route | undefined {
+  const boundaries = segmentCuts(query.candidates, query.layers);
   const usable = query.candidates.filter((candidate) => query.usable(candidate.server));
   const home = usable.filter((candidate) => candidate.failureDomain === query.homeDomain);
-  const homeRoute = home.length === 0 ? undefined : shortestPath(query, home);
+  const homeRoute = home.length === 0 ? undefined : shortestPath(query, home, boundaries);
   if (home.length === usable.length) return homeRoute;
   if (homeRoute !== undefined) {
     // No route elsewhere is cheaper than home without its congestion, so most choices end here.
     if (homeRoute.costMs <= costWithoutToll(query, home, homeRoute) * FAR_WORSE) return homeRoute;
-    if (homeRoute.costMs <= cheapestCost(query, usable) * FAR_WORSE) return homeRoute;
+    if (homeRoute.costMs <= cheapestCost(query, usable, boundaries) * FAR_WORSE) return homeRoute;
   }
-  return shortestPath(query, usable) ?? homeRoute;
+  return shortestPath(query, usable, boundaries) ?? homeRoute;
 }
 
 /** A route's cost if its servers were idle. */
@@ -182,9 +178,12 @@
 }
 
 /** Lower bound of any route's cost: each layer on its cheapest usable server, without links. */
-function cheapestCost(query: RouteQuery, usable: readonly Candidate[]): number {
+function cheapestCost(
+  query: RouteQuery,
+  usable: readonly Candidate[],
+  boundaries: readonly number[],
+): number {
   let sum = 0;
-  const boundaries = boundariesOf(query);
   for (let index = 0; index + 1 < boundaries.length; index += 1) {
     const from = boundaries[index];
     const to = boundaries[index + 1];
--- a/src/core/streams/StreamSession.ts
+++ b/src/core/streams/StreamSession.ts
@@ -132,9 +132,12 @@
 
   /** Ends the session because its caller is gone. The engine stream is cancelled. */
   public cancel(): void {
-    const outcome = this.mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
     this.refuse(
-      refusal(outcome, RefusalReason.CallerGone, 'The caller hung up. Send the request again.'),
+      refusal(
+        this.fateSoFar(),
+        RefusalReason.CallerGone,
+        'The caller hung up. Send the request again.',
+      ),
     );
   }
 
--- a/src/fakes/soak/Callers.ts
+++ b/src/fakes/soak/Callers.ts
@@ -86,15 +86,10 @@
     const live = this.world.balanced(true);
     if (live.length === 0) return undefined;
     const instance = this.world.random.pick(live);
-    const died = this.untilDead(instance);
+    const died = instance.host.untilDead();
     return Promise.race([died, action(instance)]);
   }
 
-  private async untilDead(instance: SoakInstance): Promise<undefined> {
-    while (instance.host.alive) await this.world.time.sleep(200);
-    return undefined;
-  }
-
   private async completion(index: number): Promise<Outcome | undefined> {
     const prompt = `prompt ${index}`;
     const tokens = 1 + Math.floor(this.world.random.next() * MAX_TOKENS);
@@ -129,7 +124,6 @@
           bytes: prompt.length,
         },
         {
-          onDispatch: () => {},
           onToken: (token, index) => {
             world.invariants.check(
               InvariantKind.TokenOrder,
--- a/src/fakes/soak/Operators.ts
+++ b/src/fakes/soak/Operators.ts
@@ -109,16 +109,11 @@
       ],
     };
     this.open += 1;
-    const filing = await Promise.race([commit.file(ticket, submission), this.untilDead(instance)]);
+    const filing = await Promise.race([commit.file(ticket, submission), instance.host.untilDead()]);
     this.open -= 1;
     if (filing === undefined) return undefined;
     this.filed.push({ submission, filing });
     if (filing.status === FilingStatus.Accepted) instance.core.spreadTicket();
     return filing;
   }
-
-  private async untilDead(instance: SoakInstance): Promise<undefined> {
-    while (instance.host.alive) await this.world.time.sleep(500);
-    return undefined;
-  }
 }
--- a/src/fakes/soak/SoakHost.ts
+++ b/src/fakes/soak/SoakHost.ts
@@ -1,6 +1,9 @@
 import type { Clock, Disposable } from '../../ports/Types.js';
 import type { VirtualClock } from '../VirtualClock.js';
 
+/** Time between looks at whether a host has died, in milliseconds. */
+const DEATH_LOOK_MS = 200;
+
 /** The machine under one entry instance: it can pause and die. */
 export class SoakHost implements Clock {
   public alive = true;
@@ -43,6 +46,12 @@
     if (!this.alive) await new Promise<void>(() => {});
   }
 
+  /** Resolves once the host is dead, for those who wait for its answers. */
+  public async untilDead(): Promise<undefined> {
+    while (this.alive) await this.time.sleep(DEATH_LOOK_MS);
+    return undefined;
+  }
+
   /**
    * Makes a call from this host: sent when it runs, taken by it when it runs.
    * @param action - what happens elsewhere
