--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['dist', 'node_modules', 'reports'] },
+  { ignores: ['dist', 'node_modules', 'reports', 'target', 'journal'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- /dev/null
+++ b/src/core/Decisions.ts
@@ -0,0 +1,11 @@
+/** Values of one log line. */
+export type DecisionFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Takes one line for each decision that touches a request or changes a belief. Never blocks. */
+export interface Decisions {
+  /**
+   * @param event - what was decided
+   * @param fields - the inputs, their age or version, and the outcome
+   */
+  note(event: string, fields: DecisionFields): void;
+}
--- /dev/null
+++ b/src/core/deployment/RouteTable.ts
@@ -0,0 +1,51 @@
+/** Looks up routes and accounts of one deployment. */
+import type { Account, Deployment, RequestRoute } from './Types.js';
+
+interface KeyHolder {
+  readonly account: Account;
+}
+
+function byPrefixLength(a: RequestRoute, b: RequestRoute): number {
+  return b.prefix.length - a.prefix.length;
+}
+
+export class RouteTable {
+  /** Routes of each host, longest prefix first. */
+  private readonly hosts = new Map<string, RequestRoute[]>();
+
+  private readonly holders = new Map<string, KeyHolder>();
+
+  public constructor(public readonly deployment: Deployment) {
+    for (const route of deployment.routes) {
+      const routes = this.hosts.get(route.host);
+      if (routes === undefined) this.hosts.set(route.host, [route]);
+      else routes.push(route);
+    }
+    for (const routes of this.hosts.values()) routes.sort(byPrefixLength);
+    for (const account of deployment.accounts ?? []) {
+      for (const key of account.keys) this.holders.set(key, { account });
+    }
+  }
+
+  /** Whether requests on routes that are not public need a key. */
+  public get needsKeys(): boolean {
+    return this.deployment.accounts !== undefined;
+  }
+
+  /**
+   * Finds the route with the longest prefix.
+   * @param host - name of the host, without a port
+   * @param path - path without its query
+   */
+  public routeFor(host: string, path: string): RequestRoute | undefined {
+    for (const route of this.hosts.get(host) ?? []) {
+      if (path.startsWith(route.prefix)) return route;
+    }
+    return undefined;
+  }
+
+  /** The account that holds a key. */
+  public accountOf(key: string): Account | undefined {
+    return this.holders.get(key)?.account;
+  }
+}
--- /dev/null
+++ b/src/core/deployment/ServerDirectory.ts
@@ -0,0 +1,180 @@
+/** Backend servers as this instance believes them to be. */
+import type { Clock } from '../../ports/Types.js';
+import { Emitter } from '../Emitter.js';
+import type { ServerRecord } from './Types.js';
+
+/** Why a server gets no new work. */
+export enum ServerDoubt {
+  /** It said that it leaves, or its entry was removed. */
+  Leaving = 'leaving',
+  /** It refused connections, broke off or fell silent. */
+  Suspect = 'suspect',
+}
+
+/** One server with what is believed of it. */
+export interface KnownServer {
+  record: ServerRecord;
+  /** Revision of the last change taken in, removals included. */
+  revision: number;
+  leaving: boolean;
+  /** Time until which the server counts as suspect. */
+  suspectUntil: number;
+  /** Failures in a row; lengthens the next suspicion. */
+  failures: number;
+  /** Time at which the entry was found missing; 0 while it is present. */
+  missingSince: number;
+}
+
+/** First suspicion lasts this long; doubled with each failure in a row, in milliseconds. */
+const SUSPECT_MS = 700;
+
+/** A suspicion never lasts longer, in milliseconds: a restarted server comes back within seconds. */
+const MAX_SUSPECT_MS = 6000;
+
+/** Entries that lapsed while the store was away return within two seconds of its return. */
+export const RETURN_MS = 2000;
+
+/** A server that left is forgotten after this time, in milliseconds; its drain is over by then. */
+const FORGET_MS = 30_000;
+
+export class ServerDirectory {
+  private readonly known = new Map<string, KnownServer>();
+
+  private readonly byAddress = new Map<string, KnownServer>();
+
+  private readonly changes = new Emitter<KnownServer>();
+
+  private storeTroubleUntil = -Infinity;
+
+  /** Fires when a server is new, changed its layers, leaves or became suspect. */
+  public readonly onChange = this.changes.event;
+
+  public constructor(private readonly clock: Clock) {}
+
+  /** Tells that the store could not be read: entries may be missing without their server being gone. */
+  public noteStoreTrouble(): void {
+    this.storeTroubleUntil = this.clock.now() + RETURN_MS;
+  }
+
+  /** Takes in an entry as the store holds it. */
+  public put(record: ServerRecord): void {
+    const server = this.known.get(record.id);
+    if (server === undefined) {
+      this.add(record);
+      return;
+    }
+    if (record.revision <= server.revision) return;
+    const reborn = record.incarnation !== server.record.incarnation;
+    if (server.record.address !== record.address) this.move(server, record.address);
+    server.record = record;
+    server.revision = record.revision;
+    server.missingSince = 0;
+    server.leaving = record.leaving;
+    if (reborn) {
+      server.suspectUntil = 0;
+      server.failures = 0;
+    }
+    this.changes.fire(server);
+  }
+
+  /** Takes in that an entry is missing since a revision. */
+  public remove(id: string, revision: number): void {
+    const server = this.known.get(id);
+    if (server === undefined || server.missingSince !== 0 || revision <= server.revision) return;
+    server.revision = revision;
+    server.missingSince = this.clock.now();
+    if (server.missingSince < this.storeTroubleUntil) return;
+    this.leave(server);
+  }
+
+  /** Takes in all entries as of a revision; servers without one are treated as removed. */
+  public replaceAll(records: readonly ServerRecord[], revision: number): void {
+    const present = new Set<string>();
+    for (const record of records) {
+      present.add(record.id);
+      this.put(record);
+    }
+    for (const id of this.known.keys()) if (!present.has(id)) this.remove(id, revision);
+  }
+
+  /** Ends the benefit of the doubt of missing entries, and forgets servers that left long ago. */
+  public sweep(): void {
+    const now = this.clock.now();
+    for (const [id, server] of this.known) {
+      if (server.missingSince === 0) continue;
+      if (!server.leaving && now >= this.storeTroubleUntil) this.leave(server);
+      if (now - server.missingSince < FORGET_MS) continue;
+      this.known.delete(id);
+      if (this.byAddress.get(server.record.address) === server)
+        this.byAddress.delete(server.record.address);
+    }
+  }
+
+  /** Suspects a server for a while. @returns how long, in milliseconds */
+  public suspect(id: string): number {
+    const server = this.known.get(id);
+    if (server === undefined) return 0;
+    const now = this.clock.now();
+    if (server.suspectUntil > now) return server.suspectUntil - now;
+    const lastsMs = Math.min(MAX_SUSPECT_MS, SUSPECT_MS * 2 ** server.failures);
+    server.failures += 1;
+    server.suspectUntil = now + lastsMs;
+    this.changes.fire(server);
+    return lastsMs;
+  }
+
+  /** Records that a server did work well. */
+  public praise(id: string): void {
+    const server = this.known.get(id);
+    if (server !== undefined) server.failures = 0;
+  }
+
+  public get(id: string): KnownServer | undefined {
+    return this.known.get(id);
+  }
+
+  /** The server now at an address. */
+  public at(address: string): KnownServer | undefined {
+    return this.byAddress.get(address);
+  }
+
+  public all(): IterableIterator<KnownServer> {
+    return this.known.values();
+  }
+
+  /** Why a server gets no new work; undefined when it may. */
+  public doubt(server: KnownServer): ServerDoubt | undefined {
+    if (server.leaving) return ServerDoubt.Leaving;
+    return server.suspectUntil > this.clock.now() ? ServerDoubt.Suspect : undefined;
+  }
+
+  public isUsable(id: string): boolean {
+    const server = this.known.get(id);
+    return server !== undefined && this.doubt(server) === undefined;
+  }
+
+  private add(record: ServerRecord): void {
+    const server: KnownServer = {
+      record,
+      revision: record.revision,
+      leaving: record.leaving,
+      suspectUntil: 0,
+      failures: 0,
+      missingSince: 0,
+    };
+    this.known.set(record.id, server);
+    this.byAddress.set(record.address, server);
+    this.changes.fire(server);
+  }
+
+  private move(server: KnownServer, address: string): void {
+    if (this.byAddress.get(server.record.address) === server)
+      this.byAddress.delete(server.record.address);
+    this.byAddress.set(address, server);
+  }
+
+  private leave(server: KnownServer): void {
+    server.leaving = true;
+    this.changes.fire(server);
+  }
+}
--- a/src/core/limits/RetryBudget.ts
+++ b/src/core/limits/RetryBudget.ts
@@ -1,16 +1,24 @@
 /** Limits retries to a share of recent successes, so that a wide outage adds no load. */
 
-/** Retries allowed for each success. */
-const RETRIES_PER_SUCCESS = 0.2;
-
-/** Retries that may be saved up. */
-const MAX_SAVED = 100;
-
-/** Retries a key starts with. */
-const INITIAL = 30;
+/** How many retries a key may use. */
+export interface RetryAllowance {
+  /** Retries allowed for each request that counts. */
+  readonly perRequest: number;
+  /** Retries that may be saved up. */
+  readonly maxSaved: number;
+  /** Retries a key starts with. */
+  readonly initial: number;
+  /** Retries that come back each second even without requests, so that waiting streams get on. */
+  readonly refillPerS: number;
+}
 
-/** Retries that come back each second even without successes, so that waiting streams get on. */
-const REFILL_PER_S = 2;
+/** A fifth of the successes, with enough saved for the loss of one server. */
+const USUAL_ALLOWANCE: RetryAllowance = {
+  perRequest: 0.2,
+  maxSaved: 100,
+  initial: 30,
+  refillPerS: 2,
+};
 
 interface Saved {
   retries: number;
@@ -21,10 +29,14 @@
 export class RetryBudget {
   private readonly saved = new Map<string, Saved>();
 
-  /** Records a request that ended well. */
+  /** @param allowance - how many retries each key may use */
+  public constructor(private readonly allowance: RetryAllowance = USUAL_ALLOWANCE) {}
+
+  /** Records a request that counts towards the budget. */
   public succeed(key: string, now: number): void {
+    const { maxSaved, perRequest } = this.allowance;
     const saved = this.refilled(key, now);
-    saved.retries = Math.min(MAX_SAVED, saved.retries + RETRIES_PER_SUCCESS);
+    saved.retries = Math.min(maxSaved, saved.retries + perRequest);
   }
 
   /** Takes one retry; false when none is left. */
@@ -38,10 +50,11 @@
   private refilled(key: string, now: number): Saved {
     let saved = this.saved.get(key);
     if (saved === undefined) {
-      saved = { retries: INITIAL, at: now };
+      saved = { retries: this.allowance.initial, at: now };
       this.saved.set(key, saved);
     }
-    saved.retries = Math.min(MAX_SAVED, saved.retries + ((now - saved.at) / 1000) * REFILL_PER_S);
+    const refill = ((now - saved.at) / 1000) * this.allowance.refillPerS;
+    saved.retries = Math.min(this.allowance.maxSaved, saved.retries + refill);
     saved.at = now;
     return saved;
   }
--- /dev/null
+++ b/src/core/relay/EventSplitter.ts
@@ -0,0 +1,73 @@
+/** Cuts a series of events into whole events and reads their numbers. */
+
+/** Whole events of one chunk. */
+export interface EventBatch {
+  /** Bytes to pass on; undefined when no new event is complete. */
+  readonly bytes: Buffer | undefined;
+  readonly events: number;
+  /** Whether an event is missing between these and those before. */
+  readonly gap: boolean;
+}
+
+const LINE_FEED = 0x0a;
+
+const ID_FIELD = Buffer.from('id:');
+
+/** Reads the number of the event in `bytes[from, to)`; NaN when it has none. */
+function eventNumber(bytes: Buffer, from: number, to: number): number {
+  let line = from;
+  while (line < to) {
+    let end = bytes.indexOf(LINE_FEED, line);
+    if (end === -1 || end > to) end = to;
+    if (bytes.compare(ID_FIELD, 0, ID_FIELD.length, line, line + ID_FIELD.length) === 0) {
+      return Number(bytes.toString('latin1', line + ID_FIELD.length, end));
+    }
+    line = end + 1;
+  }
+  return Number.NaN;
+}
+
+export class EventSplitter {
+  private rest: Buffer | undefined;
+
+  /** @param last - number of the last event that the caller has; NaN when it has none */
+  public constructor(private last: number) {}
+
+  /** Number of the last event passed on; NaN before the first. */
+  public get lastNumber(): number {
+    return this.last;
+  }
+
+  /** Whether bytes of an unfinished event are held. */
+  public get isInsideEvent(): boolean {
+    return this.rest !== undefined;
+  }
+
+  /** Forgets an unfinished event: its server is gone and another one sends it again. */
+  public restart(): void {
+    this.rest = undefined;
+  }
+
+  /** Takes a chunk and returns its whole new events; events that the caller has are left out. */
+  public push(chunk: Buffer): EventBatch {
+    const bytes = this.rest === undefined ? chunk : Buffer.concat([this.rest, chunk]);
+    let keepFrom = 0;
+    let at = 0;
+    let events = 0;
+    let gap = false;
+    for (;;) {
+      const end = bytes.indexOf('\n\n', at, 'latin1');
+      if (end === -1) break;
+      const number = eventNumber(bytes, at, end);
+      if (number <= this.last && events === 0) keepFrom = end + 2;
+      else {
+        if (!Number.isNaN(this.last) && number > this.last + 1) gap = true;
+        if (!Number.isNaN(number)) this.last = number;
+        events += 1;
+      }
+      at = end + 2;
+    }
+    this.rest = at < bytes.length ? bytes.subarray(at) : undefined;
+    return { bytes: at > keepFrom ? bytes.subarray(keepFrom, at) : undefined, events, gap };
+  }
+}
--- /dev/null
+++ b/src/core/relay/RelayDesk.ts
@@ -0,0 +1,104 @@
+/** Takes callers' requests: finds route, account and service, and starts a relay. */
+import type { Refusal } from '../Outcome.js';
+import { Outcome, refusal, RefusalReason } from '../Outcome.js';
+import type { RouteTable } from '../deployment/RouteTable.js';
+import { RouteKind, type RequestRoute, type ServiceShare } from '../deployment/Types.js';
+import type { BaseRelay } from './BaseRelay.js';
+import { CallRelay } from './CallRelay.js';
+import type { Assigned, RelayParts } from './RelayParts.js';
+import { StreamRelay } from './StreamRelay.js';
+import type { CallerReply, CallerRequest, Relay } from './Types.js';
+
+const RELAYS: Readonly<
+  Record<RouteKind, new (parts: RelayParts, assigned: Assigned) => BaseRelay>
+> = {
+  [RouteKind.Idempotent]: CallRelay,
+  [RouteKind.NonIdempotent]: CallRelay,
+  [RouteKind.Streaming]: StreamRelay,
+};
+
+const NOTHING_TO_CANCEL: Relay = { cancel: () => {} };
+
+function notRun(reason: RefusalReason, message: string): Refusal {
+  return refusal(Outcome.NotRun, reason, message);
+}
+
+export class RelayDesk {
+  private readonly running = new Set<BaseRelay>();
+
+  public constructor(private readonly parts: RelayParts) {}
+
+  /** Requests in progress. */
+  public get active(): number {
+    return this.running.size;
+  }
+
+  /** Takes a request; its answer goes to `reply`. */
+  public accept(request: CallerRequest, reply: CallerReply): Relay {
+    const table = this.parts.deployments.current;
+    if (table === undefined) {
+      return this.turnDown(
+        request,
+        reply,
+        notRun(RefusalReason.NotReady, 'No configuration is known here yet. Send it again.'),
+      );
+    }
+    const found = this.assign(table, request, reply);
+    if ('reason' in found) return this.turnDown(request, reply, found);
+    const relay = new RELAYS[found.route.kind](this.parts, found);
+    this.running.add(relay);
+    relay.onEnd((ended) => this.running.delete(ended));
+    relay.start();
+    return relay;
+  }
+
+  private assign(
+    table: RouteTable,
+    request: CallerRequest,
+    reply: CallerReply,
+  ): Assigned | Refusal {
+    const route = table.routeFor(request.host, request.path);
+    if (route === undefined) {
+      return notRun(
+        RefusalReason.UnknownService,
+        `No route matches ${request.host}${request.path}. Use a path that the configuration names.`,
+      );
+    }
+    const account = request.key === undefined ? undefined : table.accountOf(request.key);
+    if (table.needsKeys && !route.isPublic && account === undefined) {
+      return notRun(
+        RefusalReason.Unauthorized,
+        'The key is missing or unknown. Send "Authorization: Token KEY" with a key in force.',
+      );
+    }
+    const service = table.deployment.services.get(this.pickShare(route));
+    if (service === undefined) {
+      return notRun(RefusalReason.NoRoute, `Route ${route.name} names no known service. Mend it.`);
+    }
+    const endsAt = request.arrivedAt + Math.min(route.timeoutMs, request.deadlineMs);
+    return { request, reply, route, service, account: account?.name, endsAt };
+  }
+
+  private pickShare(route: RequestRoute): string {
+    let total = 0;
+    for (const { weight } of route.shares) total += weight;
+    let rest = this.parts.random.next() * total;
+    for (const { service, weight } of route.shares) {
+      rest -= weight;
+      if (rest < 0) return service;
+    }
+    return (route.shares.at(-1) as ServiceShare).service;
+  }
+
+  private turnDown(request: CallerRequest, reply: CallerReply, refused: Refusal): Relay {
+    this.parts.counters.refusal(refused.reason);
+    this.parts.decisions.note('refuse', {
+      id: request.id,
+      reason: refused.reason,
+      outcome: refused.outcome,
+      ticket: this.parts.deployments.ticket,
+    });
+    reply.refuse(refused);
+    return NOTHING_TO_CANCEL;
+  }
+}
--- /dev/null
+++ b/src/core/relay/RelayParts.ts
@@ -0,0 +1,55 @@
+import type { Clock, Random } from '../../ports/Types.js';
+import type { Decisions } from '../Decisions.js';
+import type { Deployments } from '../deployment/Deployments.js';
+import type { ServerDirectory } from '../deployment/ServerDirectory.js';
+import type { RequestRoute, Service } from '../deployment/Types.js';
+import type { Invariants } from '../Invariant.js';
+import type { RetryBudget } from '../limits/RetryBudget.js';
+import type { RefusalReason, RetryReason } from '../Outcome.js';
+import type { EngineRoutes } from '../routing/EngineRoutes.js';
+import type { ServerLoad } from '../routing/ServerLoad.js';
+import type { CallerReply, CallerRequest, ServerPort } from './Types.js';
+
+/** How a request ended. */
+export enum RelayEnd {
+  Complete = 'complete',
+  Refused = 'refused',
+  Cut = 'cut',
+  CallerGone = 'caller-gone',
+}
+
+/** Counts what becomes of requests. */
+export interface RelayCounters {
+  end(kind: string, end: RelayEnd): void;
+  refusal(reason: RefusalReason): void;
+  retry(reason: RetryReason): void;
+  /** Time from arrival to the answer's first byte, in milliseconds. */
+  firstByte(kind: string, ms: number): void;
+}
+
+/** What relays work with. */
+export interface RelayParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly deployments: Deployments;
+  readonly directory: ServerDirectory;
+  readonly load: ServerLoad;
+  readonly routes: EngineRoutes;
+  readonly port: ServerPort;
+  readonly budget: RetryBudget;
+  readonly decisions: Decisions;
+  readonly counters: RelayCounters;
+  readonly invariants: Invariants;
+  readonly homeDomain: string;
+}
+
+/** A request with what the deployment says of it. */
+export interface Assigned {
+  readonly request: CallerRequest;
+  readonly reply: CallerReply;
+  readonly route: RequestRoute;
+  readonly service: Service;
+  readonly account: string | undefined;
+  /** Time at which the request is given up. */
+  readonly endsAt: number;
+}
--- /dev/null
+++ b/src/core/relay/RequestLedger.ts
@@ -0,0 +1,75 @@
+/** Keeps to what one request may use: servers of its route, time, and the shared retry budget. */
+import type { RetryBudget } from '../limits/RetryBudget.js';
+
+export interface LedgerTerms {
+  readonly maxServers: number;
+  readonly service: string;
+  readonly budget: RetryBudget;
+}
+
+export class RequestLedger {
+  private readonly servers = new Set<string>();
+
+  private sends = 0;
+
+  /** Whether a call is under way that its server may already run. */
+  private inFlight = false;
+
+  private ranBefore = false;
+
+  public constructor(private readonly terms: LedgerTerms) {}
+
+  /** Sends so far. */
+  public get count(): number {
+    return this.sends;
+  }
+
+  /** Whether some server may have run the request. */
+  public get mayHaveRun(): boolean {
+    return this.ranBefore || this.inFlight;
+  }
+
+  /** Records that a call goes out. */
+  public begin(): void {
+    this.inFlight = true;
+  }
+
+  /**
+   * Records what became of the call under way.
+   * @param mayHaveRun - whether its server may have run the request
+   */
+  public settle(mayHaveRun: boolean): void {
+    this.inFlight = false;
+    this.ranBefore ||= mayHaveRun;
+  }
+
+  /** Whether the request may be sent to a server besides those before it. */
+  public allows(server: string): boolean {
+    return this.servers.has(server) || this.servers.size < this.terms.maxServers;
+  }
+
+  /** Whether no server besides those before may get the request. */
+  public get isSpent(): boolean {
+    return this.servers.size >= this.terms.maxServers;
+  }
+
+  /** Servers that have had the request. */
+  public get used(): ReadonlySet<string> {
+    return this.servers;
+  }
+
+  /** Records a send; every one but the first draws on the budget. @returns false when it is empty */
+  public take(server: string, now: number): boolean {
+    const { budget, service } = this.terms;
+    if (this.sends === 0) budget.succeed(service, now);
+    else if (!budget.take(service, now)) return false;
+    this.sends += 1;
+    this.servers.add(server);
+    return true;
+  }
+
+  /** Takes back a send of which nothing reached the server. */
+  public untake(server: string): void {
+    this.servers.delete(server);
+  }
+}
--- /dev/null
+++ b/src/core/routing/Claim.ts
@@ -0,0 +1,26 @@
+import type { ServerLoad } from './ServerLoad.js';
+import type { Stage } from './Types.js';
+
+/** A request's part in the work of the servers on its route. */
+export class Claim {
+  public constructor(
+    private readonly load: ServerLoad,
+    private readonly stages: readonly Stage[],
+    private readonly tokens: number,
+    private reading: number,
+  ) {
+    load.add(stages, 1, tokens, reading);
+  }
+
+  /** The prompt has been read. */
+  public endReading(): void {
+    if (this.reading === 0) return;
+    this.load.add(this.stages, 0, 0, -this.reading);
+    this.reading = 0;
+  }
+
+  public dispose(): void {
+    this.load.add(this.stages, -1, -this.tokens, -this.reading);
+    this.reading = 0;
+  }
+}
--- /dev/null
+++ b/src/core/routing/PlainChoice.ts
@@ -0,0 +1,32 @@
+/** Chooses the server of a plain service. */
+import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
+import type { ServerLoad } from './ServerLoad.js';
+
+/** A server elsewhere is used when the home servers are this much fuller, as a share of slots. */
+const HOME_ADVANTAGE = 0.3;
+
+/**
+ * The least filled usable server of a service, the own failure domain first.
+ * @returns undefined when no server may be used
+ */
+export function choosePlainServer(
+  directory: ServerDirectory,
+  load: ServerLoad,
+  service: string,
+  homeDomain: string,
+  avoid: ReadonlySet<string>,
+): KnownServer | undefined {
+  let best: KnownServer | undefined;
+  let bestCost = Infinity;
+  for (const server of directory.all()) {
+    const { record } = server;
+    if (record.service !== service || avoid.has(record.id)) continue;
+    if (directory.doubt(server) !== undefined) continue;
+    const away = record.failureDomain === homeDomain ? 0 : HOME_ADVANTAGE;
+    const cost = load.requests(record.id) / Math.max(1, record.slots) + away;
+    if (cost >= bestCost) continue;
+    best = server;
+    bestCost = cost;
+  }
+  return best;
+}
--- /dev/null
+++ b/src/core/routing/ServerLoad.ts
@@ -0,0 +1,64 @@
+/** Work that is in progress at each server, as far as this instance knows. */
+import type { Stage } from './Types.js';
+
+/** Work at one server. */
+export interface Work {
+  /** Requests in progress. */
+  requests: number;
+  /** Prompt tokens that are being read. */
+  readingTokens: number;
+  /** KV cache of the requests in progress, in tokens times layers. */
+  tokenLayers: number;
+}
+
+const NO_WORK: Readonly<Work> = { requests: 0, readingTokens: 0, tokenLayers: 0 };
+
+export class ServerLoad {
+  private readonly own = new Map<string, Work>();
+
+  /** Work that other instances have reported, by server. */
+  private readonly others = new Map<string, Work>();
+
+  public ownWork(server: string): Readonly<Work> {
+    return this.own.get(server) ?? NO_WORK;
+  }
+
+  /** Work of all instances. */
+  public requests(server: string): number {
+    return this.ownWork(server).requests + (this.others.get(server)?.requests ?? 0);
+  }
+
+  public readingTokens(server: string): number {
+    return this.ownWork(server).readingTokens + (this.others.get(server)?.readingTokens ?? 0);
+  }
+
+  public tokenLayers(server: string): number {
+    return this.ownWork(server).tokenLayers + (this.others.get(server)?.tokenLayers ?? 0);
+  }
+
+  /** Adds a request's work to every server of its route. */
+  public add(stages: readonly Stage[], requests: number, tokens: number, reading: number): void {
+    for (const { server, from, to } of stages) {
+      let work = this.own.get(server);
+      if (work === undefined) {
+        work = { requests: 0, readingTokens: 0, tokenLayers: 0 };
+        this.own.set(server, work);
+      }
+      work.requests += requests;
+      work.readingTokens += reading;
+      work.tokenLayers += tokens * (to - from);
+      if (work.requests === 0) this.own.delete(server);
+    }
+  }
+
+  /** Replaces what other instances have reported. */
+  public setOthers(work: ReadonlyMap<string, Work>): void {
+    this.others.clear();
+    for (const [server, sum] of work) this.others.set(server, sum);
+  }
+
+  /** This instance's work by server. */
+  public listOwn(): IterableIterator<[string, Readonly<Work>]> {
+    return this.own.entries();
+  }
+}
--- /dev/null
+++ b/src/core/store/FeedFollower.ts
@@ -0,0 +1,136 @@
+/** Keeps up with one table of the store through outages, silent connections and lost history. */
+import type { ChangeFeed, Entries } from '../../ports/ChangeFeed.js';
+import type { Clock } from '../../ports/Types.js';
+import type { Decisions } from '../Decisions.js';
+
+/** What takes in the entries. */
+export interface FeedListener<T> {
+  /** Every entry that the store holds. */
+  onAll(entries: Entries<T>): void;
+  /** Entries that changed. */
+  onChanges(entries: Entries<T>): void;
+  /** The store gave no answer, or a refusal. */
+  onTrouble?(): void;
+}
+
+export interface FollowerParts<T> {
+  readonly name: string;
+  readonly clock: Clock;
+  readonly feed: ChangeFeed<T>;
+  readonly listener: FeedListener<T>;
+  readonly decisions: Decisions;
+}
+
+/** Longest wait of one call, in milliseconds: a silent connection is noticed no later than this. */
+const WAIT_MS = 2500;
+
+/** Changes within this time are read by one call, in milliseconds; bounds allow seconds. */
+const COALESCE_MS = 150;
+
+/** Wait after the first failure; doubled with each further one, in milliseconds. */
+const FIRST_BACKOFF_MS = 100;
+
+/** Longest wait after a failure, in milliseconds; configuration must be in force within seconds. */
+const MAX_BACKOFF_MS = 800;
+
+export class FeedFollower<T> {
+  private revision: number | undefined;
+
+  private failures = 0;
+
+  private lastAnswerAt: number;
+
+  private disposed = false;
+
+  public constructor(private readonly parts: FollowerParts<T>) {
+    this.lastAnswerAt = parts.clock.now();
+  }
+
+  /** Whether the table has been read once. */
+  public get isLoaded(): boolean {
+    return this.revision !== undefined;
+  }
+
+  /** Time since the store last answered, in milliseconds. */
+  public get ageMs(): number {
+    return this.parts.clock.now() - this.lastAnswerAt;
+  }
+
+  /** Whether the last call was answered. */
+  public get isInTouch(): boolean {
+    return this.failures === 0;
+  }
+
+  public start(): void {
+    this.run();
+  }
+
+  public dispose(): void {
+    this.disposed = true;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.disposed) {
+      try {
+        await this.step();
+        this.noteAnswer();
+      } catch (error) {
+        this.noteFailure(error as Error);
+        await this.sleep(Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (this.failures - 1)));
+      }
+    }
+  }
+
+  private async step(): Promise<void> {
+    const { feed, listener } = this.parts;
+    if (this.revision === undefined) {
+      const all = await feed.readAll();
+      if (this.disposed) return;
+      this.revision = all.revision;
+      listener.onAll(all);
+      return;
+    }
+    const changes = await feed.changesSince(this.revision, WAIT_MS);
+    if (this.disposed) return;
+    if (changes === undefined) {
+      this.parts.decisions.note('history-lost', { table: this.parts.name, since: this.revision });
+      this.revision = undefined;
+      listener.onTrouble?.();
+      return;
+    }
+    this.revision = Math.max(this.revision, changes.revision);
+    if (changes.entries.length === 0) return;
+    listener.onChanges(changes);
+    await this.sleep(COALESCE_MS);
+  }
+
+  private noteAnswer(): void {
+    if (this.failures > 0) {
+      this.parts.decisions.note('store-back', {
+        table: this.parts.name,
+        failures: this.failures,
+        awayMs: Math.round(this.ageMs),
+      });
+    }
+    this.failures = 0;
+    this.lastAnswerAt = this.parts.clock.now();
+  }
+
+  private noteFailure(error: Error): void {
+    this.failures += 1;
+    this.parts.listener.onTrouble?.();
+    if (this.failures === 1) {
+      this.parts.decisions.note('store-lost', {
+        table: this.parts.name,
+        error: error.message,
+        revision: this.revision,
+      });
+    }
+  }
+
+  private sleep(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.parts.clock.schedule(ms, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/src/platform/DeploymentDecoder.ts
@@ -0,0 +1,173 @@
+/** Reads the operator's configuration into the product's own types. */
+import { z } from 'zod';
+import {
+  RouteKind,
+  type Deployment,
+  type EngineProfile,
+  type RequestRoute,
+  type Service,
+} from '../core/deployment/Types.js';
+
+const KIND: Readonly<Record<string, RouteKind>> = {
+  idempotent: RouteKind.Idempotent,
+  non_idempotent: RouteKind.NonIdempotent,
+  streaming: RouteKind.Streaming,
+};
+
+const ROUTE = z.object({
+  name: z.string(),
+  host: z.string(),
+  prefix: z.string(),
+  route_kind: z.string(),
+  timeout_ms: z.number(),
+  slo_ms: z.number().default(0),
+  priority: z.number().default(0),
+  service: z.string().optional(),
+  split: z.array(z.object({ service: z.string(), weight: z.number() })).optional(),
+  attempts: z.number().default(1),
+  public: z.boolean().default(false),
+  resumable: z.boolean().default(false),
+  target_itl_ms: z.number().default(0),
+});
+
+const ENGINE = z.object({
+  slots: z.number(),
+  /** Bytes of KV cache that one token takes over all layers. */
+  kv_token_bytes: z.number(),
+  step_ms: z.number(),
+  per_seq_ms: z.number().default(0),
+  /** Prompt tokens read in a second by a whole model. */
+  read_per_s: z.number(),
+  usual: z.object({ prompt: z.number(), answer: z.number() }).optional(),
+  /** Layers of the whole model; servers use the same name for the layers that they hold. */
+  layer_count: z.number(),
+  layer_size_mb: z.number(),
+  layer_kinds: z.array(
+    z.object({
+      name: z.string(),
+      /** Memory of an accelerator, not the size of a layer. */
+      size_mb: z.number(),
+      pace: z.number(),
+      read_factor: z.number(),
+    }),
+  ),
+});
+
+const SERVICE = z.object({
+  name: z.string(),
+  health_path: z.string().default('/healthz'),
+  max_conns: z.number().default(64),
+  inference_engine: z.unknown().optional(),
+});
+
+const CONFIGURATION = z.object({
+  version: z.number(),
+  routes: z.array(ROUTE),
+  services: z.array(SERVICE),
+  limits: z.object({
+    max_header_bytes: z.number(),
+    max_body_bytes: z.number(),
+    header_timeout_ms: z.number(),
+    idle_timeout_ms: z.number(),
+  }),
+  tenants: z
+    .array(
+      z.object({
+        name: z.string(),
+        api_keys: z.array(z.string()),
+        priority: z.number().optional(),
+      }),
+    )
+    .optional(),
+});
+
+const BYTES_PER_MB = 1e6;
+
+/** Tokens assumed where the operator gives no means. */
+const USUAL_TOKENS = { prompt: 512, answer: 128 };
+
+function toRoute(wire: z.output<typeof ROUTE>): RequestRoute | undefined {
+  const kind = KIND[wire.route_kind];
+  const shares = wire.split ?? [{ service: wire.service ?? '', weight: 1 }];
+  if (kind === undefined) return undefined;
+  return {
+    name: wire.name,
+    host: wire.host,
+    prefix: wire.prefix,
+    kind,
+    resumable: wire.resumable,
+    shares,
+    maxServers: Math.max(1, wire.attempts),
+    timeoutMs: wire.timeout_ms,
+    objectiveMs: wire.slo_ms,
+    maxGapMs: wire.target_itl_ms,
+    priority: wire.priority,
+    isPublic: wire.public,
+  };
+}
+
+function toEngine(value: unknown): EngineProfile | undefined {
+  const parsed = ENGINE.safeParse(value);
+  if (!parsed.success) return undefined;
+  const { data } = parsed;
+  const usual = data.usual ?? USUAL_TOKENS;
+  return {
+    layers: data.layer_count,
+    layerMb: data.layer_size_mb,
+    tokenMb: data.kv_token_bytes / BYTES_PER_MB,
+    maxRequests: data.slots,
+    stepMs: data.step_ms,
+    sequenceMs: data.per_seq_ms,
+    readTokensPerMs: data.read_per_s / 1000,
+    usualPromptTokens: usual.prompt,
+    usualAnswerTokens: usual.answer,
+    accelerators: new Map(
+      data.layer_kinds.map((kind) => [
+        kind.name,
+        {
+          name: kind.name,
+          memoryMb: kind.size_mb,
+          stepFactor: kind.pace,
+          readFactor: kind.read_factor,
+        },
+      ]),
+    ),
+  };
+}
+
+function toService(wire: z.output<typeof SERVICE>): Service {
+  return {
+    name: wire.name,
+    healthPath: wire.health_path,
+    maxConnections: wire.max_conns,
+    engine: toEngine(wire.inference_engine),
+  };
+}
+
+/** Reads a configuration; undefined when it is not one. */
+export function decodeDeployment(value: unknown): Deployment | undefined {
+  const parsed = CONFIGURATION.safeParse(value);
+  if (!parsed.success) return undefined;
+  const { data } = parsed;
+  const routes: RequestRoute[] = [];
+  for (const wire of data.routes) {
+    const route = toRoute(wire);
+    if (route !== undefined) routes.push(route);
+  }
+  return {
+    ticket: data.version,
+    routes,
+    services: new Map(data.services.map((wire) => [wire.name, toService(wire)])),
+    accounts: data.tenants?.map((account) => ({
+      name: account.name,
+      keys: account.api_keys,
+      priority: account.priority,
+    })),
+    limits: {
+      maxHeaderBytes: data.limits.max_header_bytes,
+      maxBodyBytes: data.limits.max_body_bytes,
+      headerTimeoutMs: data.limits.header_timeout_ms,
+      idleTimeoutMs: data.limits.idle_timeout_ms,
+    },
+  };
+}
--- /dev/null
+++ b/src/platform/HttpReply.ts
@@ -0,0 +1,44 @@
+import type { ServerResponse } from 'node:http';
+import type { Refusal } from '../core/Outcome.js';
+import type { AnswerHead, CallerReply } from '../core/relay/Types.js';
+
+/** Sends one answer over Node's response. */
+export class HttpReply implements CallerReply {
+  public constructor(
+    private readonly response: ServerResponse,
+    private readonly isLeaving: () => boolean,
+  ) {}
+
+  public head({ status, headers }: AnswerHead): void {
+    if (this.isLeaving()) this.response.shouldKeepAlive = false;
+    this.response.writeHead(status, headers as string[]);
+  }
+
+  public write(chunk: Buffer): void {
+    if (chunk.length > 0) this.response.write(chunk);
+  }
+
+  public end(): void {
+    this.response.end();
+  }
+
+  public refuse({ status, message, reason, outcome, retryAfterMs }: Refusal): void {
+    const { response } = this;
+    if (response.headersSent || response.destroyed) {
+      this.cut();
+      return;
+    }
+    if (this.isLeaving()) response.shouldKeepAlive = false;
+    const body = Buffer.from(JSON.stringify({ error: { message, reason, outcome } }));
+    response.writeHead(status, {
+      'content-type': 'application/json',
+      'content-length': body.length,
+      ...(retryAfterMs > 0 && { 'retry-after': (retryAfterMs / 1000).toFixed(2) }),
+    });
+    response.end(body);
+  }
+
+  public cut(): void {
+    this.response.destroy();
+  }
+}
--- /dev/null
+++ b/src/platform/Ingress.ts
@@ -0,0 +1,157 @@
+/** Takes callers' requests from the platform's balancer and hands them to the desk. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { hostAndPort } from '../adapters/http/HttpClient.js';
+import type { CallerLimits } from '../core/deployment/Types.js';
+import type { CallerReply, CallerRequest, Prompt, Relay } from '../core/relay/Types.js';
+import type { Clock } from '../ports/Types.js';
+import { HttpReply } from './HttpReply.js';
+import { endToEndHeaders, HEADER } from './WireNames.js';
+
+const KEY_SCHEME = 'token ';
+
+/** Limits until the operator's are known. */
+const FIRST_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3000,
+  idleTimeoutMs: 15_000,
+};
+
+const NOTHING_DROPPED: ReadonlySet<string> = new Set();
+
+/** Connections that wait to be accepted: all callers of a domain may come at once after a cut. */
+const BACKLOG = 1024;
+
+export interface IngressParts {
+  readonly clock: Clock;
+  accept(request: CallerRequest, reply: CallerReply): Relay;
+  /** Whether answers tell callers to open their next connection elsewhere. */
+  isLeaving(): boolean;
+  limits(): CallerLimits | undefined;
+}
+
+function header(request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
+
+function readKey(request: IncomingMessage): string | undefined {
+  const value = header(request, 'authorization');
+  if (value === undefined || !value.toLowerCase().startsWith(KEY_SCHEME)) return undefined;
+  return value.slice(KEY_SCHEME.length).trim();
+}
+
+function readPrompt(request: IncomingMessage): Prompt | undefined {
+  const [prompt, answer] = (header(request, HEADER.tokens) ?? '').split(',').map(Number);
+  if (!(prompt >= 0) || !(answer >= 0)) return undefined;
+  return { promptTokens: prompt, maxAnswerTokens: answer };
+}
+
+export class Ingress {
+  private readonly server: Server;
+
+  private open = 0;
+
+  public constructor(private readonly parts: IngressParts) {
+    this.server = createServer(
+      { keepAliveTimeout: FIRST_LIMITS.idleTimeoutMs },
+      (request, response) => this.take(request, response),
+    );
+    this.server.requestTimeout = 0;
+    this.applyLimits();
+  }
+
+  /** Requests whose answer is not finished. */
+  public get active(): number {
+    return this.open;
+  }
+
+  /** Puts the operator's limits in force for new connections. */
+  public applyLimits(): void {
+    const { headerTimeoutMs, idleTimeoutMs } = this.limits;
+    this.server.headersTimeout = headerTimeoutMs;
+    this.server.keepAliveTimeout = idleTimeoutMs;
+  }
+
+  public listen(address: string): Promise<string> {
+    const { host, port } = hostAndPort(address);
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({ host, port, backlog: BACKLOG }, () => {
+        const bound = this.server.address() as AddressInfo;
+        resolve(`${bound.address}:${bound.port}`);
+      });
+    });
+  }
+
+  /** Stops listening and closes idle connections; open requests go on. */
+  public stopListening(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  public close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private get limits(): CallerLimits {
+    return this.parts.limits() ?? FIRST_LIMITS;
+  }
+
+  private take(request: IncomingMessage, response: ServerResponse): void {
+    this.open += 1;
+    let relay: Relay | undefined;
+    response.once('close', () => {
+      this.open -= 1;
+      if (!response.writableFinished) relay?.cancel();
+    });
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > this.limits.maxBodyBytes) this.rejectBody(request, response);
+      else chunks.push(chunk);
+    });
+    request.on('error', () => response.destroy());
+    request.on('end', () => {
+      if (response.destroyed || response.headersSent) return;
+      const reply = new HttpReply(response, () => this.parts.isLeaving());
+      relay = this.parts.accept(this.decode(request, Buffer.concat(chunks, size)), reply);
+    });
+  }
+
+  private rejectBody(request: IncomingMessage, response: ServerResponse): void {
+    request.removeAllListeners('data');
+    request.resume();
+    if (response.headersSent) return;
+    response.shouldKeepAlive = false;
+    response.writeHead(413, { 'content-length': 0 });
+    response.end();
+  }
+
+  private decode(request: IncomingMessage, body: Buffer): CallerRequest {
+    const target = request.url ?? '/';
+    const query = target.indexOf('?');
+    const host = header(request, 'host') ?? '';
+    const colon = host.indexOf(':');
+    const deadline = Number(header(request, HEADER.deadlineMs) ?? Infinity);
+    return {
+      id: header(request, HEADER.requestId) ?? '',
+      host: colon === -1 ? host : host.slice(0, colon),
+      path: query === -1 ? target : target.slice(0, query),
+      key: readKey(request),
+      arrivedAt: this.parts.clock.now(),
+      deadlineMs: deadline > 0 ? deadline : Infinity,
+      prompt: readPrompt(request),
+      resumeAfter: header(request, HEADER.lastEvent),
+      message: {
+        method: request.method ?? 'GET',
+        target,
+        headers: endToEndHeaders(request.rawHeaders, NOTHING_DROPPED),
+        body,
+      },
+    };
+  }
+}
--- /dev/null
+++ b/src/platform/OpenCall.ts
@@ -0,0 +1,157 @@
+import {
+  request as httpRequest,
+  type ClientRequest,
+  type ClientRequestArgs,
+  type IncomingMessage,
+  type OutgoingHttpHeaders,
+} from 'node:http';
+import { hostAndPort } from '../adapters/http/HttpClient.js';
+import {
+  CallFailure,
+  type AnswerHead,
+  type ServerCall,
+  type ServerCallListener,
+} from '../core/relay/Types.js';
+import type { Stage } from '../core/routing/Types.js';
+import type { Disposable } from '../ports/Types.js';
+import type { ServerAgent } from './ServerAgent.js';
+import { endToEndHeaders, HEADER, MISDIRECTED } from './WireNames.js';
+
+/** A connection takes two link delays; one that takes this long will not come about, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 250;
+
+/** Headers of a caller that the system sets itself or that are not for servers. */
+const REPLACED: ReadonlySet<string> = new Set([
+  'authorization',
+  'content-length',
+  'expect',
+  HEADER.account,
+  HEADER.expectedServer,
+  HEADER.deadlineMs,
+  HEADER.stages,
+  HEADER.lastEvent,
+]);
+
+const NOTHING_DROPPED: ReadonlySet<string> = new Set();
+
+function formatStages(stages: readonly Stage[]): string {
+  return stages.map(({ address, from, to }) => `${address}=${from}-${to}`).join(',');
+}
+
+function headersFor(call: ServerCall): string[] {
+  const { request, server, stages, account, resumeAfter } = call;
+  const headers = endToEndHeaders(request.message.headers, REPLACED);
+  headers.push(HEADER.expectedServer, server.id, HEADER.deadlineMs, String(call.deadlineMs));
+  if (account !== undefined) headers.push(HEADER.account, account);
+  if (stages.length > 0) headers.push(HEADER.stages, formatStages(stages));
+  if (resumeAfter !== undefined) headers.push(HEADER.lastEvent, resumeAfter);
+  const { length } = request.message.body;
+  if (length > 0 || request.message.method === 'POST')
+    headers.push('content-length', String(length));
+  return headers;
+}
+
+function toHead(message: IncomingMessage): AnswerHead {
+  const { headers, statusCode = 0 } = message;
+  const fault = headers[HEADER.faultAddress];
+  return {
+    status: statusCode,
+    headers: endToEndHeaders(message.rawHeaders, NOTHING_DROPPED),
+    sealed: headers[HEADER.seal] !== undefined,
+    notExecuted: headers[HEADER.notExecuted] !== undefined || statusCode === MISDIRECTED,
+    plain: headers['content-encoding'] === undefined,
+    faultAddress: typeof fault === 'string' ? fault : undefined,
+  };
+}
+
+/** One call in progress. */
+export class OpenCall implements Disposable {
+  private readonly outgoing: ClientRequest;
+
+  private connectTimer: NodeJS.Timeout | undefined;
+
+  private isOver = false;
+
+  private connected = false;
+
+  public constructor(
+    private readonly call: ServerCall,
+    private readonly listener: ServerCallListener,
+    agent: ServerAgent,
+  ) {
+    const { message } = call.request;
+    this.outgoing = httpRequest({
+      ...hostAndPort(call.server.address),
+      method: message.method,
+      path: message.target,
+      // A kept connection may close under a request, which then cannot be told from one that ran.
+      agent: call.stages.length > 0 || message.method === 'GET' ? agent : false,
+      // Node takes raw headers here, though its types name only records.
+      headers: headersFor(call) as unknown as OutgoingHttpHeaders,
+    } satisfies ClientRequestArgs);
+    this.outgoing.on('socket', (socket) => this.watchConnect(socket.connecting, socket));
+    this.outgoing.on('response', (answer) => this.read(answer));
+    this.outgoing.on('error', () => this.fail(this.lost));
+    this.outgoing.end(message.body);
+  }
+
+  public dispose(): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    clearTimeout(this.connectTimer);
+    this.outgoing.destroy();
+  }
+
+  private get lost(): CallFailure {
+    return this.connected ? CallFailure.Lost : CallFailure.NotSent;
+  }
+
+  private watchConnect(connecting: boolean, socket: NodeJS.EventEmitter): void {
+    if (!connecting) {
+      this.connected = true;
+      return;
+    }
+    this.connectTimer = setTimeout(() => {
+      this.fail(CallFailure.ConnectTimeout);
+      this.outgoing.destroy();
+    }, CONNECT_TIMEOUT_MS);
+    socket.once('connect', () => {
+      this.connected = true;
+      clearTimeout(this.connectTimer);
+    });
+  }
+
+  private read(answer: IncomingMessage): void {
+    if (this.isOver) return;
+    const head = toHead(answer);
+    const echoed = answer.headers[HEADER.requestId];
+    if (echoed !== undefined && echoed !== this.call.request.id) {
+      this.fail(CallFailure.Foreign);
+      this.outgoing.destroy();
+      return;
+    }
+    this.listener.onHead(head);
+    answer.on('data', (chunk: Buffer) => {
+      if (!this.isOver) this.listener.onData(chunk);
+    });
+    answer.on('end', () => {
+      if (answer.complete) this.succeed();
+      else this.fail(CallFailure.Lost);
+    });
+    answer.on('error', () => this.fail(CallFailure.Lost));
+    answer.on('close', () => this.fail(CallFailure.Lost));
+  }
+
+  private succeed(): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    this.listener.onEnd();
+  }
+
+  private fail(failure: CallFailure): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    clearTimeout(this.connectTimer);
+    this.listener.onFailure(failure);
+  }
+}
--- /dev/null
+++ b/src/platform/ServerAgent.ts
@@ -0,0 +1,35 @@
+import { Agent, type ClientRequest } from 'node:http';
+import type { Duplex } from 'node:stream';
+
+/** Time for which an idle connection is kept when the server names none, in milliseconds. */
+const IDLE_MS = 4000;
+
+/** Idle connections kept for each server. */
+const MAX_IDLE = 32;
+
+function destroyOnData(this: Duplex): void {
+  this.destroy();
+}
+
+/** Keeps connections to servers, and drops one on which bytes come that no request asked for. */
+export class ServerAgent extends Agent {
+  public constructor() {
+    super({ keepAlive: true, maxFreeSockets: MAX_IDLE, scheduling: 'lifo', timeout: IDLE_MS });
+  }
+
+  public override keepSocketAlive(socket: Duplex): boolean {
+    // Typed as void in @types/node, though Node uses the result.
+    const base = Agent.prototype as unknown as { keepSocketAlive(kept: Duplex): boolean };
+    const keeps = base.keepSocketAlive.call(this, socket);
+    if (keeps) socket.on('data', destroyOnData);
+    return keeps;
+  }
+
+  public override reuseSocket(socket: Duplex, request: ClientRequest): void {
+    socket.removeListener('data', destroyOnData);
+    const base = Agent.prototype as unknown as {
+      reuseSocket(reused: Duplex, by: ClientRequest): void;
+    };
+    base.reuseSocket.call(this, socket, request);
+  }
+}
--- /dev/null
+++ b/src/platform/ServerClient.ts
@@ -0,0 +1,90 @@
+/** Speaks to backend servers: forwards requests, sends orders, asks for reports. */
+import { z } from 'zod';
+import type { HttpClient } from '../adapters/http/HttpClient.js';
+import {
+  OrderAnswer,
+  type OrderPort,
+  type PlacementOrder,
+  type ServerReport,
+} from '../core/placement/PlacementDriver.js';
+import type { ServerCall, ServerCallListener, ServerPort } from '../core/relay/Types.js';
+import type { Disposable } from '../ports/Types.js';
+import { OpenCall } from './OpenCall.js';
+import { ServerAgent } from './ServerAgent.js';
+import { decodeSpan } from './ServerEntryDecoder.js';
+import { HEADER, PATH } from './WireNames.js';
+
+const REPORT = z.object({
+  busy: z.boolean().default(false),
+  /** Orders accepted since the server's start; in the server's entry the same name counts heartbeats. */
+  seq_no: z.number(),
+  layer_count: z.unknown().optional(),
+});
+
+export class ServerClient implements ServerPort, OrderPort {
+  private readonly agent = new ServerAgent();
+
+  public constructor(private readonly http: HttpClient) {}
+
+  public dispose(): void {
+    this.agent.destroy();
+  }
+
+  public call(call: ServerCall, listener: ServerCallListener): Disposable {
+    return new OpenCall(call, listener, this.agent);
+  }
+
+  public async order(order: PlacementOrder, timeoutMs: number): Promise<OrderAnswer> {
+    const { address, span, ordersAccepted, id } = order;
+    try {
+      const { status } = await this.http.json(
+        {
+          address,
+          method: 'POST',
+          path: PATH.order,
+          headers: { [HEADER.expectedServer]: id },
+          timeoutMs,
+        },
+        {
+          operation: 'place',
+          source: span.from,
+          to: span.to,
+          method: 'queue',
+          precondition: ordersAccepted,
+        },
+      );
+      if (status === 200 || status === 202) return OrderAnswer.Taken;
+      return status === 409 ? OrderAnswer.Conflict : OrderAnswer.Refused;
+    } catch {
+      // The driver logs the answer and asks the server later what became of the order.
+      return OrderAnswer.Unknown;
+    }
+  }
+
+  public async report(
+    id: string,
+    address: string,
+    timeoutMs: number,
+  ): Promise<ServerReport | undefined> {
+    try {
+      const { status, value } = await this.http.json<unknown>({
+        address,
+        method: 'GET',
+        path: PATH.report,
+        headers: { [HEADER.expectedServer]: id },
+        timeoutMs,
+      });
+      const parsed = REPORT.safeParse(value);
+      if (status !== 200 || !parsed.success) return undefined;
+      const { data } = parsed;
+      return {
+        ordersAccepted: data.seq_no,
+        busy: data.busy,
+        span: decodeSpan(data.layer_count),
+      };
+    } catch {
+      // No answer is an answer here: the caller treats the server as silent.
+      return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/src/platform/ServerEntryDecoder.ts
@@ -0,0 +1,50 @@
+/** Reads what a server says of itself into the product's own types. */
+import { z } from 'zod';
+import type { LayerSpan, ServerRecord } from '../core/deployment/Types.js';
+
+/** Layers as a server reports them, under the name that the configuration uses for their number. */
+const SPAN = z.object({ source: z.number(), to: z.number() });
+
+const ENTRY = z.object({
+  service: z.string(),
+  address: z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/),
+  zone: z.string(),
+  slots: z.number().default(1),
+  state: z.enum(['ready', 'draining']),
+  /** Unix time of the server's start, in milliseconds. */
+  born: z.number().default(0),
+  /** The accelerator; on a route the same name says what may be repeated. */
+  route_kind: z.string().default(''),
+  layer_count: z.unknown().optional(),
+});
+
+/** Reads held layers; undefined when the server holds none. */
+export function decodeSpan(value: unknown): LayerSpan | undefined {
+  const first: unknown = Array.isArray(value) ? value[0] : value;
+  const parsed = SPAN.safeParse(first);
+  if (!parsed.success || parsed.data.to <= parsed.data.source) return undefined;
+  return { from: parsed.data.source, to: parsed.data.to };
+}
+
+/** Reads an entry; undefined when another writer left something else there. */
+export function decodeServer(
+  id: string,
+  revision: number,
+  value: unknown,
+): ServerRecord | undefined {
+  const parsed = ENTRY.safeParse(value);
+  if (!parsed.success) return undefined;
+  const { data } = parsed;
+  return {
+    id,
+    revision,
+    incarnation: data.born,
+    service: data.service,
+    address: data.address,
+    failureDomain: data.zone,
+    leaving: data.state === 'draining',
+    slots: data.slots,
+    accelerator: data.route_kind,
+    span: decodeSpan(data.layer_count),
+  };
+}
--- /dev/null
+++ b/src/platform/StoreClient.ts
@@ -0,0 +1,185 @@
+/** The platform's store: rows of the system's own table, and feeds of the platform's tables. */
+import type { HttpClient } from '../adapters/http/HttpClient.js';
+import { Failure, FailureKind } from '../core/Failure.js';
+import type { ChangeFeed, Entries, Entry } from '../ports/ChangeFeed.js';
+import {
+  CommitStatus,
+  type Commit,
+  type Row,
+  type TableService,
+  type Transaction,
+} from '../ports/Types.js';
+import { PATH } from './WireNames.js';
+
+/** Table of the system's own rows. */
+const OWN_TABLE = 'acaciadrum';
+
+/** A call without an answer for this time has failed, in milliseconds: 250 times the usual one. */
+const CALL_TIMEOUT_MS = 1000;
+
+/** Time beyond its wait after which a feed has failed, in milliseconds. */
+const FEED_MARGIN_MS = 700;
+
+/** Sorts after every key that begins with the text before it. */
+const NEXT_KEY = '\u0000';
+
+interface WireRow {
+  readonly key: string;
+  /** Base64 of the value. */
+  readonly payload?: string;
+  readonly row_version: number;
+  readonly deleted?: boolean;
+}
+
+interface WireRows {
+  readonly rows: readonly WireRow[];
+  readonly row_version: number;
+  readonly has_more?: boolean;
+}
+
+/** Reads one row's value; undefined when it is not what it should be. */
+export type EntryDecoder<T> = (key: string, revision: number, value: unknown) => T | undefined;
+
+function parsePayload(payload: string | undefined): unknown {
+  if (payload === undefined) return undefined;
+  try {
+    return JSON.parse(Buffer.from(payload, 'base64').toString('utf8'));
+  } catch {
+    // Another writer's bytes: the decoder treats the entry as naming nothing.
+    return undefined;
+  }
+}
+
+export class StoreClient implements TableService {
+  public constructor(
+    private readonly http: HttpClient,
+    private readonly address: string,
+  ) {}
+
+  public read(keys: readonly string[]): Promise<(Row | undefined)[]> {
+    return Promise.all(keys.map((key) => this.readRow(key)));
+  }
+
+  public async transact(transaction: Transaction): Promise<Commit> {
+    const place = { table: OWN_TABLE, part: '' };
+    const { status, value } = await this.send<WireRows>(
+      'POST',
+      PATH.rowsTransact,
+      CALL_TIMEOUT_MS,
+      {
+        precondition: transaction.conditions.map(({ key, version }) => ({
+          ...place,
+          key,
+          row_version: version,
+        })),
+        write: transaction.writes.map(({ key, value: written }) => ({
+          ...place,
+          key,
+          payload: Buffer.from(JSON.stringify(written)).toString('base64'),
+        })),
+        remove: [],
+      },
+    );
+    if (status === 200) return { status: CommitStatus.Committed, conflicts: [] };
+    if (status === 412) {
+      const conflicts = (value?.rows ?? []).map(({ key }) => key);
+      return { status: CommitStatus.Conflict, conflicts };
+    }
+    throw unavailable(PATH.rowsTransact, status);
+  }
+
+  /** A feed of one of the platform's tables. */
+  public feed<T>(table: string, decode: EntryDecoder<T>): ChangeFeed<T> {
+    return {
+      readAll: () => this.readTable(table, decode),
+      changesSince: (revision, waitMs) => this.changes(table, decode, revision, waitMs),
+    };
+  }
+
+  private async readRow(key: string): Promise<Row | undefined> {
+    const query = new URLSearchParams({
+      table: OWN_TABLE,
+      part: '',
+      source: key,
+      to: key + NEXT_KEY,
+    });
+    const { rows } = await this.get(`${PATH.rowsRead}?${query}`, CALL_TIMEOUT_MS);
+    const row = rows.find((found) => found.key === key);
+    return row && { key, version: row.row_version, value: parsePayload(row.payload) };
+  }
+
+  private async readTable<T>(table: string, decode: EntryDecoder<T>): Promise<Entries<T>> {
+    const entries: Entry<T>[] = [];
+    let revision = Infinity;
+    let source = '';
+    for (;;) {
+      const query = new URLSearchParams({ table, part: '', ...(source !== '' && { source }) });
+      const page = await this.get(`${PATH.rowsRead}?${query}`, CALL_TIMEOUT_MS);
+      // Pages are of different moments: changes since the first one are read again from the feed.
+      revision = Math.min(revision, page.row_version);
+      for (const row of page.rows) entries.push(toEntry(row, decode));
+      const last = page.rows.at(-1);
+      if (page.has_more !== true || last === undefined) return { entries, revision };
+      source = last.key + NEXT_KEY;
+    }
+  }
+
+  private async changes<T>(
+    table: string,
+    decode: EntryDecoder<T>,
+    revision: number,
+    waitMs: number,
+  ): Promise<Entries<T> | undefined> {
+    const query = new URLSearchParams({
+      table,
+      after: String(revision),
+      wait_ms: String(waitMs),
+    });
+    const { status, value } = await this.send<WireRows>(
+      'GET',
+      `${PATH.rowsFeed}?${query}`,
+      waitMs + FEED_MARGIN_MS,
+    );
+    if (status === 410) return undefined;
+    if (status !== 200 || value === undefined) throw unavailable(PATH.rowsFeed, status);
+    return {
+      entries: value.rows.map((row) => toEntry(row, decode)),
+      revision: value.row_version,
+    };
+  }
+
+  private async get(path: string, timeoutMs: number): Promise<WireRows> {
+    const { status, value } = await this.send<WireRows>('GET', path, timeoutMs);
+    if (status !== 200 || value === undefined) throw unavailable(path, status);
+    return value;
+  }
+
+  private async send<T>(
+    method: string,
+    path: string,
+    timeoutMs: number,
+    body?: unknown,
+  ): Promise<{ status: number; value: T | undefined }> {
+    try {
+      return await this.http.json<T>({ address: this.address, method, path, timeoutMs }, body);
+    } catch (error) {
+      throw new Failure(
+        FailureKind.PlatformUnavailable,
+        `The store gave no answer: ${(error as Error).message} It is tried again.`,
+      );
+    }
+  }
+}
+
+function toEntry<T>(row: WireRow, decode: EntryDecoder<T>): Entry<T> {
+  const { key, row_version: revision } = row;
+  if (row.deleted === true) return { key, revision, value: undefined };
+  return { key, revision, value: decode(key, revision, parsePayload(row.payload)) };
+}
+
+function unavailable(path: string, status: number): Failure {
+  return new Failure(
+    FailureKind.PlatformUnavailable,
+    `The store answered ${status} to ${path.split('?')[0]}. It is tried again.`,
+  );
+}
--- /dev/null
+++ b/src/router/RouterInstance.ts
@@ -0,0 +1,258 @@
+/** Binds the decisions of one router instance to the platform, and owns every listener and timer. */
+import { HttpClient } from '../adapters/http/HttpClient.js';
+import type { StructuredLog } from '../adapters/logs/StructuredLog.js';
+import { SystemClock } from '../adapters/SystemClock.js';
+import { SystemRandom } from '../adapters/SystemRandom.js';
+import { Deployments } from '../core/deployment/Deployments.js';
+import { ServerDirectory } from '../core/deployment/ServerDirectory.js';
+import type { Deployment, ServerRecord } from '../core/deployment/Types.js';
+import { Invariants } from '../core/Invariant.js';
+import { LeaseKeeper } from '../core/leases/LeaseKeeper.js';
+import { RetryBudget } from '../core/limits/RetryBudget.js';
+import { PlacementDriver } from '../core/placement/PlacementDriver.js';
+import { RelayDesk } from '../core/relay/RelayDesk.js';
+import { EngineRoutes } from '../core/routing/EngineRoutes.js';
+import { ServerLoad } from '../core/routing/ServerLoad.js';
+import { FeedFollower } from '../core/store/FeedFollower.js';
+import { decodeDeployment } from '../platform/DeploymentDecoder.js';
+import { Ingress } from '../platform/Ingress.js';
+import { Readiness } from '../platform/Readiness.js';
+import { ServerClient } from '../platform/ServerClient.js';
+import { decodeServer } from '../platform/ServerEntryDecoder.js';
+import { StoreClient } from '../platform/StoreClient.js';
+import type { Entries } from '../ports/ChangeFeed.js';
+import type { Disposable } from '../ports/Types.js';
+import { RouterMetrics } from './RouterMetrics.js';
+import type { RouterSettings } from './Settings.js';
+
+/** Time between sweeps of the directory, in milliseconds. */
+const SWEEP_MS = 250;
+
+/** The balancer asks each second and takes an instance out after two misses, in milliseconds. */
+const BALANCER_MS = 3000;
+
+/** Time kept for closing connections before the process is killed, in milliseconds. */
+const EXIT_MARGIN_MS = 400;
+
+/** Instances among which shared budgets are divided until peers are counted. */
+const ASSUMED_INSTANCES = 8;
+
+export class RouterInstance {
+  public readonly metrics = new RouterMetrics();
+
+  private readonly clock = new SystemClock();
+
+  private readonly http = new HttpClient();
+
+  private readonly deployments = new Deployments();
+
+  private readonly directory = new ServerDirectory(this.clock);
+
+  private readonly load = new ServerLoad();
+
+  private readonly servers = new ServerClient(this.http);
+
+  private readonly desk: RelayDesk;
+
+  private readonly ingress: Ingress;
+
+  private readonly readiness = new Readiness(() => this.isReady);
+
+  private readonly lease: LeaseKeeper;
+
+  private readonly placement: PlacementDriver;
+
+  private readonly configurationFeed: FeedFollower<Deployment>;
+
+  private readonly serverFeed: FeedFollower<ServerRecord>;
+
+  private leaving = false;
+
+  private sweepTimer: Disposable | undefined;
+
+  public constructor(
+    private readonly settings: RouterSettings,
+    private readonly log: StructuredLog,
+  ) {
+    const { clock, deployments, directory, load, servers } = this;
+    const { failureDomain, bounds, instance } = settings;
+    const random = new SystemRandom();
+    const store = new StoreClient(this.http, settings.store.address);
+    const invariants = new Invariants(false, (message) => log.note('invariant', { message }));
+    const retriesSaved = bounds.retrySlack / ASSUMED_INSTANCES;
+    this.desk = new RelayDesk({
+      clock,
+      random,
+      deployments,
+      directory,
+      load,
+      routes: new EngineRoutes(directory, load, failureDomain),
+      port: servers,
+      budget: new RetryBudget({
+        perRequest: bounds.retryShare,
+        maxSaved: retriesSaved,
+        initial: retriesSaved,
+        refillPerS: 0,
+      }),
+      decisions: log,
+      counters: this.metrics,
+      invariants,
+      homeDomain: failureDomain,
+    });
+    this.ingress = new Ingress({
+      clock,
+      accept: (request, reply) => this.desk.accept(request, reply),
+      isLeaving: () => this.leaving,
+      limits: () => deployments.current?.deployment.limits,
+    });
+    this.lease = new LeaseKeeper({
+      clock,
+      table: store,
+      name: 'placement',
+      holder: `${instance}/${random.id(4)}`,
+      log: (message) => log.note('lease', { message }),
+    });
+    this.placement = new PlacementDriver({
+      clock,
+      deployments,
+      directory,
+      lease: this.lease,
+      port: servers,
+      decisions: log,
+    });
+    this.configurationFeed = new FeedFollower({
+      name: 'configuration',
+      clock,
+      decisions: log,
+      feed: store.feed('op', (_key, _revision, value) => decodeDeployment(value)),
+      listener: {
+        onAll: (entries) => this.takeDeployments(entries),
+        onChanges: (entries) => this.takeDeployments(entries),
+      },
+    });
+    this.serverFeed = new FeedFollower({
+      name: 'servers',
+      clock,
+      decisions: log,
+      feed: store.feed('servers', decodeServer),
+      listener: {
+        onAll: (entries) => this.takeAllServers(entries),
+        onChanges: (entries) => this.takeServers(entries),
+        onTrouble: () => directory.noteStoreTrouble(),
+      },
+    });
+    this.addGauges();
+  }
+
+  /** Opens the listeners and begins to follow the store. */
+  public async start(): Promise<void> {
+    const { settings } = this;
+    await Promise.all([
+      this.ingress.listen(settings.callers.address),
+      this.readiness.listen(settings.readiness.address),
+      this.metrics.listen(settings.metrics.address),
+    ]);
+    this.configurationFeed.start();
+    this.serverFeed.start();
+    this.lease.start();
+    this.placement.start();
+    this.sweep();
+    this.log.note('start', {
+      domain: settings.failureDomain,
+      callers: settings.callers.address,
+      node: process.version,
+    });
+  }
+
+  /** Stops without cutting a request, as far as the time until the process is killed allows. */
+  public async stop(): Promise<void> {
+    const begunAt = this.clock.now();
+    const endsAt = begunAt + this.settings.bounds.stopGraceS * 1000 - EXIT_MARGIN_MS;
+    this.leaving = true;
+    this.log.note('stop', { active: this.ingress.active });
+    this.placement.dispose();
+    this.lease.release();
+    await this.waitUntil(() => this.clock.now() - begunAt >= BALANCER_MS, endsAt);
+    this.ingress.stopListening();
+    await this.waitUntil(() => this.ingress.active === 0, endsAt);
+    this.log.note('stopped', { active: this.ingress.active });
+    this.dispose();
+  }
+
+  /** Closes everything at once; open requests break. */
+  public dispose(): void {
+    this.sweepTimer?.dispose();
+    this.placement.dispose();
+    this.lease.dispose();
+    this.configurationFeed.dispose();
+    this.serverFeed.dispose();
+    this.ingress.close();
+    this.readiness.close();
+    this.metrics.close();
+    this.servers.dispose();
+    this.http.dispose();
+  }
+
+  private get isReady(): boolean {
+    if (this.leaving) return false;
+    return this.deployments.current !== undefined && this.serverFeed.isLoaded;
+  }
+
+  private takeDeployments({ entries }: Entries<Deployment>): void {
+    for (const { value, revision } of entries) {
+      if (value === undefined || !this.deployments.offer(value)) continue;
+      this.ingress.applyLimits();
+      this.log.note('configuration', {
+        ticket: value.ticket,
+        revision,
+        routes: value.routes.length,
+        accounts: value.accounts?.length,
+      });
+    }
+  }
+
+  private takeAllServers({ entries, revision }: Entries<ServerRecord>): void {
+    const records: ServerRecord[] = [];
+    for (const { value } of entries) if (value !== undefined) records.push(value);
+    this.directory.replaceAll(records, revision);
+    this.log.note('servers', { known: records.length, revision });
+  }
+
+  private takeServers({ entries }: Entries<ServerRecord>): void {
+    for (const { key, value, revision } of entries) {
+      if (value === undefined) this.directory.remove(key, revision);
+      else this.directory.put(value);
+      this.log.note('server', {
+        server: key,
+        revision,
+        known: value !== undefined,
+        leaving: value?.leaving,
+        from: value?.span?.from,
+        to: value?.span?.to,
+      });
+    }
+  }
+
+  private sweep(): void {
+    this.directory.sweep();
+    this.sweepTimer = this.clock.schedule(SWEEP_MS, () => this.sweep());
+  }
+
+  private waitUntil(isDone: () => boolean, endsAt: number): Promise<void> {
+    return new Promise((resolve) => {
+      const look = (): void => {
+        if (isDone() || this.clock.now() >= endsAt) resolve();
+        else this.clock.schedule(50, look);
+      };
+      look();
+    });
+  }
+
+  private addGauges(): void {
+    const { metrics } = this;
+    metrics.gauge('acaciadrum_ticket', () => this.deployments.ticket);
+    metrics.gauge('acaciadrum_open_requests', () => this.desk.active);
+    metrics.gauge('acaciadrum_lease_fence', () => this.lease.heldFence);
+    metrics.gauge('acaciadrum_store_age_ms', () => Math.round(this.configurationFeed.ageMs));
+  }
+}
--- /dev/null
+++ b/src/router/RouterMetrics.ts
@@ -0,0 +1,82 @@
+/** Counters and histograms of a router instance, served as text. */
+import { createServer, type Server } from 'node:http';
+import { build, type Histogram } from 'hdr-histogram-js';
+import { hostAndPort } from '../adapters/http/HttpClient.js';
+import type { RefusalReason, RetryReason } from '../core/Outcome.js';
+import type { RelayCounters, RelayEnd } from '../core/relay/RelayParts.js';
+
+const HIGHEST_MS = 600_000;
+
+const PERCENTILES = [50, 95, 99];
+
+export class RouterMetrics implements RelayCounters {
+  private readonly counts = new Map<string, number>();
+
+  private readonly histograms = new Map<string, Histogram>();
+
+  private readonly gauges = new Map<string, () => number>();
+
+  private readonly server: Server = createServer((_request, response) => {
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
+    response.end(this.text());
+  });
+
+  public end(kind: string, end: RelayEnd): void {
+    this.count(`acaciadrum_requests_total{kind="${kind}",end="${end}"}`);
+  }
+
+  public refusal(reason: RefusalReason): void {
+    this.count(`acaciadrum_refusals_total{reason="${reason}"}`);
+  }
+
+  public retry(reason: RetryReason): void {
+    this.count(`acaciadrum_retries_total{reason="${reason}"}`);
+  }
+
+  public firstByte(kind: string, ms: number): void {
+    let histogram = this.histograms.get(kind);
+    if (histogram === undefined) {
+      histogram = build({ highestTrackableValue: HIGHEST_MS, numberOfSignificantValueDigits: 2 });
+      this.histograms.set(kind, histogram);
+    }
+    histogram.recordValue(Math.min(HIGHEST_MS, Math.max(0, Math.round(ms))));
+  }
+
+  /** Adds a value that is read when the metrics are. */
+  public gauge(name: string, read: () => number): void {
+    this.gauges.set(name, read);
+  }
+
+  public listen(address: string): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(hostAndPort(address), () => resolve());
+    });
+  }
+
+  public close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** The exposition text. */
+  public text(): string {
+    const lines: string[] = [];
+    for (const [name, value] of this.counts) lines.push(`${name} ${value}`);
+    for (const [name, read] of this.gauges) lines.push(`${name} ${read()}`);
+    for (const [kind, histogram] of this.histograms) {
+      for (const percentile of PERCENTILES) {
+        const labels = `kind="${kind}",quantile="${percentile / 100}"`;
+        lines.push(
+          `acaciadrum_first_byte_ms{${labels}} ${histogram.getValueAtPercentile(percentile)}`,
+        );
+      }
+      lines.push(`acaciadrum_first_byte_ms_count{kind="${kind}"} ${histogram.totalCount}`);
+    }
+    return `${lines.join('\n')}\n`;
+  }
+
+  private count(name: string): void {
+    this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
+  }
+}
--- /dev/null
+++ b/src/router/Settings.ts
@@ -0,0 +1,44 @@
+/** Settings of the router daemon. */
+import { z } from 'zod';
+
+const ADDRESS = z
+  .string()
+  .regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/, 'write an IP address and port, as 10.0.0.7:8080');
+
+const MS = z.number().nonnegative();
+
+/** Settings of a router instance. Unknown fields are ignored, so that newer files work too. */
+export const ROUTER_SETTINGS = z.object({
+  instance: z.string().min(1),
+  failureDomain: z.string().min(1),
+  callers: z.object({ address: ADDRESS }),
+  readiness: z.object({ address: ADDRESS }),
+  peers: z.object({
+    address: ADDRESS,
+    /** Addresses of a few instances that may know more than this one at its start. */
+    seeds: z.array(ADDRESS).default([]),
+  }),
+  metrics: z.object({ address: ADDRESS }),
+  store: z.object({ address: ADDRESS }),
+  limits: z.object({ memoryMb: z.number().positive() }),
+  bounds: z.object({
+    /** Time after which a leaving server gets no request, in milliseconds. */
+    drainMs: MS,
+    /** Time from the stop signal until the process is killed, in seconds. */
+    stopGraceS: z.number().positive(),
+    /** Time after which an accepted configuration is in force, in milliseconds. */
+    configurationMs: MS,
+    /** Time of calm after which bounds hold again, in milliseconds. */
+    contactMs: MS,
+    /** Time for which a server waits for a silent one behind it, in milliseconds. */
+    stallMs: MS,
+    /** Retries allowed for each request to a service, over all instances. */
+    retryShare: z.number().nonnegative(),
+    /** Window in which retries are counted, in seconds. */
+    retryWindowS: z.number().positive(),
+    /** Retries in a window beyond the share, over all instances. */
+    retrySlack: z.number().nonnegative(),
+  }),
+});
+
+export type RouterSettings = z.output<typeof ROUTER_SETTINGS>;
