Close gaps in the placement, survive SIGHUP, end kept connections at a stop

Cause: layers whose servers were gone for good stayed uncovered, since only empty servers got orders; a route that needs one server twice was dropped; SIGHUP ended the process; a request on a kept connection was taken 6.8 s after SIGTERM and cut.

--- a/src/core/leases/LeaseKeeper.ts
+++ b/src/core/leases/LeaseKeeper.ts
@@ -50,14 +50,17 @@
  * @param row - the row as just read; undefined when absent
  * @param holds - whether this instance holds the row's fence
  * @param unchangedMs - how long the row's version has been watched unchanged
+ * @param predecessor - beginning of the names of processes that ended before this one began
  */
 export function decideLease(
   row: LeaseRow | undefined,
   holds: boolean,
   unchangedMs: number,
+  predecessor?: string,
 ): LeaseStep {
   if (row === undefined || row.holder === '') return LeaseStep.Acquire;
   if (holds) return LeaseStep.Renew;
+  if (predecessor !== undefined && row.holder.startsWith(predecessor)) return LeaseStep.Acquire;
   return unchangedMs >= LEASE_MS + CANDIDATE_MARGIN_MS ? LeaseStep.Acquire : LeaseStep.Watch;
 }
 
@@ -67,6 +70,8 @@
   readonly table: TableService;
   readonly name: string;
   readonly holder: string;
+  /** Beginning of the holder's name that earlier runs of this process had as well. */
+  readonly predecessor?: string;
   readonly log: (message: string) => void;
 }
 
@@ -146,7 +151,8 @@
     const version = row?.version ?? 0;
     if (version !== this.sighting.version) this.sighting = { version, since: now };
     const holds = current?.holder === this.parts.holder && current.fence === this.fence;
-    const step = decideLease(current, holds, now - this.sighting.since);
+    const { predecessor } = this.parts;
+    const step = decideLease(current, holds, now - this.sighting.since, predecessor);
     if (step === LeaseStep.Renew) await this.renew(row as Row);
     else if (step === LeaseStep.Acquire) await this.acquire(version, (current?.fence ?? 0) + 1);
   }
--- a/src/core/placement/PlacementDriver.ts
+++ b/src/core/placement/PlacementDriver.ts
@@ -1,14 +1,15 @@
 /**
- * Orders servers to load the layers that the planner wants, while this instance holds the lease.
+ * Orders the servers of the own failure domain to hold the layers that the planner wants, while this
+ * instance holds the domain's lease.
  *
  * An order names the number of orders that the server has accepted, so one that arrives late, after a
  * newer one, is refused by the server. Losing the lease or the store stops orders, never requests.
  */
 import type { Clock, Disposable } from '../../ports/Types.js';
+import type { Decisions } from '../Decisions.js';
 import type { Deployments } from '../deployment/Deployments.js';
 import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { EngineProfile, LayerSpan } from '../deployment/Types.js';
-import type { Decisions } from '../Decisions.js';
 import type { HeldLease } from './OrderDriver.js';
 import { planPlacement, type Assignment } from './PlacementPlanner.js';
 
@@ -54,6 +55,7 @@
   readonly lease: HeldLease;
   readonly port: OrderPort;
   readonly decisions: Decisions;
+  readonly failureDomain: string;
 }
 
 /** Time between looks at the fleet, in milliseconds. */
@@ -65,16 +67,31 @@
 /** An order without an answer for this time may have been lost, in milliseconds. */
 const ORDER_TIMEOUT_MS = 800;
 
-/** A server that took an order shows its layers after its load time; then it is asked again. */
+/** Time after which a server that does not show its new layers is asked, in milliseconds. */
 const RECHECK_MS = 3000;
 
+/** A server that conflicts is asked again after this time at the earliest, in milliseconds. */
+const RETRY_MS = 300;
+
+/** Orders in flight at once. */
+const MAX_IN_FLIGHT = 64;
+
+/** The last order to one run of a server. */
 interface Ordered {
   readonly incarnation: number;
-  readonly span: LayerSpan;
+  span: LayerSpan;
+  /** Orders that the server has accepted, as far as known. */
+  accepted: number;
+  /** Whether the wanted layers have shown up. */
+  done: boolean;
   nextCheckAt: number;
   inFlight: boolean;
 }
 
+function sameSpan(a: LayerSpan | undefined, b: LayerSpan): boolean {
+  return a !== undefined && a.from === b.from && a.to === b.to;
+}
+
 export class PlacementDriver {
   private readonly ordered = new Map<string, Ordered>();
 
@@ -82,6 +99,8 @@
 
   private lastArrivalAt = -Infinity;
 
+  private inFlight = 0;
+
   private timer: Disposable | undefined;
 
   public constructor(private readonly parts: PlacementParts) {}
@@ -119,53 +138,60 @@
   }
 
   private lookAt(service: string, engine: EngineProfile): void {
-    const { directory } = this.parts;
     const servers: KnownServer[] = [];
-    for (const server of directory.all()) {
+    for (const server of this.parts.directory.all()) {
       if (server.record.service !== service || server.leaving) continue;
       if (server.missingSince === 0) servers.push(server);
     }
-    const assignments = planPlacement(
-      engine,
-      servers.map(({ record }) => ({
+    this.followUp(servers);
+    const wishes = servers.map(({ record }) => {
+      const open = this.openOrder(record.id, record.incarnation);
+      return {
         id: record.id,
         failureDomain: record.failureDomain,
         accelerator: record.accelerator,
-        span: record.span ?? this.pending(record.id, record.incarnation)?.span,
-      })),
-    );
-    for (const assignment of assignments) this.begin(assignment);
-    this.recheck(servers);
+        span: open?.span ?? record.span,
+        isBusy: open !== undefined,
+      };
+    });
+    const assignments = planPlacement(engine, wishes, this.parts.failureDomain);
+    for (const assignment of assignments) {
+      if (this.inFlight >= MAX_IN_FLIGHT) return;
+      this.begin(assignment);
+    }
   }
 
-  private pending(id: string, incarnation: number): Ordered | undefined {
+  /** The order to a server whose layers have not shown up yet. */
+  private openOrder(id: string, incarnation: number): Ordered | undefined {
     const ordered = this.ordered.get(id);
-    return ordered?.incarnation === incarnation ? ordered : undefined;
+    return ordered?.incarnation === incarnation && !ordered.done ? ordered : undefined;
   }
 
-  private begin(assignment: Assignment): void {
-    const server = this.parts.directory.get(assignment.id);
+  private begin({ id, span }: Assignment): void {
+    const server = this.parts.directory.get(id);
     if (server === undefined) return;
-    const ordered: Ordered = {
-      incarnation: server.record.incarnation,
-      span: assignment.span,
-      nextCheckAt: 0,
-      inFlight: false,
-    };
-    this.ordered.set(assignment.id, ordered);
-    // A server without layers has most likely had no order; a conflict makes the driver ask it.
-    this.send(server, ordered, 0);
+    const { incarnation } = server.record;
+    let ordered = this.ordered.get(id);
+    if (ordered?.incarnation !== incarnation) {
+      // A server without layers has most likely had no order; a conflict makes the driver ask it.
+      const accepted = server.record.span === undefined ? 0 : 1;
+      ordered = { incarnation, span, accepted, done: false, nextCheckAt: 0, inFlight: false };
+      this.ordered.set(id, ordered);
+    }
+    ordered.span = span;
+    ordered.done = false;
+    this.send(server, ordered);
   }
 
-  /** Asks servers whose layers have not shown up, and repeats the order where it did not arrive. */
-  private recheck(servers: readonly KnownServer[]): void {
+  /** Closes orders whose layers have shown up, and asks the servers of the others. */
+  private followUp(servers: readonly KnownServer[]): void {
     const now = this.parts.clock.now();
     for (const server of servers) {
       const { record } = server;
-      const ordered = this.pending(record.id, record.incarnation);
-      if (ordered === undefined || ordered.inFlight) continue;
-      if (record.span !== undefined) this.ordered.delete(record.id);
-      else if (now >= ordered.nextCheckAt) this.ask(server, ordered);
+      const open = this.openOrder(record.id, record.incarnation);
+      if (open === undefined || open.inFlight) continue;
+      if (sameSpan(record.span, open.span)) open.done = true;
+      else if (now >= open.nextCheckAt) this.ask(server, open);
     }
   }
 
@@ -175,24 +201,37 @@
     const report = await this.parts.port.report(record.id, record.address, ORDER_TIMEOUT_MS);
     ordered.inFlight = false;
     ordered.nextCheckAt = this.parts.clock.now() + RECHECK_MS;
-    if (report === undefined || report.busy || report.span !== undefined) return;
-    if (this.parts.lease.heldFence > 0) this.send(server, ordered, report.ordersAccepted);
+    if (report === undefined) {
+      // A server that does not answer takes no part until its entry or a later look says otherwise.
+      this.parts.directory.suspect(record.id);
+      return;
+    }
+    ordered.accepted = report.ordersAccepted;
+    if (report.busy) return;
+    if (sameSpan(report.span, ordered.span)) ordered.done = true;
+    else if (this.parts.lease.heldFence > 0) this.send(server, ordered);
   }
 
-  private async send(server: KnownServer, ordered: Ordered, accepted: number): Promise<void> {
+  private async send(server: KnownServer, ordered: Ordered): Promise<void> {
     const { id, address } = server.record;
+    const { span, accepted } = ordered;
     ordered.inFlight = true;
+    this.inFlight += 1;
     const answer = await this.parts.port.order(
-      { id, address, span: ordered.span, ordersAccepted: accepted },
+      { id, address, span, ordersAccepted: accepted },
       ORDER_TIMEOUT_MS,
     );
+    this.inFlight -= 1;
     ordered.inFlight = false;
-    const waitMs = answer === OrderAnswer.Conflict ? 0 : RECHECK_MS;
+    if (answer === OrderAnswer.Taken) ordered.accepted += 1;
+    const waitMs = answer === OrderAnswer.Conflict ? RETRY_MS : RECHECK_MS;
     ordered.nextCheckAt = this.parts.clock.now() + waitMs;
     this.parts.decisions.note('order', {
       server: id,
-      from: ordered.span.from,
-      to: ordered.span.to,
+      from: span.from,
+      to: span.to,
+      heldFrom: server.record.span?.from,
+      heldTo: server.record.span?.to,
       accepted,
       answer,
     });
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -3,6 +3,8 @@
 import { InvariantKind } from '../Invariant.js';
 import { Outcome, refusal, RefusalReason, type RetryReason } from '../Outcome.js';
 import type { ServerDirectory } from '../deployment/ServerDirectory.js';
+import type { EngineProfile } from '../deployment/Types.js';
+import type { RouteWish } from '../routing/EngineRoutes.js';
 import type { Stage } from '../routing/Types.js';
 import { choosePlainServer } from '../routing/PlainChoice.js';
 import { Claim } from '../routing/Claim.js';
@@ -99,13 +101,7 @@
   protected chooseTarget(): Target | undefined {
     const { service } = this.assigned;
     if (service.engine === undefined) return this.choosePlain();
-    const stages = this.parts.routes.plan({
-      service,
-      engine: service.engine,
-      tokens: this.tokens,
-      avoid: this.avoid,
-      kept: [],
-    });
+    const stages = this.parts.routes.plan(this.wishFor(service.engine));
     return stages && { server: stages[0].server, stages };
   }
 
@@ -228,6 +224,7 @@
       sends: this.ledger.count,
       avoided: [...this.avoid].join(','),
       servers: countUsable(directory, service.name),
+      ...this.explainRoutes(),
       ticket: deployments.ticket,
     });
     this.finishRefused(() =>
@@ -241,6 +238,18 @@
     tell();
   }
 
+  private explainRoutes(): { missing?: string; full?: string } {
+    const { service } = this.assigned;
+    return service.engine === undefined
+      ? {}
+      : this.parts.routes.explain(this.wishFor(service.engine));
+  }
+
+  private wishFor(engine: EngineProfile): RouteWish {
+    const { service } = this.assigned;
+    return { service, engine, tokens: this.tokens, avoid: this.avoid, kept: [] };
+  }
+
   private choosePlain(): Target | undefined {
     const { directory, load, homeDomain } = this.parts;
     const { name } = this.assigned.service;
--- a/src/core/relay/RelayDesk.ts
+++ b/src/core/relay/RelayDesk.ts
@@ -26,8 +26,15 @@
 export class RelayDesk {
   private readonly running = new Set<BaseRelay>();
 
+  private isClosed = false;
+
   public constructor(private readonly parts: RelayParts) {}
 
+  /** Turns every later request away. */
+  public close(): void {
+    this.isClosed = true;
+  }
+
   /** Requests in progress. */
   public get active(): number {
     return this.running.size;
@@ -35,6 +42,13 @@
 
   /** Takes a request; its answer goes to `reply`. */
   public accept(request: CallerRequest, reply: CallerReply): Relay {
+    if (this.isClosed) {
+      return this.turnDown(
+        request,
+        reply,
+        notRun(RefusalReason.Stopping, 'This instance stops. Send the request again elsewhere.'),
+      );
+    }
     const table = this.parts.deployments.current;
     if (table === undefined) {
       return this.turnDown(
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -46,9 +46,24 @@
       kept: wish.kept,
       rebuildLayerMs: wish.tokens / (engine.readTokensPerMs * engine.layers),
     });
-    if (route === undefined || route.stages.length > MAX_STAGES) return undefined;
-    if (!coversOnce(route.stages, engine.layers) || repeatsServer(route.stages)) return undefined;
-    return route.stages;
+    if (route === undefined) return undefined;
+    const stages = joinRepeats(route.stages);
+    return stages.length <= MAX_STAGES && coversOnce(stages, engine.layers) ? stages : undefined;
+  }
+
+  /**
+   * Says why no route is found.
+   * @returns the layers that no usable server holds, and those that none has memory for
+   */
+  public explain(wish: RouteWish): { missing: string; full: string } {
+    const held = new Uint8Array(wish.engine.layers);
+    const roomy = new Uint8Array(wish.engine.layers);
+    for (const { server, from, to } of this.candidatesOf(wish.service, wish.engine)) {
+      if (wish.avoid.has(server) || !this.directory.isUsable(server)) continue;
+      held.fill(1, from, to);
+      if (this.hasRoom(server, wish.engine, wish.tokens)) roomy.fill(1, from, to);
+    }
+    return { missing: describeGaps(held), full: describeGaps(roomy) };
   }
 
   /** Time until a server has read the prompts that wait there, plus what a step takes for its requests. */
@@ -108,6 +123,28 @@
   };
 }
 
-function repeatsServer(stages: readonly Stage[]): boolean {
-  return new Set(stages.map(({ server }) => server)).size < stages.length;
+/** Lists spans of zeros, as `8-16,40-48`. */
+function describeGaps(covered: Uint8Array): string {
+  const gaps: string[] = [];
+  let from = -1;
+  for (let layer = 0; layer <= covered.length; layer += 1) {
+    const isGap = layer < covered.length && covered[layer] === 0;
+    if (isGap && from === -1) from = layer;
+    if (!isGap && from !== -1) {
+      gaps.push(`${from}-${layer}`);
+      from = -1;
+    }
+  }
+  return gaps.join(',');
+}
+
+/** Joins the stages of a server that a route visits twice: it holds all layers in between, too. */
+export function joinRepeats(stages: readonly Stage[]): Stage[] {
+  const joined: Stage[] = [];
+  for (const stage of stages) {
+    const first = joined.findIndex(({ server }) => server === stage.server);
+    if (first === -1) joined.push(stage);
+    else joined.splice(first, joined.length, { ...joined[first], to: stage.to });
+  }
+  return joined;
 }
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -107,6 +107,10 @@
       this.open -= 1;
       if (!response.writableFinished) relay?.cancel();
     });
+    response.once('finish', () => {
+      // The answer's head may have left before the stop began, without a word about the connection.
+      if (this.parts.isLeaving()) request.socket.end();
+    });
     const chunks: Buffer[] = [];
     let size = 0;
     request.on('data', (chunk: Buffer) => {
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -71,7 +71,7 @@
   private sweepTimer: Disposable | undefined;
 
   public constructor(
-    private readonly settings: RouterSettings,
+    private settings: RouterSettings,
     private readonly log: StructuredLog,
   ) {
     const { clock, deployments, directory, load, servers } = this;
@@ -108,8 +108,9 @@
     this.lease = new LeaseKeeper({
       clock,
       table: store,
-      name: 'placement',
+      name: `placement/${failureDomain}`,
       holder: `${instance}/${random.id(4)}`,
+      predecessor: `${instance}/`,
       log: (message) => log.note('lease', { message }),
     });
     this.placement = new PlacementDriver({
@@ -119,6 +120,7 @@
       lease: this.lease,
       port: servers,
       decisions: log,
+      failureDomain,
     });
     this.configurationFeed = new FeedFollower({
       name: 'configuration',
@@ -173,12 +175,19 @@
     this.placement.dispose();
     this.lease.release();
     await this.waitUntil(() => this.clock.now() - begunAt >= BALANCER_MS, endsAt);
+    this.desk.close();
     this.ingress.stopListening();
     await this.waitUntil(() => this.ingress.active === 0, endsAt);
     this.log.note('stopped', { active: this.ingress.active });
     this.dispose();
   }
 
+  /** Takes in changed settings; listeners keep their addresses until the next start. */
+  public reload(settings: RouterSettings): void {
+    this.settings = settings;
+    this.log.note('reload', { outcome: 'in force', stopGraceS: settings.bounds.stopGraceS });
+  }
+
   /** Closes everything at once; open requests break. */
   public dispose(): void {
     this.sweepTimer?.dispose();
--- a/src/router/main.ts
+++ b/src/router/main.ts
@@ -1,34 +1,38 @@
 #!/usr/bin/env node
 /** The router daemon: reads its settings, serves until SIGTERM, then stops without cutting a request. */
-import { readFile } from 'node:fs/promises';
 import { StructuredLog } from '../adapters/logs/StructuredLog.js';
-import { readChecked } from '../adapters/yaml/CheckedYaml.js';
-import { describeFaults, Failure, FailureKind } from '../core/Failure.js';
+import { Failure, FailureKind } from '../core/Failure.js';
 import { RouterInstance } from './RouterInstance.js';
-import { ROUTER_SETTINGS, type RouterSettings } from './Settings.js';
+import { readSettings, SettingsFile } from './SettingsFile.js';
 
 /** Variable that names the settings file. */
 const SETTINGS_VARIABLE = 'ACACIADRUM_CONFIG';
 
-async function readSettings(): Promise<RouterSettings> {
-  const file = process.env[SETTINGS_VARIABLE];
-  if (file === undefined) {
-    throw new Failure(FailureKind.BadSettings, `Set ${SETTINGS_VARIABLE} to the settings file.`);
-  }
-  const result = readChecked(await readFile(file, 'utf8'), ROUTER_SETTINGS);
-  if (result.isOk) return result.value;
-  throw new Failure(
-    FailureKind.BadSettings,
-    `${file} has faults. Mend each:\n${describeFaults(result.error)}`,
-  );
+const file = process.env[SETTINGS_VARIABLE];
+if (file === undefined) {
+  throw new Failure(FailureKind.BadSettings, `Set ${SETTINGS_VARIABLE} to the settings file.`);
 }
+const first = await readSettings(file);
+if (first.isErr) throw first.error;
+const log = new StructuredLog(first.value.instance);
+const router = new RouterInstance(first.value, log);
 
-const settings = await readSettings();
-const log = new StructuredLog(settings.instance);
-const router = new RouterInstance(settings, log);
-await router.start();
+const settingsFile = new SettingsFile(file, (result) => {
+  if (result.isErr) log.note('reload', { outcome: 'kept', error: result.error.message });
+  else router.reload(result.value);
+});
+
+process.on('SIGHUP', () => settingsFile.reload());
 process.once('SIGTERM', async () => {
+  settingsFile.dispose();
   await router.stop();
   log.dispose();
   process.exit(0);
 });
+process.on('uncaughtException', (error) => {
+  log.note('crash', { error: error.message, stack: error.stack });
+  log.dispose();
+  process.exit(1);
+});
+
+await router.start();
