--- /dev/null
+++ b/src/adapters/grpc/SharingService.ts
@@ -0,0 +1,137 @@
+/** The gRPC service by which router instances share what they know. Messages are JSON. */
+import {
+  credentials,
+  makeGenericClientConstructor,
+  Server,
+  ServerCredentials,
+  type Client,
+  type sendUnaryData,
+  type ServerUnaryCall,
+  type ServiceDefinition,
+} from '@grpc/grpc-js';
+import { Failure, FailureKind } from '../../core/Failure.js';
+import type { Deployment, EngineProfile } from '../../core/deployment/Types.js';
+import type { PeerDigest, PeerPort, PeerReceipt } from '../../core/peers/Types.js';
+
+/** Deployments with thousands of routes fit. */
+const MAX_MESSAGE_BYTES = 32 * 1024 * 1024;
+
+/** A digest without an answer for this time is lost; the next one follows, in milliseconds. */
+const DEADLINE_MS = 500;
+
+/** A channel that failed is tried again after at most this time, in milliseconds. */
+const MAX_RECONNECT_MS = 1000;
+
+const MAP_MARK = '$map';
+
+function replaceMaps(_key: string, value: unknown): unknown {
+  return value instanceof Map ? { [MAP_MARK]: [...value] } : value;
+}
+
+function reviveMaps(_key: string, value: unknown): unknown {
+  if (typeof value !== 'object' || value === null || !(MAP_MARK in value)) return value;
+  return new Map((value as { [MAP_MARK]: [string, EngineProfile][] })[MAP_MARK]);
+}
+
+function serialize(value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value, replaceMaps));
+}
+
+function deserialize<T>(bytes: Buffer): T {
+  return JSON.parse(bytes.toString('utf8'), reviveMaps) as T;
+}
+
+/** Copies a deployment as it arrives at a peer. */
+export function throughWire(deployment: Deployment): Deployment {
+  return deserialize(serialize(deployment));
+}
+
+const SHARING: ServiceDefinition = {
+  Share: {
+    path: '/acaciadrum.Sharing/Share',
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: serialize,
+    requestDeserialize: (bytes: Buffer) => deserialize<PeerDigest>(bytes),
+    responseSerialize: serialize,
+    responseDeserialize: (bytes: Buffer) => deserialize<PeerReceipt>(bytes),
+  },
+};
+
+const SharingClient = makeGenericClientConstructor(SHARING, 'Sharing');
+
+type Share = (
+  digest: PeerDigest,
+  options: { deadline: number },
+  callback: (error: Error | null, receipt: PeerReceipt) => void,
+) => void;
+
+export class SharingService implements PeerPort {
+  private readonly clients = new Map<string, Client>();
+
+  private readonly server = new Server({ 'grpc.max_receive_message_length': MAX_MESSAGE_BYTES });
+
+  /** @param take - takes in a digest and says what this instance holds */
+  public constructor(take: (digest: PeerDigest) => PeerReceipt) {
+    this.server.addService(SHARING, {
+      Share: (
+        call: ServerUnaryCall<PeerDigest, PeerReceipt>,
+        callback: sendUnaryData<PeerReceipt>,
+      ) => callback(null, take(call.request)),
+    });
+  }
+
+  public listen(address: string): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.bindAsync(address, ServerCredentials.createInsecure(), (error) => {
+        if (error) reject(error);
+        else resolve();
+      });
+    });
+  }
+
+  public dispose(): void {
+    this.server.forceShutdown();
+    for (const client of this.clients.values()) client.close();
+    this.clients.clear();
+  }
+
+  public send(address: string, digest: PeerDigest): Promise<PeerReceipt> {
+    const client = this.clientFor(address) as unknown as { Share: Share };
+    return new Promise((resolve, reject) => {
+      // The deadline is wall time in this library; a jump of the clock loses one digest at most.
+      client.Share(digest, { deadline: Date.now() + DEADLINE_MS }, (error, receipt) => {
+        if (error === null) {
+          resolve(receipt);
+          return;
+        }
+        this.drop(address);
+        reject(
+          new Failure(
+            FailureKind.PeerUnavailable,
+            `Peer ${address} gave no answer: ${error.message}. It is told again.`,
+          ),
+        );
+      });
+    });
+  }
+
+  private clientFor(address: string): Client {
+    let client = this.clients.get(address);
+    if (client === undefined) {
+      client = new SharingClient(address, credentials.createInsecure(), {
+        'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+        'grpc.max_reconnect_backoff_ms': MAX_RECONNECT_MS,
+        'grpc.initial_reconnect_backoff_ms': MAX_RECONNECT_MS / 4,
+      });
+      this.clients.set(address, client);
+    }
+    return client;
+  }
+
+  /** Closes a channel that may have gone silent, so that the next digest opens a new one. */
+  private drop(address: string): void {
+    this.clients.get(address)?.close();
+    this.clients.delete(address);
+  }
+}
--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -9,6 +9,8 @@
   Leaving = 'leaving',
   /** It refused connections, broke off or fell silent. */
   Suspect = 'suspect',
+  /** It turned a request away for want of memory. */
+  Full = 'full',
 }
 
 /** One server with what is believed of it. */
@@ -19,8 +21,14 @@
   leaving: boolean;
   /** Time until which the server counts as suspect. */
   suspectUntil: number;
-  /** Failures in a row; lengthens the next suspicion. */
+  /** Time until which the server gets no new work for want of memory. */
+  restsUntil: number;
+  /** Failures without a sign of life between them; lengthens the next suspicion. */
   failures: number;
+  /** Time of the last sign that the server works. */
+  provenAt: number;
+  /** Time since which the server leaves. */
+  leavingSince: number;
   /** Time at which the entry was found missing; 0 while it is present. */
   missingSince: number;
 }
@@ -44,6 +52,8 @@
 
   private readonly changes = new Emitter<KnownServer>();
 
+  private newestRevision = 0;
+
   private storeTroubleUntil = -Infinity;
 
   /** Fires when a server is new, changed its layers, leaves or became suspect. */
@@ -51,6 +61,11 @@
 
   public constructor(private readonly clock: Clock) {}
 
+  /** Revision of the newest entry taken in. */
+  public get revision(): number {
+    return this.newestRevision;
+  }
+
   /** Tells that the store could not be read: entries may be missing without their server being gone. */
   public noteStoreTrouble(): void {
     this.storeTroubleUntil = this.clock.now() + RETURN_MS;
@@ -58,6 +73,7 @@
 
   /** Takes in an entry as the store holds it. */
   public put(record: ServerRecord): void {
+    this.newestRevision = Math.max(this.newestRevision, record.revision);
     const server = this.known.get(record.id);
     if (server === undefined) {
       this.add(record);
@@ -69,6 +85,7 @@
     server.record = record;
     server.revision = record.revision;
     server.missingSince = 0;
+    if (record.leaving && !server.leaving) server.leavingSince = this.clock.now();
     server.leaving = record.leaving;
     if (reborn) {
       server.suspectUntil = 0;
@@ -123,10 +140,27 @@
     return lastsMs;
   }
 
-  /** Records that a server did work well. */
-  public praise(id: string): void {
+  /** Records a sign that a server works. */
+  public prove(id: string): void {
     const server = this.known.get(id);
-    if (server !== undefined) server.failures = 0;
+    if (server === undefined) return;
+    server.provenAt = this.clock.now();
+    server.failures = 0;
+  }
+
+  /** Time of the last sign that a server works. */
+  public provenAt(id: string): number {
+    return this.known.get(id)?.provenAt ?? -Infinity;
+  }
+
+  /**
+   * Keeps new work from a server for a moment, as one that is short of memory; no sign of a fault.
+   * @param forMs - how long, in milliseconds
+   */
+  public rest(id: string, forMs: number): void {
+    const server = this.known.get(id);
+    if (server === undefined) return;
+    server.restsUntil = Math.max(server.restsUntil, this.clock.now() + forMs);
   }
 
   public get(id: string): KnownServer | undefined {
@@ -145,7 +179,9 @@
   /** Why a server gets no new work; undefined when it may. */
   public doubt(server: KnownServer): ServerDoubt | undefined {
     if (server.leaving) return ServerDoubt.Leaving;
-    return server.suspectUntil > this.clock.now() ? ServerDoubt.Suspect : undefined;
+    const now = this.clock.now();
+    if (server.suspectUntil > now) return ServerDoubt.Suspect;
+    return server.restsUntil > now ? ServerDoubt.Full : undefined;
   }
 
   public isUsable(id: string): boolean {
@@ -159,7 +195,10 @@
       revision: record.revision,
       leaving: record.leaving,
       suspectUntil: 0,
+      restsUntil: 0,
       failures: 0,
+      provenAt: -Infinity,
+      leavingSince: record.leaving ? this.clock.now() : Infinity,
       missingSince: 0,
     };
     this.known.set(record.id, server);
@@ -175,6 +214,7 @@
 
   private leave(server: KnownServer): void {
     server.leaving = true;
+    server.leavingSince = this.clock.now();
     this.changes.fire(server);
   }
 }
--- /dev/null
+++ b/src/core/peers/Roster.ts
@@ -0,0 +1,53 @@
+/** Writes this instance's address into the store, where others find it at their start. */
+import { z } from 'zod';
+import type { Clock, Disposable, TableService } from '../../ports/Types.js';
+import type { Decisions } from '../Decisions.js';
+import type { PeerAddress } from './Types.js';
+
+const PEER = z.object({ instance: z.string(), address: z.string(), failureDomain: z.string() });
+
+/** Reads an instance's row; undefined when it is not one. */
+export function decodePeer(value: unknown): PeerAddress | undefined {
+  const parsed = PEER.safeParse(value);
+  return parsed.success ? parsed.data : undefined;
+}
+
+export interface RosterParts {
+  readonly clock: Clock;
+  readonly table: TableService;
+  readonly self: PeerAddress;
+  readonly decisions: Decisions;
+}
+
+/** Time between tries while the store gives no answer, in milliseconds. */
+const RETRY_MS = 1500;
+
+export class Roster {
+  private timer: Disposable | undefined;
+
+  private disposed = false;
+
+  public constructor(private readonly parts: RosterParts) {}
+
+  public start(): void {
+    this.enrol();
+  }
+
+  public dispose(): void {
+    this.disposed = true;
+    this.timer?.dispose();
+  }
+
+  private async enrol(): Promise<void> {
+    const { table, self, clock, decisions } = this.parts;
+    try {
+      await table.transact({
+        conditions: [],
+        writes: [{ key: `instances/${self.instance}`, value: self }],
+      });
+    } catch (error) {
+      decisions.note('roster', { outcome: 'tried again', error: (error as Error).message });
+      if (!this.disposed) this.timer = clock.schedule(RETRY_MS, () => this.enrol());
+    }
+  }
+}
--- a/src/core/placement/PlacementDriver.ts
+++ b/src/core/placement/PlacementDriver.ts
@@ -39,6 +39,15 @@
   readonly span: LayerSpan | undefined;
   /** Whether an order is being carried out. */
   readonly busy: boolean;
+  /** Requests that wait for a server further on their route. */
+  readonly blocked: readonly BlockedRequest[];
+}
+
+/** A request that began at the reporting server and waits for another. */
+export interface BlockedRequest {
+  readonly id: string;
+  /** Address of the server that it waits for. */
+  readonly address: string;
 }
 
 /** Sends orders to servers. */
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -160,6 +160,10 @@
     return true;
   }
 
+  protected moveClaim(stages: readonly Stage[]): void {
+    this.claim?.move(stages);
+  }
+
   protected endReading(): void {
     this.claim?.endReading();
   }
@@ -245,7 +249,7 @@
       : this.parts.routes.explain(this.wishFor(service.engine));
   }
 
-  private wishFor(engine: EngineProfile): RouteWish {
+  protected wishFor(engine: EngineProfile): RouteWish {
     const { service } = this.assigned;
     return { service, engine, tokens: this.tokens, avoid: this.avoid, kept: [] };
   }
--- a/src/core/relay/CallRelay.ts
+++ b/src/core/relay/CallRelay.ts
@@ -50,7 +50,7 @@
       this.failedAnswer = { head, body };
       if (this.sendAgain(RetryReason.StageFailed, server)) return;
     }
-    this.parts.directory.praise(server);
+    this.parts.directory.prove(server);
     this.deliver(head, body);
   }
 
--- a/src/core/relay/RelayParts.ts
+++ b/src/core/relay/RelayParts.ts
@@ -1,4 +1,4 @@
-import type { Clock, Random } from '../../ports/Types.js';
+import type { Clock, Disposable, Random } from '../../ports/Types.js';
 import type { Decisions } from '../Decisions.js';
 import type { Deployments } from '../deployment/Deployments.js';
 import type { ServerDirectory } from '../deployment/ServerDirectory.js';
@@ -8,8 +8,27 @@
 import type { RefusalReason, RetryReason } from '../Outcome.js';
 import type { EngineRoutes } from '../routing/EngineRoutes.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
+import type { Stage } from '../routing/Types.js';
 import type { CallerReply, CallerRequest, ServerPort } from './Types.js';
 
+/** A stream whose silence is watched. */
+export interface WatchedStream {
+  readonly id: string;
+  /** Servers that the stream passes through now. */
+  readonly stages: readonly Stage[];
+  /** Time of the last event, or of the last send or new route. */
+  readonly lastEventAt: number;
+  /** Time after the last event at which the stream counts as silent, in milliseconds. */
+  readonly silentAfterMs: number;
+  /** Leaves servers that must not be used any longer. */
+  leave(servers: ReadonlySet<string>, reason: RetryReason): void;
+}
+
+/** Takes streams to be watched. */
+export interface StreamRegistry {
+  add(stream: WatchedStream): Disposable;
+}
+
 /** How a request ended. */
 export enum RelayEnd {
   Complete = 'complete',
@@ -36,6 +55,7 @@
   readonly load: ServerLoad;
   readonly routes: EngineRoutes;
   readonly port: ServerPort;
+  readonly watch: StreamRegistry;
   readonly budget: RetryBudget;
   readonly decisions: Decisions;
   readonly counters: RelayCounters;
--- /dev/null
+++ b/src/core/relay/SilenceWatch.ts
@@ -0,0 +1,150 @@
+/**
+ * Finds the server that keeps streams waiting.
+ *
+ * A stream that is silent for longer than its own pace explains is stalled. Each server on its route
+ * that has given no sign of life since is asked; one that does not answer at once is left by every stream
+ * that passes through it. A server that answers may name one further on that it waits for.
+ */
+import type { Clock, Disposable } from '../../ports/Types.js';
+import type { Decisions } from '../Decisions.js';
+import { ServerDoubt, type ServerDirectory } from '../deployment/ServerDirectory.js';
+import { RetryReason } from '../Outcome.js';
+import type { ServerReport } from '../placement/PlacementDriver.js';
+import type { StreamRegistry, WatchedStream } from './RelayParts.js';
+
+/** Asks a server for a report. */
+export interface ReportPort {
+  report(id: string, address: string, timeoutMs: number): Promise<ServerReport | undefined>;
+}
+
+export interface SilenceParts {
+  readonly clock: Clock;
+  readonly directory: ServerDirectory;
+  readonly port: ReportPort;
+  readonly decisions: Decisions;
+  /** Time after which a leaving server's streams are moved, in milliseconds. */
+  readonly leaveAfterMs: number;
+}
+
+/** Time between looks, in milliseconds: a fraction of the pause that callers are promised. */
+const TICK_MS = 40;
+
+/** A tick this late says that the process itself stood still, in milliseconds. */
+const STANDSTILL_MS = 120;
+
+/** A report takes two link delays; a server without an answer for this time is silent, in milliseconds. */
+const REPORT_TIMEOUT_MS = 110;
+
+/** A server is not asked again within this time, in milliseconds. */
+const ASK_AGAIN_MS = 250;
+
+/** Reports are this old; a server named in one must have kept the stream waiting for longer. */
+const REPORT_LAG_MS = 250;
+
+export class SilenceWatch implements StreamRegistry {
+  private readonly streams = new Set<WatchedStream>();
+
+  private readonly askedAt = new Map<string, number>();
+
+  private lastTickAt = 0;
+
+  private timer: Disposable | undefined;
+
+  public constructor(private readonly parts: SilenceParts) {}
+
+  public add(stream: WatchedStream): Disposable {
+    this.streams.add(stream);
+    return { dispose: () => this.streams.delete(stream) };
+  }
+
+  public start(): void {
+    this.lastTickAt = this.parts.clock.now();
+    this.timer = this.parts.clock.schedule(TICK_MS, () => this.tick());
+  }
+
+  public dispose(): void {
+    this.timer?.dispose();
+  }
+
+  private tick(): void {
+    const now = this.parts.clock.now();
+    const stoodStill = now - this.lastTickAt > TICK_MS + STANDSTILL_MS;
+    this.lastTickAt = now;
+    this.timer = this.parts.clock.schedule(TICK_MS, () => this.tick());
+    // After a standstill, events that came meanwhile are read first.
+    if (stoodStill) return;
+    for (const stream of this.streams) {
+      if (now - stream.lastEventAt >= stream.silentAfterMs) this.examine(stream, now);
+      else this.leaveLeaving(stream, now);
+    }
+  }
+
+  private leaveLeaving(stream: WatchedStream, now: number): void {
+    let leaving: Set<string> | undefined;
+    for (const { server } of stream.stages) {
+      const known = this.parts.directory.get(server);
+      if (known === undefined || !known.leaving) continue;
+      if (now - known.leavingSince < this.parts.leaveAfterMs) continue;
+      leaving ??= new Set();
+      leaving.add(server);
+    }
+    if (leaving !== undefined) stream.leave(leaving, RetryReason.Leaving);
+  }
+
+  private examine(stream: WatchedStream, now: number): void {
+    const suspects = new Set<string>();
+    for (const { server, address } of stream.stages) {
+      const known = this.parts.directory.get(server);
+      if (known === undefined || this.parts.directory.doubt(known) === ServerDoubt.Suspect) {
+        suspects.add(server);
+        continue;
+      }
+      if (known.provenAt > stream.lastEventAt + stream.silentAfterMs) continue;
+      if (now - (this.askedAt.get(server) ?? -Infinity) >= ASK_AGAIN_MS) this.ask(server, address);
+    }
+    if (suspects.size > 0) stream.leave(suspects, RetryReason.Silence);
+  }
+
+  private async ask(server: string, address: string): Promise<void> {
+    const { clock, directory, port, decisions } = this.parts;
+    const askedAt = clock.now();
+    this.askedAt.set(server, askedAt);
+    const report = await port.report(server, address, REPORT_TIMEOUT_MS);
+    if (report !== undefined) {
+      directory.prove(server);
+      this.leaveBlockers(report);
+      return;
+    }
+    if (directory.provenAt(server) > askedAt) return;
+    const forMs = directory.suspect(server);
+    decisions.note('suspect', {
+      server,
+      why: 'no report',
+      waitedMs: Math.round(clock.now() - askedAt),
+      provenMsAgo: Math.round(askedAt - directory.provenAt(server)),
+      forMs,
+    });
+    for (const stream of this.streams) {
+      if (stream.stages.some((stage) => stage.server === server))
+        stream.leave(new Set([server]), RetryReason.Silence);
+    }
+  }
+
+  /** Moves streams whose first server names the one that it waits for. */
+  private leaveBlockers({ blocked }: ServerReport): void {
+    if (blocked.length === 0) return;
+    const now = this.parts.clock.now();
+    for (const stream of this.streams) {
+      if (now - stream.lastEventAt < stream.silentAfterMs + REPORT_LAG_MS) continue;
+      const entry = blocked.find(({ id }) => id === stream.id);
+      const blocker = entry && this.parts.directory.at(entry.address);
+      if (blocker === undefined) continue;
+      this.parts.decisions.note('blocked', {
+        id: stream.id,
+        server: blocker.record.id,
+        silentMs: Math.round(now - stream.lastEventAt),
+      });
+      stream.leave(new Set([blocker.record.id]), RetryReason.Silence);
+    }
+  }
+}
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -3,16 +3,52 @@
  *
  * Only whole events are passed on, so a server that stops inside an event leaves no trace at the caller.
  * The head is held back until the first event: until then the request can still go elsewhere unseen.
+ * A stream that loses a server on its route keeps its first server and gets another route; one that loses
+ * its first server goes on at another, after the last event that the caller has.
  */
+import type { Disposable } from '../../ports/Types.js';
+import type { KnownServer } from '../deployment/ServerDirectory.js';
 import { InvariantKind } from '../Invariant.js';
 import { RefusalReason, RetryReason } from '../Outcome.js';
+import type { Stage } from '../routing/Types.js';
 import { BaseRelay, type Target } from './BaseRelay.js';
 import { retryReason } from './CallRelay.js';
 import { EventSplitter } from './EventSplitter.js';
-import { RelayEnd } from './RelayParts.js';
-import { CallFailure, type AnswerHead, type ServerCallListener } from './Types.js';
+import { RelayEnd, type WatchedStream } from './RelayParts.js';
+import {
+  CallFailure,
+  RerouteStatus,
+  type AnswerHead,
+  type RerouteAnswer,
+  type ServerCallListener,
+} from './Types.js';
+
+/** Silence before the first event is never called earlier, in milliseconds. */
+const FIRST_EVENT_MS = 220;
+
+/** Time that a prompt token adds to the wait for the first event, in milliseconds. */
+const FIRST_EVENT_TOKEN_MS = 0.1;
+
+/** Silence between events is never called earlier, in milliseconds. */
+const MIN_SILENCE_MS = 90;
+
+/** A pause this many times the usual one is silence. */
+const SILENCE_FACTOR = 4;
+
+/** Weight of the newest pause. */
+const SMOOTHING = 0.2;
+
+/** An order for a new route is answered within link delays, in milliseconds. */
+const REROUTE_TIMEOUT_MS = 250;
+
+/** Time for which a server that turned a request away for want of memory gets none, in milliseconds. */
+const REST_MS = 150;
+
+export class StreamRelay extends BaseRelay implements WatchedStream {
+  public lastEventAt = this.parts.clock.now();
+
+  public stages: readonly Stage[] = [];
 
-export class StreamRelay extends BaseRelay {
   private readonly splitter = new EventSplitter(
     Number(this.assigned.request.resumeAfter ?? Number.NaN),
   );
@@ -21,14 +57,46 @@
 
   private begun = false;
 
+  private gapMs = 0;
+
+  private rerouting = false;
+
+  /** Grows with each send, so that answers about an earlier one are told apart. */
+  private epoch = 0;
+
   /** Body of an answer that is no stream. */
   private readonly chunks: Buffer[] = [];
 
-  private lastEventAt = this.parts.clock.now();
+  private readonly registration: Disposable = this.parts.watch.add(this);
+
+  public get id(): string {
+    return this.assigned.request.id;
+  }
+
+  public get silentAfterMs(): number {
+    if (this.gapMs > 0) return Math.max(MIN_SILENCE_MS, this.gapMs * SILENCE_FACTOR);
+    return FIRST_EVENT_MS + this.tokens * FIRST_EVENT_TOKEN_MS;
+  }
+
+  public leave(servers: ReadonlySet<string>, reason: RetryReason): void {
+    if (this.ended || this.rerouting || this.stages.length === 0) return;
+    for (const server of servers) this.avoid.add(server);
+    const first = this.stages[0];
+    if (!servers.has(first.server)) {
+      this.reroute(reason);
+      return;
+    }
+    // A leaving first server works on until it breaks off; only then is the stream taken elsewhere.
+    if (reason === RetryReason.Leaving) return;
+    this.moveOn(reason, first.server);
+  }
 
   protected listener(target: Target): ServerCallListener {
     this.splitter.restart();
     this.head = undefined;
+    this.gapMs = 0;
+    this.epoch += 1;
+    this.stages = target.stages;
     this.lastEventAt = this.parts.clock.now();
     return {
       onHead: (head) => {
@@ -45,6 +113,11 @@
     return this.begun && !Number.isNaN(lastNumber) ? String(lastNumber) : super.resumeAfter;
   }
 
+  protected override finish(end: RelayEnd): void {
+    this.registration.dispose();
+    super.finish(end);
+  }
+
   protected override finishRefused(tell: () => void): void {
     if (!this.begun) {
       super.finishRefused(tell);
@@ -69,13 +142,24 @@
     this.parts.invariants.check(
       InvariantKind.TokenOrder,
       !batch.gap,
-      () => `request ${this.assigned.request.id} misses an event`,
+      () => `request ${this.id} misses an event`,
     );
-    this.lastEventAt = this.parts.clock.now();
+    this.noteEvent();
     if (!this.begun) this.begin();
     this.assigned.reply.write(batch.bytes);
   }
 
+  private noteEvent(): void {
+    const { clock, directory } = this.parts;
+    const now = clock.now();
+    if (this.begun) {
+      const gap = now - this.lastEventAt;
+      this.gapMs = this.gapMs === 0 ? gap : this.gapMs + SMOOTHING * (gap - this.gapMs);
+    }
+    this.lastEventAt = now;
+    for (const { server } of this.stages) directory.prove(server);
+  }
+
   private begin(): void {
     const { request, reply, route } = this.assigned;
     this.begun = true;
@@ -94,7 +178,6 @@
       return;
     }
     if (!this.begun) this.begin();
-    for (const { server } of target.stages) this.parts.directory.praise(server);
     this.finish(RelayEnd.Complete);
     this.assigned.reply.end();
   }
@@ -120,17 +203,18 @@
     reply.end();
   }
 
-  /** Finds the server that an answer blames, and suspects it. */
+  /** Finds the server that an answer blames, and keeps new work from it for a moment. */
   private blame(target: Target, head: AnswerHead): string {
     const { directory, decisions } = this.parts;
     const at = head.faultAddress === undefined ? undefined : directory.at(head.faultAddress);
     const blamed = at?.record.id ?? target.server;
-    const forMs = directory.suspect(blamed);
-    decisions.note('suspect', {
-      id: this.assigned.request.id,
-      server: blamed,
+    directory.rest(blamed, REST_MS);
+    decisions.note('turned-away', {
+      id: this.id,
+      server: target.server,
+      blamed,
       status: head.status,
-      forMs,
+      sends: this.ledger.count,
     });
     return blamed;
   }
@@ -145,4 +229,78 @@
     if (mayRepeat && this.sendAgain(retryReason(failure), server)) return;
     this.failWith(RefusalReason.ServerLost);
   }
+
+  /** Takes the stream to another first server. */
+  private moveOn(reason: RetryReason, failed: string): void {
+    if (!this.assigned.route.resumable) return;
+    // Without another server, the one before may still come back to life.
+    if (this.canGoElsewhere) {
+      this.ledger.settle(true);
+      if (!this.sendAgain(reason, failed)) this.avoid.delete(failed);
+    }
+  }
+
+  private get canGoElsewhere(): boolean {
+    const target = this.chooseTarget();
+    return target !== undefined && this.ledger.allows(target.server);
+  }
+
+  /** Asks the first server to take the stream over other servers. */
+  private async reroute(reason: RetryReason): Promise<void> {
+    const { service } = this.assigned;
+    const [first] = this.stages;
+    const server = this.parts.directory.get(first.server);
+    if (service.engine === undefined || server === undefined) return;
+    const wish = { ...this.wishFor(service.engine), kept: this.stages };
+    const stages = this.parts.routes.planRest(wish, first);
+    if (stages === undefined) return;
+    this.rerouting = true;
+    const { epoch } = this;
+    const sentAt = this.parts.clock.now();
+    const answer = await this.parts.port.reroute(
+      first.server,
+      server.record.address,
+      this.id,
+      stages,
+      REROUTE_TIMEOUT_MS,
+    );
+    this.rerouting = false;
+    this.noteReroute(reason, stages, answer, sentAt);
+    if (!this.ended && epoch === this.epoch) this.rerouted(stages, answer, server);
+  }
+
+  private rerouted(stages: readonly Stage[], answer: RerouteAnswer, first: KnownServer): void {
+    if (answer.status === RerouteStatus.Taken) {
+      this.stages = stages;
+      this.moveClaim(stages);
+      this.lastEventAt = this.parts.clock.now();
+      return;
+    }
+    if (answer.faultAddress !== undefined) {
+      const blamed = this.parts.directory.at(answer.faultAddress);
+      if (blamed !== undefined) this.avoid.add(blamed.record.id);
+      return;
+    }
+    if (answer.status === RerouteStatus.Unknown) return;
+    this.moveOn(RetryReason.Silence, first.record.id);
+  }
+
+  private noteReroute(
+    reason: RetryReason,
+    stages: readonly Stage[],
+    answer: RerouteAnswer,
+    sentAt: number,
+  ): void {
+    this.parts.counters.retry(reason);
+    this.parts.decisions.note('reroute', {
+      id: this.id,
+      reason,
+      answer: answer.status,
+      blamed: answer.faultAddress,
+      avoided: [...this.avoid].join(','),
+      route: stages.map(({ server, from, to }) => `${server}=${from}-${to}`).join(','),
+      silentMs: Math.round(sentAt - this.lastEventAt),
+      ms: Math.round(this.parts.clock.now() - sentAt),
+    });
+  }
 }
--- a/src/core/relay/Types.ts
+++ b/src/core/relay/Types.ts
@@ -99,9 +99,38 @@
   onFailure(failure: CallFailure): void;
 }
 
+/** What the first server of a route says of a new route for a running request. */
+export enum RerouteStatus {
+  Taken = 'taken',
+  /** The server has no such request. */
+  Unknown = 'unknown',
+  /** A server of the new route cannot take part. */
+  Refused = 'refused',
+  /** No answer. */
+  Lost = 'lost',
+}
+
+export interface RerouteAnswer {
+  readonly status: RerouteStatus;
+  /** Server that cannot take part. */
+  readonly faultAddress?: string;
+}
+
 /** Calls servers. Disposing a call closes its connection, which stops the server's work. */
 export interface ServerPort {
   call(call: ServerCall, listener: ServerCallListener): Disposable;
+  /**
+   * Moves a running request to another route that begins at the same server with the same layers.
+   * @param id - the first server
+   * @param address - its address
+   */
+  reroute(
+    id: string,
+    address: string,
+    requestId: string,
+    stages: readonly Stage[],
+    timeoutMs: number,
+  ): Promise<RerouteAnswer>;
 }
 
 /** A request in progress. */
--- a/src/core/routing/Claim.ts
+++ b/src/core/routing/Claim.ts
@@ -5,7 +5,7 @@
 export class Claim {
   public constructor(
     private readonly load: ServerLoad,
-    private readonly stages: readonly Stage[],
+    private stages: readonly Stage[],
     private readonly tokens: number,
     private reading: number,
   ) {
@@ -19,6 +19,13 @@
     this.reading = 0;
   }
 
+  /** The request goes on over another route. */
+  public move(stages: readonly Stage[]): void {
+    this.load.add(this.stages, -1, -this.tokens, -this.reading);
+    this.stages = stages;
+    this.load.add(stages, 1, this.tokens, this.reading);
+  }
+
   public dispose(): void {
     this.load.add(this.stages, -1, -this.tokens, -this.reading);
     this.reading = 0;
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -36,13 +36,26 @@
 
   /** @returns undefined when the usable servers do not cover every layer with room for the request */
   public plan(wish: RouteWish): readonly Stage[] | undefined {
+    const { service, engine, avoid, tokens } = wish;
+    return this.solve(
+      wish,
+      this.candidatesOf(service, engine),
+      (id) => !avoid.has(id) && this.hasRoom(id, engine, tokens),
+    );
+  }
+
+  private solve(
+    wish: RouteWish,
+    candidates: readonly Candidate[],
+    usable: (id: string) => boolean,
+  ): readonly Stage[] | undefined {
     const { engine } = wish;
     const route = planRoute({
-      candidates: this.candidatesOf(wish.service, engine),
+      candidates,
       layers: engine.layers,
       homeDomain: this.homeDomain,
       busyMs: (id) => this.busyMs(id, engine),
-      usable: (id) => !wish.avoid.has(id) && this.hasRoom(id, engine, wish.tokens),
+      usable,
       kept: wish.kept,
       rebuildLayerMs: wish.tokens / (engine.readTokensPerMs * engine.layers),
     });
@@ -51,6 +64,39 @@
     return stages.length <= MAX_STAGES && coversOnce(stages, engine.layers) ? stages : undefined;
   }
 
+  /**
+   * Plans a new route for a running request, which keeps its first stage.
+   * @param first - the stage that stays
+   * @returns undefined when the usable servers do not cover the other layers
+   */
+  public planRest(wish: RouteWish, first: Stage): readonly Stage[] | undefined {
+    const { engine } = wish;
+    if (first.to === engine.layers) return [first];
+    const rest: Candidate[] = [];
+    for (const candidate of this.candidatesOf(wish.service, engine)) {
+      if (candidate.server === first.server || candidate.to <= first.to) continue;
+      rest.push({ ...candidate, from: Math.max(candidate.from, first.to) });
+    }
+    const head = this.directory.get(first.server);
+    if (head === undefined) return undefined;
+    rest.push({
+      ...first,
+      failureDomain: head.record.failureDomain,
+      layerMs: 0,
+      linkMs: 0,
+    });
+    const keptByStage = new Set(wish.kept.map(({ server }) => server));
+    const stages = this.solve(wish, rest, (id) => {
+      if (id === first.server) return true;
+      if (wish.avoid.has(id)) return false;
+      // Stages that stay have their memory already.
+      return keptByStage.has(id)
+        ? this.directory.isUsable(id)
+        : this.hasRoom(id, engine, wish.tokens);
+    });
+    return stages?.[0].server === first.server && stages[0].to === first.to ? stages : undefined;
+  }
+
   /**
    * Says why no route is found.
    * @returns the layers that no usable server holds, and those that none has memory for
--- a/src/core/store/FeedFollower.ts
+++ b/src/core/store/FeedFollower.ts
@@ -19,11 +19,10 @@
   readonly feed: ChangeFeed<T>;
   readonly listener: FeedListener<T>;
   readonly decisions: Decisions;
+  /** Longest wait of one call, in milliseconds: a silent connection is noticed no later than this. */
+  readonly waitMs: number;
 }
 
-/** Longest wait of one call, in milliseconds: a silent connection is noticed no later than this. */
-const WAIT_MS = 2500;
-
 /** Changes within this time are read by one call, in milliseconds; bounds allow seconds. */
 const COALESCE_MS = 150;
 
@@ -90,7 +89,7 @@
       listener.onAll(all);
       return;
     }
-    const changes = await feed.changesSince(this.revision, WAIT_MS);
+    const changes = await feed.changesSince(this.revision, this.parts.waitMs);
     if (this.disposed) return;
     if (changes === undefined) {
       this.parts.decisions.note('history-lost', { table: this.parts.name, since: this.revision });
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -34,7 +34,8 @@
 
 const NOTHING_DROPPED: ReadonlySet<string> = new Set();
 
-function formatStages(stages: readonly Stage[]): string {
+/** Writes a route as the platform's servers read it. */
+export function formatStages(stages: readonly Stage[]): string {
   return stages.map(({ address, from, to }) => `${address}=${from}-${to}`).join(',');
 }
 
--- a/src/platform/ServerClient.ts
+++ b/src/platform/ServerClient.ts
@@ -7,9 +7,16 @@
   type PlacementOrder,
   type ServerReport,
 } from '../core/placement/PlacementDriver.js';
-import type { ServerCall, ServerCallListener, ServerPort } from '../core/relay/Types.js';
+import {
+  RerouteStatus,
+  type RerouteAnswer,
+  type ServerCall,
+  type ServerCallListener,
+  type ServerPort,
+} from '../core/relay/Types.js';
+import type { Stage } from '../core/routing/Types.js';
 import type { Disposable } from '../ports/Types.js';
-import { OpenCall } from './OpenCall.js';
+import { formatStages, OpenCall } from './OpenCall.js';
 import { ServerAgent } from './ServerAgent.js';
 import { decodeSpan } from './ServerEntryDecoder.js';
 import { HEADER, PATH } from './WireNames.js';
@@ -19,6 +26,7 @@
   /** Orders accepted since the server's start; in the server's entry the same name counts heartbeats. */
   seq_no: z.number(),
   layer_count: z.unknown().optional(),
+  blocked: z.array(z.object({ id: z.string(), address: z.string() })).default([]),
 });
 
 export class ServerClient implements ServerPort, OrderPort {
@@ -61,6 +69,33 @@
     }
   }
 
+  public async reroute(
+    id: string,
+    address: string,
+    requestId: string,
+    stages: readonly Stage[],
+    timeoutMs: number,
+  ): Promise<RerouteAnswer> {
+    try {
+      const { status, value } = await this.http.json<{ address?: string }>(
+        {
+          address,
+          method: 'POST',
+          path: PATH.order,
+          headers: { [HEADER.expectedServer]: id },
+          timeoutMs,
+        },
+        { operation: 'repath', id: requestId, path: formatStages(stages) },
+      );
+      if (status === 200 || status === 202) return { status: RerouteStatus.Taken };
+      if (status === 404) return { status: RerouteStatus.Unknown };
+      return { status: RerouteStatus.Refused, faultAddress: value?.address };
+    } catch {
+      // The relay logs the answer; a first server that does not answer is left altogether.
+      return { status: RerouteStatus.Lost };
+    }
+  }
+
   public async report(
     id: string,
     address: string,
@@ -81,6 +116,7 @@
         ordersAccepted: data.seq_no,
         busy: data.busy,
         span: decodeSpan(data.layer_count),
+        blocked: data.blocked,
       };
     } catch {
       // No answer is an answer here: the caller treats the server as silent.
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -11,8 +11,8 @@
 } from '../ports/Types.js';
 import { PATH } from './WireNames.js';
 
-/** Table of the system's own rows. */
-const OWN_TABLE = 'acaciadrum';
+/** Names of the system's own tables begin with this; the key's part before its slash follows. */
+const OWN_TABLES = 'acaciadrum-';
 
 /** A call without an answer for this time has failed, in milliseconds: 250 times the usual one. */
 const CALL_TIMEOUT_MS = 1000;
@@ -61,20 +61,17 @@
   }
 
   public async transact(transaction: Transaction): Promise<Commit> {
-    const place = { table: OWN_TABLE, part: '' };
     const { status, value } = await this.send<WireRows>(
       'POST',
       PATH.rowsTransact,
       CALL_TIMEOUT_MS,
       {
         precondition: transaction.conditions.map(({ key, version }) => ({
-          ...place,
-          key,
+          ...placeOf(key),
           row_version: version,
         })),
         write: transaction.writes.map(({ key, value: written }) => ({
-          ...place,
-          key,
+          ...placeOf(key),
           payload: Buffer.from(JSON.stringify(written)).toString('base64'),
         })),
         remove: [],
@@ -88,6 +85,11 @@
     throw unavailable(PATH.rowsTransact, status);
   }
 
+  /** A feed of rows that the system itself writes under keys `prefix/...`. */
+  public ownFeed<T>(prefix: string, decode: EntryDecoder<T>): ChangeFeed<T> {
+    return this.feed(OWN_TABLES + prefix, decode);
+  }
+
   /** A feed of one of the platform's tables. */
   public feed<T>(table: string, decode: EntryDecoder<T>): ChangeFeed<T> {
     return {
@@ -97,14 +99,15 @@
   }
 
   private async readRow(key: string): Promise<Row | undefined> {
+    const { table, key: name } = placeOf(key);
     const query = new URLSearchParams({
-      table: OWN_TABLE,
+      table,
       part: '',
-      source: key,
-      to: key + NEXT_KEY,
+      source: name,
+      to: name + NEXT_KEY,
     });
     const { rows } = await this.get(`${PATH.rowsRead}?${query}`, CALL_TIMEOUT_MS);
-    const row = rows.find((found) => found.key === key);
+    const row = rows.find((found) => found.key === name);
     return row && { key, version: row.row_version, value: parsePayload(row.payload) };
   }
 
@@ -171,6 +174,11 @@
   }
 }
 
+function placeOf(key: string): { table: string; part: string; key: string } {
+  const slash = key.indexOf('/');
+  return { table: OWN_TABLES + key.slice(0, slash), part: '', key: key.slice(slash + 1) };
+}
+
 function toEntry<T>(row: WireRow, decode: EntryDecoder<T>): Entry<T> {
   const { key, row_version: revision } = row;
   if (row.deleted === true) return { key, revision, value: undefined };
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -1,4 +1,5 @@
 /** Binds the decisions of one router instance to the platform, and owns every listener and timer. */
+import { SharingService } from '../adapters/grpc/SharingService.js';
 import { HttpClient } from '../adapters/http/HttpClient.js';
 import type { StructuredLog } from '../adapters/logs/StructuredLog.js';
 import { SystemClock } from '../adapters/SystemClock.js';
@@ -9,7 +10,11 @@
 import { Invariants } from '../core/Invariant.js';
 import { LeaseKeeper } from '../core/leases/LeaseKeeper.js';
 import { RetryBudget } from '../core/limits/RetryBudget.js';
+import { PeerSharing } from '../core/peers/PeerSharing.js';
+import { decodePeer, Roster } from '../core/peers/Roster.js';
+import type { PeerAddress } from '../core/peers/Types.js';
 import { PlacementDriver } from '../core/placement/PlacementDriver.js';
+import { SilenceWatch } from '../core/relay/SilenceWatch.js';
 import { RelayDesk } from '../core/relay/RelayDesk.js';
 import { EngineRoutes } from '../core/routing/EngineRoutes.js';
 import { ServerLoad } from '../core/routing/ServerLoad.js';
@@ -37,6 +42,15 @@
 /** Instances among which shared budgets are divided until peers are counted. */
 const ASSUMED_INSTANCES = 8;
 
+/** Wait of the feeds whose changes must be in force within seconds, in milliseconds. */
+const FEED_WAIT_MS = 2500;
+
+/** Wait of the feed of instances; peers tell of themselves as well, in milliseconds. */
+const INSTANCE_FEED_WAIT_MS = 15_000;
+
+/** Streams leave a leaving server after this share of its drain; most end before. */
+const LEAVE_SHARE = 0.6;
+
 export class RouterInstance {
   public readonly metrics = new RouterMetrics();
 
@@ -52,6 +66,8 @@
 
   private readonly servers = new ServerClient(this.http);
 
+  private readonly watch: SilenceWatch;
+
   private readonly desk: RelayDesk;
 
   private readonly ingress: Ingress;
@@ -66,6 +82,14 @@
 
   private readonly serverFeed: FeedFollower<ServerRecord>;
 
+  private readonly peers = new SharingService((digest) => this.sharing.take(digest));
+
+  private readonly sharing: PeerSharing;
+
+  private readonly roster: Roster;
+
+  private readonly instanceFeed: FeedFollower<PeerAddress>;
+
   private leaving = false;
 
   private sweepTimer: Disposable | undefined;
@@ -80,6 +104,13 @@
     const store = new StoreClient(this.http, settings.store.address);
     const invariants = new Invariants(false, (message) => log.note('invariant', { message }));
     const retriesSaved = bounds.retrySlack / ASSUMED_INSTANCES;
+    this.watch = new SilenceWatch({
+      clock,
+      directory,
+      port: servers,
+      decisions: log,
+      leaveAfterMs: bounds.drainMs * LEAVE_SHARE,
+    });
     this.desk = new RelayDesk({
       clock,
       random,
@@ -88,6 +119,7 @@
       load,
       routes: new EngineRoutes(directory, load, failureDomain),
       port: servers,
+      watch: this.watch,
       budget: new RetryBudget({
         perRequest: bounds.retryShare,
         maxSaved: retriesSaved,
@@ -124,6 +156,7 @@
     });
     this.configurationFeed = new FeedFollower({
       name: 'configuration',
+      waitMs: FEED_WAIT_MS,
       clock,
       decisions: log,
       feed: store.feed('op', (_key, _revision, value) => decodeDeployment(value)),
@@ -134,6 +167,7 @@
     });
     this.serverFeed = new FeedFollower({
       name: 'servers',
+      waitMs: FEED_WAIT_MS,
       clock,
       decisions: log,
       feed: store.feed('servers', decodeServer),
@@ -143,6 +177,32 @@
         onTrouble: () => directory.noteStoreTrouble(),
       },
     });
+    const self = { instance, address: settings.peers.address, failureDomain };
+    this.sharing = new PeerSharing({
+      clock,
+      random,
+      self,
+      deployments,
+      directory,
+      load,
+      port: this.peers,
+      incarnation: Date.now(),
+      seeds: settings.peers.seeds,
+      decisions: log,
+      isLeaving: () => this.leaving,
+    });
+    this.roster = new Roster({ clock, table: store, self, decisions: log });
+    this.instanceFeed = new FeedFollower({
+      name: 'instances',
+      waitMs: INSTANCE_FEED_WAIT_MS,
+      clock,
+      decisions: log,
+      feed: store.ownFeed('instances', (_key, _revision, value) => decodePeer(value)),
+      listener: {
+        onAll: (entries) => this.meetPeers(entries),
+        onChanges: (entries) => this.meetPeers(entries),
+      },
+    });
     this.addGauges();
   }
 
@@ -153,11 +213,16 @@
       this.ingress.listen(settings.callers.address),
       this.readiness.listen(settings.readiness.address),
       this.metrics.listen(settings.metrics.address),
+      this.peers.listen(settings.peers.address),
     ]);
+    this.sharing.start();
+    this.roster.start();
+    this.instanceFeed.start();
     this.configurationFeed.start();
     this.serverFeed.start();
     this.lease.start();
     this.placement.start();
+    this.watch.start();
     this.sweep();
     this.log.note('start', {
       domain: settings.failureDomain,
@@ -191,10 +256,15 @@
   /** Closes everything at once; open requests break. */
   public dispose(): void {
     this.sweepTimer?.dispose();
+    this.watch.dispose();
     this.placement.dispose();
     this.lease.dispose();
     this.configurationFeed.dispose();
     this.serverFeed.dispose();
+    this.instanceFeed.dispose();
+    this.roster.dispose();
+    this.sharing.dispose();
+    this.peers.dispose();
     this.ingress.close();
     this.readiness.close();
     this.metrics.close();
@@ -204,7 +274,7 @@
 
   private get isReady(): boolean {
     if (this.leaving) return false;
-    return this.deployments.current !== undefined && this.serverFeed.isLoaded;
+    return this.deployments.current !== undefined && this.directory.revision > 0;
   }
 
   private takeDeployments({ entries }: Entries<Deployment>): void {
@@ -220,6 +290,10 @@
     }
   }
 
+  private meetPeers({ entries }: Entries<PeerAddress>): void {
+    for (const { value } of entries) if (value !== undefined) this.sharing.meet(value);
+  }
+
   private takeAllServers({ entries, revision }: Entries<ServerRecord>): void {
     const records: ServerRecord[] = [];
     for (const { value } of entries) if (value !== undefined) records.push(value);
@@ -259,6 +333,7 @@
 
   private addGauges(): void {
     const { metrics } = this;
+    metrics.gauge('acaciadrum_live_instances', () => this.sharing.liveInstances);
     metrics.gauge('acaciadrum_ticket', () => this.deployments.ticket);
     metrics.gauge('acaciadrum_open_requests', () => this.desk.active);
     metrics.gauge('acaciadrum_lease_fence', () => this.lease.heldFence);
