Price routes by servers visited, memory left and transfers between domains

Cause: the price for congestion per layer cut routes into 15 to 22 stages over all domains; each transfer of a prompt takes 21 ms of the one link between domains, so the link was saturated and streams waited beyond the caller's patience.

--- a/src/core/deployment/Types.ts
+++ b/src/core/deployment/Types.ts
@@ -64,6 +64,10 @@
   readonly sequenceMs: number;
   /** Prompt tokens read in a millisecond by all layers. */
   readonly readTokensPerMs: number;
+  /** Bytes that a token carries from one server to the next. */
+  readonly activationBytes: number;
+  /** Capacity of the link that all transfers between two failure domains share, in Mbit/s. */
+  readonly crossDomainMbps: number;
   /** Mean tokens of a prompt. */
   readonly usualPromptTokens: number;
   /** Mean tokens of an answer. */
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -124,6 +124,13 @@
     const charged =
       stages.length > 0 ? stages : [{ server: target.server, address: '', from: 0, to: 0 }];
     this.claim = new Claim(load, charged, this.tokens, request.prompt?.promptTokens ?? 0);
+    this.parts.decisions.note('send', {
+      id: request.id,
+      server: target.server,
+      revision: server.revision,
+      route: stages.map(({ server: stage, from, to }) => `${stage}=${from}-${to}`).join(','),
+      msLeft: Math.round(this.msLeft),
+    });
     this.call = port.call(
       {
         request,
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -1,6 +1,6 @@
 /** Chooses the servers that a request to an engine passes through. */
 import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
-import type { EngineProfile, Service } from '../deployment/Types.js';
+import type { Accelerator, EngineProfile, Service } from '../deployment/Types.js';
 import { coversOnce, planRoute } from './RoutePlanner.js';
 import type { ServerLoad } from './ServerLoad.js';
 import type { Candidate, Stage } from './Types.js';
@@ -23,6 +23,40 @@
 /** Share of a server's free memory that is planned for; answers run longer than their estimate. */
 const MEMORY_SHARE = 0.9;
 
+/** Fixed price of one more server on a route: link delays and the wait for its next pass. */
+const VISIT_MS = 6;
+
+/** Price of a server whose memory is full. */
+const FULL_MS = 250;
+
+/** How steeply the price rises as memory fills. */
+const FULL_POWER = 3;
+
+/** Weight of the time that an answer takes in all against the time to its first event. */
+const ANSWER_WEIGHT = 0.1;
+
+/** Transfers of others that a transfer between failure domains waits for, as a factor. */
+const CROSS_FACTOR = 3;
+
+/** Time that one layer adds to a request, in milliseconds: reading, and a share of the steps. */
+function layerMs(engine: EngineProfile, kind: Accelerator): number {
+  const readMs = (engine.usualPromptTokens / engine.readTokensPerMs) * kind.readFactor;
+  const stepsMs = engine.usualAnswerTokens * engine.stepMs * kind.stepFactor;
+  return (readMs + ANSWER_WEIGHT * stepsMs) / engine.layers;
+}
+
+/** Time of a prompt's transfer between failure domains, in milliseconds. */
+function crossMs(engine: EngineProfile, tokens: number): number {
+  const bitsPerMs = engine.crossDomainMbps * 1000;
+  return (CROSS_FACTOR * tokens * engine.activationBytes * 8) / bitsPerMs;
+}
+
+/** KV cache that a server holds besides its layers, in tokens times layers. */
+function roomOf(engine: EngineProfile, kind: Accelerator, layers: number): number {
+  const freeMb = (kind.memoryMb - layers * engine.layerMb) * MEMORY_SHARE;
+  return Math.max(1, (freeMb * engine.layers) / engine.tokenMb);
+}
+
 export class EngineRoutes {
   private candidates = new Map<string, Candidate[]>();
 
@@ -54,10 +88,14 @@
       candidates,
       layers: engine.layers,
       homeDomain: this.homeDomain,
-      busyMs: (id) => this.busyMs(id, engine),
+      busyMs: () => 0,
       usable,
       kept: wish.kept,
       rebuildLayerMs: wish.tokens / (engine.readTokensPerMs * engine.layers),
+      costs: {
+        crossMs: crossMs(engine, wish.tokens),
+        visitMs: (id) => this.visitMs(id, engine),
+      },
     });
     if (route === undefined) return undefined;
     const stages = joinRepeats(route.stages);
@@ -112,16 +150,17 @@
     return { missing: describeGaps(held), full: describeGaps(roomy) };
   }
 
-  /** Time until a server has read the prompts that wait there, plus what a step takes for its requests. */
-  private busyMs(id: string, engine: EngineProfile): number {
+  /** Expected wait at a server, and the price of memory that others will need. */
+  private visitMs(id: string, engine: EngineProfile): number {
     const server = this.directory.get(id);
     const kind = engine.accelerators.get(server?.record.accelerator ?? '');
     const span = server?.record.span;
-    if (kind === undefined || span === undefined) return 0;
-    const share = (span.to - span.from) / engine.layers;
-    const readMs = (this.load.readingTokens(id) / engine.readTokensPerMs) * kind.readFactor;
-    const stepMs = this.load.requests(id) * engine.sequenceMs * kind.stepFactor;
-    return share * (readMs + stepMs);
+    if (kind === undefined || span === undefined) return VISIT_MS;
+    const layers = span.to - span.from;
+    const readTokensPerMs = engine.readTokensPerMs / kind.readFactor;
+    const backlogMs = ((this.load.readingTokens(id) / readTokensPerMs) * layers) / engine.layers;
+    const fill = this.load.tokenLayers(id) / roomOf(engine, kind, layers);
+    return VISIT_MS + backlogMs + FULL_MS * fill ** FULL_POWER;
   }
 
   private hasRoom(id: string, engine: EngineProfile, tokens: number): boolean {
@@ -131,9 +170,7 @@
     const kind = engine.accelerators.get(accelerator);
     if (span === undefined || kind === undefined) return false;
     const layers = span.to - span.from;
-    const freeMb = (kind.memoryMb - layers * engine.layerMb) * MEMORY_SHARE;
-    const tokenLayerMb = engine.tokenMb / engine.layers;
-    return (this.load.tokenLayers(id) + tokens * layers) * tokenLayerMb <= freeMb;
+    return this.load.tokenLayers(id) + tokens * layers <= roomOf(engine, kind, layers);
   }
 
   private candidatesOf(service: Service, engine: EngineProfile): Candidate[] {
@@ -164,7 +201,7 @@
     failureDomain: record.failureDomain,
     from: record.span.from,
     to: record.span.to,
-    layerMs: (engine.stepMs / engine.layers) * kind.stepFactor,
+    layerMs: layerMs(engine, kind),
     linkMs: 0,
   };
 }
--- a/src/core/routing/RoutePlanner.ts
+++ b/src/core/routing/RoutePlanner.ts
@@ -48,15 +48,19 @@
 
 function stageCost(query: RouteQuery, candidate: Candidate, from: number, to: number): number {
   const layers = to - from;
-  const busyMs = query.busyMs(candidate.server);
-  const runMs = layers * layerPrice(candidate.layerMs, busyMs);
   const rebuilt =
     query.kept.length === 0 ? 0 : layers - keptLayers(query, candidate.server, from, to);
-  return runMs + candidate.linkMs + HOP_MS + rebuilt * query.rebuildLayerMs;
+  const rebuildMs = rebuilt * query.rebuildLayerMs;
+  if (query.costs !== undefined)
+    return layers * candidate.layerMs + query.costs.visitMs(candidate.server) + rebuildMs;
+  const busyMs = query.busyMs(candidate.server);
+  const runMs = layers * layerPrice(candidate.layerMs, busyMs);
+  return runMs + candidate.linkMs + HOP_MS + rebuildMs;
 }
 
-function linkMs(fromDomain: string, toDomain: string): number {
-  return fromDomain === toDomain ? 0 : CROSS_DOMAIN_LINK_MS;
+function linkMs(query: RouteQuery, fromDomain: string, toDomain: string): number {
+  if (fromDomain === toDomain) return 0;
+  return query.costs?.crossMs ?? CROSS_DOMAIN_LINK_MS;
 }
 
 function domainOf(arrival: Arrival, query: RouteQuery): string {
@@ -104,7 +108,7 @@
   let best: Arrival | undefined;
   let bestCost = Infinity;
   for (const arrival of arrivals[index].values()) {
-    const cost = arrival.cost + linkMs(domainOf(arrival, query), candidate.failureDomain);
+    const cost = arrival.cost + linkMs(query, domainOf(arrival, query), candidate.failureDomain);
     if (cost >= bestCost) continue;
     bestCost = cost;
     best = arrival;
@@ -154,6 +158,7 @@
 export function planRoute(query: RouteQuery): Route | undefined {
   const boundaries = segmentCuts(query.candidates, query.layers);
   const usable = query.candidates.filter((candidate) => query.usable(candidate.server));
+  if (query.costs !== undefined) return shortestPath(query, usable, boundaries);
   const home = usable.filter((candidate) => candidate.failureDomain === query.homeDomain);
   const homeRoute = home.length === 0 ? undefined : shortestPath(query, home, boundaries);
   if (home.length === usable.length) return homeRoute;
--- a/src/core/routing/Types.ts
+++ b/src/core/routing/Types.ts
@@ -28,6 +28,14 @@
   readonly linkMs: number;
 }
 
+/** Prices of a route in milliseconds, for engines that say what their work takes. */
+export interface RouteCosts {
+  /** Passing from one failure domain to another. */
+  readonly crossMs: number;
+  /** Waiting at a server, whatever the number of its layers. */
+  readonly visitMs: (server: string) => number;
+}
+
 /** What a route choice may depend on besides the configuration. */
 export interface RouteQuery {
   readonly candidates: readonly Candidate[];
@@ -41,4 +49,6 @@
   readonly kept: readonly Stage[];
   /** Time to rebuild the KV cache of one layer elsewhere, in milliseconds. */
   readonly rebuildLayerMs: number;
+  /** Replaces the usual prices for congestion and links; `busyMs` is not used then. */
+  readonly costs?: RouteCosts;
 }
--- a/src/platform/DeploymentDecoder.ts
+++ b/src/platform/DeploymentDecoder.ts
@@ -42,6 +42,8 @@
   /** Layers of the whole model; servers use the same name for the layers that they hold. */
   layer_count: z.number(),
   layer_size_mb: z.number(),
+  activation_bytes: z.number().default(0),
+  cross_zone_mbps: z.number().default(10_000),
   layer_kinds: z.array(
     z.object({
       name: z.string(),
@@ -119,6 +121,8 @@
     stepMs: data.step_ms,
     sequenceMs: data.per_seq_ms,
     readTokensPerMs: data.read_per_s / 1000,
+    activationBytes: data.activation_bytes,
+    crossDomainMbps: data.cross_zone_mbps,
     usualPromptTokens: usual.prompt,
     usualAnswerTokens: usual.answer,
     accelerators: new Map(
