Tests for relays, silence, placement and routes; two faults that they found

Cause: a server that answers reports was not asked a second time for what it waits for; an order whose layers only the server itself had named was repeated while the store was away. Both mended, tests failed first.

--- /dev/null
+++ b/features/core/FakeCaller.ts
@@ -0,0 +1,43 @@
+import type { Refusal } from '../../src/core/Outcome.js';
+import type { AnswerHead, CallerReply } from '../../src/core/relay/Types.js';
+
+/** What a caller got. */
+export class FakeCaller implements CallerReply {
+  public status = 0;
+
+  public text = '';
+
+  public ended = false;
+
+  public isCut = false;
+
+  public refusal: Refusal | undefined;
+
+  public head({ status }: AnswerHead): void {
+    this.status = status;
+  }
+
+  public write(chunk: Buffer): void {
+    this.text += chunk.toString();
+  }
+
+  public end(): void {
+    this.ended = true;
+  }
+
+  public refuse(refused: Refusal): void {
+    this.refusal = refused;
+    this.status = refused.status;
+  }
+
+  public cut(): void {
+    this.isCut = true;
+  }
+
+  /** How the request ended, in one word. */
+  public get outcome(): string {
+    if (this.isCut) return 'cut';
+    if (this.refusal !== undefined) return `${this.status} ${this.refusal.outcome}`;
+    return this.ended ? `${this.status}` : 'open';
+  }
+}
--- /dev/null
+++ b/features/core/FakeServers.ts
@@ -0,0 +1,67 @@
+import type { ReportPort } from '../../src/core/relay/SilenceWatch.js';
+import {
+  RerouteStatus,
+  type RerouteAnswer,
+  type ServerCall,
+  type ServerCallListener,
+  type ServerPort,
+} from '../../src/core/relay/Types.js';
+import type { Stage } from '../../src/core/routing/Types.js';
+import type { VirtualClock } from '../../src/fakes/VirtualClock.js';
+
+/** One call that a relay made, with what the test answers. */
+export interface MadeCall {
+  readonly call: ServerCall;
+  readonly listener: ServerCallListener;
+  disposed: boolean;
+}
+
+/** Records calls; the test plays the servers. */
+export class FakeServers implements ServerPort, ReportPort {
+  public readonly calls: MadeCall[] = [];
+
+  public readonly reroutes: { requestId: string; stages: readonly Stage[] }[] = [];
+
+  public readonly silent = new Set<string>();
+
+  public rerouteAnswer: RerouteAnswer = { status: RerouteStatus.Taken };
+
+  public blocked: { id: string; address: string }[] = [];
+
+  public reports = 0;
+
+  public constructor(private readonly clock: VirtualClock) {}
+
+  public get last(): MadeCall {
+    return this.calls[this.calls.length - 1];
+  }
+
+  public call(call: ServerCall, listener: ServerCallListener) {
+    const made: MadeCall = { call, listener, disposed: false };
+    this.calls.push(made);
+    return {
+      dispose: () => {
+        made.disposed = true;
+      },
+    };
+  }
+
+  public async reroute(
+    _id: string,
+    _address: string,
+    requestId: string,
+    stages: readonly Stage[],
+  ): Promise<RerouteAnswer> {
+    this.reroutes.push({ requestId, stages });
+    return this.rerouteAnswer;
+  }
+
+  public async report(id: string, _address: string, timeoutMs: number) {
+    this.reports += 1;
+    if (this.silent.has(id)) {
+      await this.clock.sleep(timeoutMs);
+      return undefined;
+    }
+    return { ordersAccepted: 0, span: undefined, busy: false, blocked: this.blocked };
+  }
+}
--- /dev/null
+++ b/features/core/FleetFixture.ts
@@ -0,0 +1,212 @@
+/** Builds fleets, deployments and relays for tests of the decisions; no sockets, no machine time. */
+import { Deployments } from '../../src/core/deployment/Deployments.js';
+import { ServerDirectory } from '../../src/core/deployment/ServerDirectory.js';
+import {
+  RouteKind,
+  type Deployment,
+  type EngineProfile,
+  type RequestRoute,
+  type ServerRecord,
+  type Service,
+} from '../../src/core/deployment/Types.js';
+import { Invariants } from '../../src/core/Invariant.js';
+import { RetryBudget } from '../../src/core/limits/RetryBudget.js';
+import type { RelayCounters, RelayParts } from '../../src/core/relay/RelayParts.js';
+import { SilenceWatch } from '../../src/core/relay/SilenceWatch.js';
+import { CallFailure, type AnswerHead, type CallerRequest } from '../../src/core/relay/Types.js';
+import { EngineRoutes } from '../../src/core/routing/EngineRoutes.js';
+import { ServerLoad } from '../../src/core/routing/ServerLoad.js';
+import { VirtualClock } from '../../src/fakes/VirtualClock.js';
+import { FakeServers } from './FakeServers.js';
+
+export const ENGINE: EngineProfile = {
+  layers: 80,
+  layerMb: 1750,
+  tokenMb: 0.845,
+  maxRequests: 134,
+  stepMs: 0.85,
+  sequenceMs: 0.0055,
+  readTokensPerMs: 196,
+  activationBytes: 42_268,
+  crossDomainMbps: 13_000,
+  usualPromptTokens: 772,
+  usualAnswerTokens: 167,
+  accelerators: new Map(
+    [
+      { name: 'h100', memoryMb: 72_000, stepFactor: 1.4, readFactor: 1 },
+      { name: 'a100s', memoryMb: 36_000, stepFactor: 3.1, readFactor: 3.2 },
+      { name: 'l4', memoryMb: 21_600, stepFactor: 16, readFactor: 8.2 },
+      { name: 'whole', memoryMb: 200_000, stepFactor: 4, readFactor: 4 },
+      { name: 't4', memoryMb: 14_400, stepFactor: 15, readFactor: 15 },
+    ].map((kind) => [kind.name, kind]),
+  ),
+};
+
+export const ENGINE_SERVICE: Service = {
+  name: 'engine',
+  healthPath: '/healthz',
+  maxConnections: 1000,
+  engine: ENGINE,
+};
+
+/** Accelerators of both users' fleets, by failure domain. */
+export const USERS_FLEET: Readonly<Record<string, readonly string[]>> = {
+  a: ['a100s', ...Array<string>(8).fill('l4'), ...Array<string>(3).fill('t4')],
+  b: ['a100s', 'a100s', ...Array<string>(4).fill('l4'), ...Array<string>(7).fill('t4')],
+  c: ['h100', 'a100s', ...Array<string>(5).fill('l4'), ...Array<string>(7).fill('t4')],
+};
+
+let nextRevision = 1;
+
+/** A server's entry; a later one has a higher revision. */
+export function record(id: string, values: Partial<ServerRecord> = {}): ServerRecord {
+  nextRevision += 1;
+  return {
+    id,
+    revision: nextRevision,
+    incarnation: 1,
+    service: 'engine',
+    address: `10.0.0.1:${1000 + nextRevision}`,
+    failureDomain: 'a',
+    leaving: false,
+    slots: 134,
+    accelerator: 'l4',
+    span: undefined,
+    ...values,
+  };
+}
+
+export function route(values: Partial<RequestRoute> = {}): RequestRoute {
+  return {
+    name: 'route',
+    host: 'host',
+    prefix: '/',
+    kind: RouteKind.Streaming,
+    resumable: true,
+    shares: [{ service: 'engine', weight: 1 }],
+    maxServers: 2,
+    timeoutMs: 20_000,
+    objectiveMs: 500,
+    maxGapMs: 200,
+    priority: 1,
+    isPublic: true,
+    ...values,
+  };
+}
+
+export function deployment(
+  routes: readonly RequestRoute[],
+  values: Partial<Deployment> = {},
+): Deployment {
+  return {
+    ticket: 1,
+    routes,
+    services: new Map([
+      ['engine', ENGINE_SERVICE],
+      ['plain', { ...ENGINE_SERVICE, name: 'plain', engine: undefined }],
+    ]),
+    accounts: undefined,
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+    ...values,
+  };
+}
+
+const SILENT_COUNTERS: RelayCounters = {
+  end: () => {},
+  refusal: () => {},
+  retry: () => {},
+  firstByte: () => {},
+};
+
+export function answerHead(values: Partial<AnswerHead> = {}): AnswerHead {
+  return {
+    status: 200,
+    headers: [],
+    sealed: true,
+    notExecuted: false,
+    plain: true,
+    faultAddress: undefined,
+    ...values,
+  };
+}
+
+/** A relay's surroundings. */
+export class RelayFixture {
+  public readonly clock = new VirtualClock();
+
+  public readonly servers = new FakeServers(this.clock);
+
+  public readonly directory = new ServerDirectory(this.clock);
+
+  public readonly deployments = new Deployments();
+
+  public readonly load = new ServerLoad();
+
+  public readonly notes: { event: string; fields: object }[] = [];
+
+  public readonly parts: RelayParts;
+
+  public readonly watch: SilenceWatch;
+
+  /** @param retries - retries that the budget starts with */
+  public constructor(retries = 50) {
+    const { clock, directory, load } = this;
+    const decisions = {
+      note: (event: string, fields: object) => this.notes.push({ event, fields }),
+    };
+    this.watch = new SilenceWatch({
+      clock,
+      directory,
+      port: this.servers,
+      decisions,
+      leaveAfterMs: 1200,
+    });
+    this.parts = {
+      clock,
+      directory,
+      load,
+      decisions,
+      random: { next: () => 0.5, id: () => 'id' },
+      deployments: this.deployments,
+      routes: new EngineRoutes(directory, load, 'a'),
+      port: this.servers,
+      watch: this.watch,
+      budget: new RetryBudget({
+        perRequest: 0.2,
+        maxSaved: retries,
+        initial: retries,
+        refillPerS: 0,
+      }),
+      counters: SILENT_COUNTERS,
+      invariants: new Invariants(true),
+      homeDomain: 'a',
+    };
+  }
+
+  public request(values: Partial<CallerRequest> = {}): CallerRequest {
+    return {
+      id: 'request',
+      host: 'host',
+      path: '/x/',
+      key: undefined,
+      arrivedAt: this.clock.now(),
+      deadlineMs: 20_000,
+      prompt: { promptTokens: 800, maxAnswerTokens: 200 },
+      resumeAfter: undefined,
+      message: { method: 'POST', target: '/x/', headers: [], body: Buffer.from('body') },
+      ...values,
+    };
+  }
+}
+
+/** Reads a failure by its name. */
+export function failureNamed(name: string): CallFailure {
+  const found = Object.values(CallFailure).find((failure) => String(failure) === name);
+  if (found === undefined) throw new Error(`No failure is named ${name}. Use one of CallFailure.`);
+  return found;
+}
--- /dev/null
+++ b/features/core/placement/placement-driver.steps.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import {
+  OrderAnswer,
+  PlacementDriver,
+  type OrderPort,
+  type PlacementOrder,
+} from '../../../src/core/placement/PlacementDriver.js';
+import { deployment, record, RelayFixture, route } from '../FleetFixture.js';
+
+interface DriverWorld {
+  fixture: RelayFixture;
+  fence: number;
+  orders: PlacementOrder[];
+}
+
+function answerNamed(name: string): OrderAnswer {
+  const found = Object.values(OrderAnswer).find((answer) => String(answer) === name);
+  assert.ok(found, `no answer is named ${name}`);
+  return found;
+}
+
+Given('a domain whose only server is empty', function set(this: DriverWorld) {
+  this.fixture = new RelayFixture();
+  this.fence = 1;
+  this.orders = [];
+  this.fixture.deployments.offer(deployment([route()]));
+  this.fixture.directory.put(record('server', { accelerator: 'whole' }));
+});
+
+Given('the lease is held elsewhere', function set(this: DriverWorld) {
+  this.fence = 0;
+});
+
+When(
+  'orders are answered {string} and reports say {string}',
+  function run(this: DriverWorld, answers: string, reports: string) {
+    const { orders, fence, fixture } = this;
+    const queue = answers.split(',').map(answerNamed);
+    const [accepted, layers] = reports.split(':');
+    const port: OrderPort = {
+      order: (order) => {
+        orders.push(order);
+        return Promise.resolve(queue[orders.length - 1] ?? OrderAnswer.Taken);
+      },
+      report: () =>
+        Promise.resolve({
+          ordersAccepted: Number(accepted),
+          span: layers === 'none' ? undefined : orders[0].span,
+          busy: orders.length === queue.length && layers === 'none' && queue.length > 1,
+          blocked: [],
+        }),
+    };
+    new PlacementDriver({
+      clock: fixture.clock,
+      deployments: fixture.deployments,
+      directory: fixture.directory,
+      lease: { heldFence: fence, remainingMs: 5000, heldForMs: 5000 },
+      port,
+      decisions: fixture.parts.decisions,
+      failureDomain: 'a',
+    }).start();
+  },
+);
+
+Then(
+  /^after 12 seconds the orders sent name (\S+) accepted orders$/,
+  async function check(this: DriverWorld, names: string) {
+    await this.fixture.clock.runUntil(12_000);
+    const sent = this.orders.map(({ ordersAccepted }) => ordersAccepted).join(',');
+    assert.equal(sent, names === 'no' ? '' : names);
+  },
+);
--- /dev/null
+++ b/features/core/placement/placement-planner.feature
@@ -0,0 +1,39 @@
+Feature: Layers are held where requests need them, and memory is left for the requests
+  Scenario Outline: <case>
+    Given the users' fleet without "<lost>"
+    When every failure domain plans its servers
+    Then each failure domain holds every layer: "<each>"
+    And the fleet holds every layer
+    And no server is ordered more than its memory, and each keeps room for 15 usual requests
+
+    Examples:
+      | case                          | lost                | each |
+      | the whole fleet               |                     | yes  |
+      | one slow server is gone       | a-3                 | yes  |
+      | the fastest server is gone    | c-0                 | yes  |
+      | a failure domain is gone      | domain b            | no   |
+
+  Scenario Outline: After the fleet was placed, <case>
+    Given the users' fleet without ""
+    And every failure domain plans its servers
+    When "<lost>" are lost and every failure domain plans its servers
+    Then each failure domain holds every layer: "yes"
+    And at most <orders> servers got an order
+    And no server is ordered more than its memory, and each keeps room for 2 usual requests
+
+    Examples: servers are lost one after another
+      | case                                      | lost        | orders |
+      | the loss of a server is closed            | a-1         | 4      |
+      | the loss of the fastest one is closed     | c-0         | 6      |
+      | the loss of a middling one is closed      | b-3         | 4      |
+
+  Scenario: Nothing is ordered while every layer is held
+    Given the users' fleet without ""
+    And every failure domain plans its servers
+    When "" are lost and every failure domain plans its servers
+    Then at most 0 servers got an order
+
+  Scenario: A new server takes the layers that its domain holds least
+    Given servers "a:l4:0-40 a:l4:40-70 a:l4:none"
+    When domain "a" is planned
+    Then server 2 is to hold layers that include 70-80
--- /dev/null
+++ b/features/core/relay/relays.steps.ts
@@ -0,0 +1,156 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { RouteKind } from '../../../src/core/deployment/Types.js';
+import { RelayDesk } from '../../../src/core/relay/RelayDesk.js';
+import type { Relay } from '../../../src/core/relay/Types.js';
+import { FakeCaller } from '../FakeCaller.js';
+import type { MadeCall } from '../FakeServers.js';
+import {
+  answerHead,
+  deployment,
+  failureNamed,
+  record,
+  RelayFixture,
+  route,
+} from '../FleetFixture.js';
+
+interface RelayWorld {
+  fixture: RelayFixture;
+  caller: FakeCaller;
+  relay: Relay;
+}
+
+const KINDS: Readonly<Record<string, RouteKind>> = {
+  'non-idempotent': RouteKind.NonIdempotent,
+  idempotent: RouteKind.Idempotent,
+};
+
+type Player = (made: MadeCall) => void;
+
+function answered(values: Parameters<typeof answerHead>[0]): Player {
+  return ({ listener }) => {
+    listener.onHead(answerHead(values));
+    listener.onData(Buffer.from('answer'));
+    listener.onEnd();
+  };
+}
+
+const PLAYERS: Readonly<Record<string, Player>> = {
+  200: answered({}),
+  500: answered({ status: 500 }),
+  rejected: answered({ status: 503, sealed: false, notExecuted: true }),
+  unsealed: answered({ sealed: false }),
+  encoded: answered({ plain: false }),
+  half: ({ listener }) => listener.onData(Buffer.from('id: ')),
+  end: ({ listener }) => listener.onEnd(),
+  wait: () => {},
+};
+
+function play(fixture: RelayFixture, word: string): void {
+  const made = fixture.servers.last;
+  const player = PLAYERS[word];
+  if (player !== undefined) player(made);
+  else made.listener.onFailure(failureNamed(word));
+}
+
+function start(world: RelayWorld, fixture: RelayFixture, request = fixture.request()): void {
+  world.fixture = fixture;
+  world.caller = new FakeCaller();
+  world.relay = new RelayDesk(fixture.parts).accept(request, world.caller);
+}
+
+function startPlain(world: RelayWorld, kind: string, retries?: number): void {
+  const fixture = new RelayFixture(retries);
+  const isOnce = KINDS[kind] === RouteKind.NonIdempotent;
+  const plain = route({
+    kind: KINDS[kind],
+    resumable: false,
+    shares: [{ service: 'plain', weight: 1 }],
+    maxServers: isOnce ? 1 : 2,
+    timeoutMs: 1000,
+  });
+  fixture.deployments.offer(deployment([plain]));
+  for (const id of ['p1', 'p2', 'p3'])
+    fixture.directory.put(record(id, { service: 'plain', accelerator: '' }));
+  start(world, fixture, fixture.request({ prompt: undefined }));
+}
+
+function startStream(world: RelayWorld, resumable: boolean): void {
+  const fixture = new RelayFixture();
+  fixture.deployments.offer(deployment([route({ resumable })]));
+  for (const id of ['first', 'second'])
+    fixture.directory.put(record(id, { accelerator: 'whole', span: { from: 0, to: 80 } }));
+  start(world, fixture);
+}
+
+Given('a {string} route to servers that fail', function set(this: RelayWorld, kind: string) {
+  startPlain(this, kind);
+});
+
+Given(
+  'a {string} route to servers that fail, without retries',
+  function set(this: RelayWorld, kind: string) {
+    startPlain(this, kind, 0);
+  },
+);
+
+When('the servers answer {string}', function run(this: RelayWorld, answers: string) {
+  for (const word of answers.split(',')) play(this.fixture, word);
+});
+
+When("the route's timeout passes", async function run(this: RelayWorld) {
+  await this.fixture.clock.runUntil(1001);
+});
+
+Then(
+  'the caller gets {string} after {int} sends',
+  function check(this: RelayWorld, outcome: string, sends: number) {
+    assert.equal(this.caller.outcome, outcome);
+    assert.equal(this.fixture.servers.calls.length, sends);
+  },
+);
+
+Given('a stream over two servers', function set(this: RelayWorld) {
+  startStream(this, true);
+});
+
+Given('a stream that may not be resumed', function set(this: RelayWorld) {
+  startStream(this, false);
+});
+
+When('the stream gets {string}', function run(this: RelayWorld, arrivals: string) {
+  let headOf: MadeCall | undefined;
+  for (const word of arrivals.split(' ')) {
+    const { last } = this.fixture.servers;
+    if (/^e\d/.test(word)) {
+      if (headOf !== last) last.listener.onHead(answerHead());
+      headOf = last;
+      last.listener.onData(Buffer.from(`id: ${word.slice(1)}\ndata: ${word.slice(1)}\n\n`));
+    } else play(this.fixture, word);
+  }
+});
+
+Then(
+  'the caller has {string} and its answer is {string}',
+  function check(this: RelayWorld, text: string, outcome: string) {
+    assert.equal([...this.caller.text.matchAll(/data: (\d+)/g)].map(([, n]) => n).join(''), text);
+    assert.equal(this.caller.outcome, outcome);
+  },
+);
+
+Then(
+  'the servers were asked to go on after {string}',
+  function check(this: RelayWorld, resumed: string) {
+    const asked = this.fixture.servers.calls.map(({ call }) => call.resumeAfter);
+    assert.equal(asked.filter((after) => after !== undefined).join(' '), resumed);
+  },
+);
+
+When('the caller leaves', function run(this: RelayWorld) {
+  this.relay.cancel();
+});
+
+Then('the last send is closed and no work is counted', function check(this: RelayWorld) {
+  assert.ok(this.fixture.servers.last.disposed);
+  assert.deepEqual([...this.fixture.load.listOwn()], []);
+});
--- /dev/null
+++ b/features/core/relay/silence.feature
@@ -0,0 +1,32 @@
+Feature: A server that keeps streams waiting is found and left
+  Streams in series over three servers; one of them dies, freezes or is cut off in mid-stream.
+
+  Scenario Outline: <case>
+    Given a stream over three servers that has begun
+    When server "<server>" falls silent
+    Then within <limit> ms the stream <result>
+
+    Examples: callers are promised pauses of 200 ms
+      | case                              | server | limit | result                                |
+      | a later server is left            | s2     | 400   | has a new route without that server   |
+      | the first server is left          | s1     | 400   | goes on at another first server       |
+
+  Scenario: A pause with every server alive is no fault
+    Given a stream over three servers that has begun
+    When nothing arrives for 700 ms though every server reports
+    Then the stream keeps its route
+
+  Scenario: A server that the first one waits for is left, though it answers
+    Given a stream over three servers that has begun
+    When the first server reports that it waits for "s2"
+    Then within 800 ms the stream has a new route without that server
+
+  Scenario: A leaving server's streams are moved before it ends
+    Given a stream over three servers that has begun
+    When server "s2" says that it leaves
+    Then within 1400 ms the stream has a new route without that server
+
+  Scenario: A process that stood still does not blame its servers
+    Given a stream over three servers that has begun
+    When the process stands still for 3000 ms and events wait to be read
+    Then the stream keeps its route
--- /dev/null
+++ b/features/core/relay/silence.steps.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { RelayDesk } from '../../../src/core/relay/RelayDesk.js';
+import { FakeCaller } from '../FakeCaller.js';
+import { answerHead, deployment, record, RelayFixture, route } from '../FleetFixture.js';
+
+interface SilenceWorld {
+  fixture: RelayFixture;
+  silent: string;
+  sentEvents: number;
+}
+
+const SPANS = { s1: [0, 30], s2: [30, 60], s3: [60, 80] } as const;
+
+function sendEvent(world: SilenceWorld): void {
+  world.sentEvents += 1;
+  world.fixture.servers.calls[0].listener.onData(
+    Buffer.from(`id: ${world.sentEvents}\ndata: x\n\n`),
+  );
+}
+
+Given('a stream over three servers that has begun', async function set(this: SilenceWorld) {
+  const fixture = new RelayFixture();
+  fixture.deployments.offer(deployment([route()]));
+  for (const [id, [from, to]] of Object.entries(SPANS)) {
+    const span = { from, to };
+    fixture.directory.put(record(id, { accelerator: 'h100', span }));
+    // Spares elsewhere are dearer, so that the route begins at home.
+    fixture.directory.put(record(`${id}-spare`, { accelerator: 'h100', span, failureDomain: 'b' }));
+  }
+  Object.assign(this, { fixture, sentEvents: 0, silent: '' });
+  new RelayDesk(fixture.parts).accept(fixture.request(), new FakeCaller());
+  fixture.watch.start();
+  fixture.servers.calls[0].listener.onHead(answerHead());
+  for (let sent = 0; sent < 20; sent += 1) {
+    sendEvent(this);
+    await fixture.clock.runUntil(fixture.clock.now() + 20);
+  }
+});
+
+When('server {string} falls silent', function run(this: SilenceWorld, server: string) {
+  this.silent = server;
+  this.fixture.servers.silent.add(server);
+});
+
+When(
+  'nothing arrives for {int} ms though every server reports',
+  async function run(this: SilenceWorld, ms: number) {
+    await this.fixture.clock.runUntil(this.fixture.clock.now() + ms);
+  },
+);
+
+When(
+  'the first server reports that it waits for {string}',
+  function run(this: SilenceWorld, server: string) {
+    this.silent = server;
+    const address = this.fixture.directory.get(server)?.record.address ?? '';
+    this.fixture.servers.blocked = [{ id: 'request', address }];
+  },
+);
+
+When('server {string} says that it leaves', async function run(this: SilenceWorld, server: string) {
+  this.silent = server;
+  const known = this.fixture.directory.get(server);
+  assert.ok(known);
+  this.fixture.directory.put({ ...known.record, revision: 1e6, leaving: true });
+  for (let sent = 0; sent < 65; sent += 1) {
+    sendEvent(this);
+    await this.fixture.clock.runUntil(this.fixture.clock.now() + 20);
+  }
+});
+
+When(
+  'the process stands still for {int} ms and events wait to be read',
+  async function run(this: SilenceWorld, ms: number) {
+    // A standing process runs no timers: the clock jumps, then the first tick and the events come.
+    this.fixture.clock.jump(ms);
+    await this.fixture.clock.runUntil(this.fixture.clock.now() + 1);
+    sendEvent(this);
+    await this.fixture.clock.runUntil(this.fixture.clock.now() + 60);
+  },
+);
+
+Then(
+  'within {int} ms the stream has a new route without that server',
+  async function check(this: SilenceWorld, ms: number) {
+    await this.fixture.clock.runUntil(this.fixture.clock.now() + ms);
+    const [reroute] = this.fixture.servers.reroutes;
+    assert.ok(reroute, 'no new route was asked for');
+    assert.ok(!reroute.stages.some(({ server }) => server === this.silent));
+    assert.equal(reroute.stages[0].server, 's1');
+  },
+);
+
+Then(
+  'within {int} ms the stream goes on at another first server',
+  async function check(this: SilenceWorld, ms: number) {
+    await this.fixture.clock.runUntil(this.fixture.clock.now() + ms);
+    const { calls } = this.fixture.servers;
+    assert.equal(calls.length, 2);
+    assert.equal(calls[1].call.server.id, 's1-spare');
+    assert.equal(calls[1].call.resumeAfter, String(this.sentEvents));
+    assert.ok(calls[0].disposed);
+  },
+);
+
+Then('the stream keeps its route', function check(this: SilenceWorld) {
+  assert.equal(this.fixture.servers.reroutes.length, 0);
+  assert.equal(this.fixture.servers.calls.length, 1);
+});
--- /dev/null
+++ b/features/core/routing/engine-routes.steps.ts
@@ -0,0 +1,196 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { planPlacement } from '../../../src/core/placement/PlacementPlanner.js';
+import { Claim } from '../../../src/core/routing/Claim.js';
+import { EngineRoutes, joinRepeats } from '../../../src/core/routing/EngineRoutes.js';
+import { coversOnce } from '../../../src/core/routing/RoutePlanner.js';
+import type { Stage } from '../../../src/core/routing/Types.js';
+import { ENGINE, ENGINE_SERVICE, record, RelayFixture, USERS_FLEET } from '../FleetFixture.js';
+
+interface RoutesWorld {
+  fixture: RelayFixture;
+  routes: (readonly Stage[])[];
+  refused: number;
+  stages: Stage[];
+}
+
+const TOKENS = 939;
+
+const WISH = {
+  service: ENGINE_SERVICE,
+  engine: ENGINE,
+  tokens: TOKENS,
+  avoid: new Set<string>(),
+  kept: [],
+};
+
+function domainOf(world: RoutesWorld, server: string): string {
+  return world.fixture.directory.get(server)?.record.failureDomain ?? '';
+}
+
+function start(world: RoutesWorld, count: number, domains: readonly string[]): void {
+  const { directory, load } = world.fixture;
+  const planners = domains.map((domain) => new EngineRoutes(directory, load, domain));
+  for (let index = 0; index < count; index += 1) {
+    const stages = planners[index % planners.length].plan(WISH);
+    if (stages === undefined) {
+      world.refused += 1;
+      continue;
+    }
+    world.routes.push(stages);
+    new Claim(load, stages, TOKENS, 772).endReading();
+  }
+}
+
+Given("the users' fleet placed by the planner", function set(this: RoutesWorld) {
+  this.fixture = new RelayFixture();
+  this.routes = [];
+  this.refused = 0;
+  const servers = Object.entries(USERS_FLEET).flatMap(([failureDomain, kinds]) =>
+    kinds.map((accelerator, index) => ({
+      id: `${failureDomain}-${index}`,
+      failureDomain,
+      accelerator,
+      span: undefined,
+      isBusy: false,
+    })),
+  );
+  for (const domain of Object.keys(USERS_FLEET)) {
+    for (const { id, span } of planPlacement(ENGINE, servers, domain)) {
+      const server = servers.find((candidate) => candidate.id === id);
+      assert.ok(server);
+      const { failureDomain, accelerator } = server;
+      this.fixture.directory.put(record(id, { failureDomain, accelerator, span }));
+    }
+  }
+});
+
+When(
+  '{int} requests of domain {string} are under way',
+  function run(this: RoutesWorld, count: number, domain: string) {
+    start(this, count, [domain]);
+  },
+);
+
+When('{int} requests of all domains are under way', function run(this: RoutesWorld, count: number) {
+  start(this, count, Object.keys(USERS_FLEET));
+});
+
+When(
+  'the only server of domain {string} for some layers is lost',
+  function run(this: RoutesWorld, domain: string) {
+    const { directory } = this.fixture;
+    const home = [...directory.all()].filter(
+      ({ record: { failureDomain } }) => failureDomain === domain,
+    );
+    const isOnly = ({ record: { id, span } }: (typeof home)[number]): boolean =>
+      Array.from({ length: ENGINE.layers }, (_, layer) => layer).some(
+        (layer) =>
+          span !== undefined &&
+          layer >= span.from &&
+          layer < span.to &&
+          !home.some(
+            (other) =>
+              other.record.id !== id &&
+              other.record.span !== undefined &&
+              layer >= other.record.span.from &&
+              layer < other.record.span.to,
+          ),
+      );
+    const only = home.find(isOnly);
+    assert.ok(only, 'the domain holds every layer twice');
+    directory.suspect(only.record.id);
+  },
+);
+
+Then('every route runs each layer once, in order', function check(this: RoutesWorld) {
+  assert.equal(this.refused, 0);
+  for (const stages of this.routes) assert.ok(coversOnce(stages, ENGINE.layers));
+});
+
+Then(
+  '{int} prompts a second keep the link between domains busy for at most half of the time',
+  function check(this: RoutesWorld, prompts: number) {
+    let crossings = 0;
+    for (const stages of this.routes) {
+      for (const [index, { server }] of stages.entries()) {
+        if (index > 0 && domainOf(this, stages[index - 1].server) !== domainOf(this, server))
+          crossings += 1;
+      }
+    }
+    const { usualPromptTokens, activationBytes, crossDomainMbps } = ENGINE;
+    const transferS = (usualPromptTokens * activationBytes * 8) / (crossDomainMbps * 1e6);
+    const busy = (crossings / this.routes.length) * prompts * transferS;
+    assert.ok(busy <= 0.5, `the link is busy for ${busy} of the time`);
+  },
+);
+
+Then('the mean route has at most {int} stages', function check(this: RoutesWorld, most: number) {
+  assert.ok(this.routes.flat().length / this.routes.length <= most);
+});
+
+function checkMemory(world: RoutesWorld): void {
+  for (const { record: found } of world.fixture.directory.all()) {
+    const { span, accelerator, id } = found;
+    assert.ok(span);
+    const layers = span.to - span.from;
+    const memoryMb = ENGINE.accelerators.get(accelerator)?.memoryMb ?? 0;
+    const usedMb = (world.fixture.load.tokenLayers(id) * ENGINE.tokenMb) / ENGINE.layers;
+    assert.ok(usedMb <= memoryMb - layers * ENGINE.layerMb, `${id} is over its memory`);
+  }
+}
+
+Then('no server has more requests than its memory holds', function check(this: RoutesWorld) {
+  checkMemory(this);
+});
+
+Then(
+  'some find no route, and no server has more requests than its memory holds',
+  function check(this: RoutesWorld) {
+    assert.ok(this.refused > 0);
+    checkMemory(this);
+  },
+);
+
+When('stages {string} are joined', function run(this: RoutesWorld, list: string) {
+  this.stages = joinRepeats(
+    list.split(' ').map((word) => {
+      const [from, to] = word.slice(1).split('-').map(Number);
+      return { server: word[0], address: word[0], from, to };
+    }),
+  );
+});
+
+Then('they are {string}', function check(this: RoutesWorld, joined: string) {
+  const words = this.stages.map(({ server, from, to }) => `${server}${from}-${to}`);
+  assert.equal(words.join(' '), joined);
+});
+
+Given('three servers for a route and spares for each', function set(this: RoutesWorld) {
+  this.fixture = new RelayFixture();
+  this.routes = [];
+  for (const [index, [from, to]] of [
+    [0, 30],
+    [30, 60],
+    [60, 80],
+  ].entries()) {
+    const span = { from, to };
+    this.fixture.directory.put(record(`s${index + 1}`, { accelerator: 'h100', span }));
+    this.fixture.directory.put(record(`t${index + 1}`, { accelerator: 'whole', span }));
+  }
+  start(this, 1, ['a']);
+});
+
+When('the route is planned anew without {string}', function run(this: RoutesWorld, lost: string) {
+  const [kept] = this.routes;
+  const { directory, load } = this.fixture;
+  const wish = { ...WISH, tokens: 10, avoid: new Set([lost]), kept };
+  const stages = new EngineRoutes(directory, load, 'a').planRest(wish, kept[0]);
+  assert.ok(stages);
+  this.stages = [...stages];
+});
+
+Then('the new route is {string}', function check(this: RoutesWorld, expected: string) {
+  assert.equal(this.stages.map(({ server }) => server).join(' '), expected);
+  assert.ok(coversOnce(this.stages, ENGINE.layers));
+});
--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -1,7 +1,7 @@
 /** Backend servers as this instance believes them to be. */
 import type { Clock } from '../../ports/Types.js';
 import { Emitter } from '../Emitter.js';
-import type { ServerRecord } from './Types.js';
+import type { LayerSpan, ServerRecord } from './Types.js';
 
 /** Why a server gets no new work. */
 export enum ServerDoubt {
@@ -94,6 +94,14 @@
     this.changes.fire(server);
   }
 
+  /** Takes in the layers that a server itself has named, ahead of its entry in the store. */
+  public learnSpan(id: string, span: LayerSpan): void {
+    const server = this.known.get(id);
+    if (server === undefined) return;
+    server.record = { ...server.record, span };
+    this.changes.fire(server);
+  }
+
   /** Takes in that an entry is missing since a revision. */
   public remove(id: string, revision: number): void {
     const server = this.known.get(id);
--- a/src/core/placement/PlacementDriver.ts
+++ b/src/core/placement/PlacementDriver.ts
@@ -217,8 +217,11 @@
     }
     ordered.accepted = report.ordersAccepted;
     if (report.busy) return;
-    if (sameSpan(report.span, ordered.span)) ordered.done = true;
-    else if (this.parts.lease.heldFence > 0) this.send(server, ordered);
+    if (sameSpan(report.span, ordered.span)) {
+      ordered.done = true;
+      // The store may be away; its entry would say the same.
+      this.parts.directory.learnSpan(record.id, ordered.span);
+    } else if (this.parts.lease.heldFence > 0) this.send(server, ordered);
   }
 
   private async send(server: KnownServer, ordered: Ordered): Promise<void> {
--- a/src/core/relay/SilenceWatch.ts
+++ b/src/core/relay/SilenceWatch.ts
@@ -99,12 +99,19 @@
         suspects.add(server);
         continue;
       }
-      if (known.provenAt > stream.lastEventAt + stream.silentAfterMs) continue;
+      const isProven = known.provenAt > stream.lastEventAt + stream.silentAfterMs;
+      const mayNameBlocker = server === stream.stages[0].server && this.isLong(stream, now);
+      if (isProven && !mayNameBlocker) continue;
       if (now - (this.askedAt.get(server) ?? -Infinity) >= ASK_AGAIN_MS) this.ask(server, address);
     }
     if (suspects.size > 0) stream.leave(suspects, RetryReason.Silence);
   }
 
+  /** Whether a stream has been silent for so long that a report must show what it waits for. */
+  private isLong(stream: WatchedStream, now: number): boolean {
+    return now - stream.lastEventAt >= stream.silentAfterMs + REPORT_LAG_MS;
+  }
+
   private async ask(server: string, address: string): Promise<void> {
     const { clock, directory, port, decisions } = this.parts;
     const askedAt = clock.now();
@@ -135,7 +142,7 @@
     if (blocked.length === 0) return;
     const now = this.parts.clock.now();
     for (const stream of this.streams) {
-      if (now - stream.lastEventAt < stream.silentAfterMs + REPORT_LAG_MS) continue;
+      if (!this.isLong(stream, now)) continue;
       const entry = blocked.find(({ id }) => id === stream.id);
       const blocker = entry && this.parts.directory.at(entry.address);
       if (blocker === undefined) continue;
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -33,7 +33,7 @@
 const FULL_POWER = 3;
 
 /** Weight of the time that an answer takes in all against the time to its first event. */
-const ANSWER_WEIGHT = 0.1;
+const ANSWER_WEIGHT = 0.03;
 
 /** Transfers of others that a transfer between failure domains waits for, as a factor. */
 const CROSS_FACTOR = 3;
--- a/src/fakes/VirtualClock.ts
+++ b/src/fakes/VirtualClock.ts
@@ -40,6 +40,11 @@
     return timer;
   }
 
+  /** Lets time pass in which no timer fires, as for a process that stands still. */
+  public jump(ms: number): void {
+    this.time += ms;
+  }
+
   /** Resolves after `delayMs`. */
   public sleep(delayMs: number): Promise<void> {
     return new Promise((resolve) => {
@@ -77,7 +82,7 @@
     ) {
       this.timers.pop();
       if (next.callback === undefined) continue;
-      this.time = next.at;
+      this.time = Math.max(this.time, next.at);
       next.callback();
       return true;
     }
