--- a/features/core/placement/placement-planner.feature
+++ b/features/core/placement/placement-planner.feature
@@ -34,6 +34,6 @@
     Then at most 0 servers got an order
 
   Scenario: A new server takes the layers that its domain holds least
-    Given servers "a:l4:0-40 a:l4:40-70 a:l4:none"
+    Given servers "a:h100:0-29 a:h100:29-58 a:l4:58-70 a:l4:none"
     When domain "a" is planned
-    Then server 2 is to hold layers that include 70-80
+    Then server 3 is to hold layers that include 72-78
--- a/src/core/placement/PlacementDriver.ts
+++ b/src/core/placement/PlacementDriver.ts
@@ -82,6 +82,9 @@
 /** A server that conflicts is asked again after this time at the earliest, in milliseconds. */
 const RETRY_MS = 300;
 
+/** A server that holds layers gets no further order for this time, in milliseconds. */
+const REST_MS = 8000;
+
 /** Orders in flight at once. */
 const MAX_IN_FLIGHT = 64;
 
@@ -94,6 +97,7 @@
   /** Whether the wanted layers have shown up. */
   done: boolean;
   nextCheckAt: number;
+  begunAt: number;
   inFlight: boolean;
 }
 
@@ -160,7 +164,7 @@
         failureDomain: record.failureDomain,
         accelerator: record.accelerator,
         span: open?.span ?? record.span,
-        isBusy: open !== undefined,
+        isBusy: open !== undefined || this.rests(record.id, record.incarnation),
       };
     });
     const assignments = planPlacement(engine, wishes, this.parts.failureDomain);
@@ -176,6 +180,13 @@
     return ordered?.incarnation === incarnation && !ordered.done ? ordered : undefined;
   }
 
+  /** Whether a server had an order so lately that its requests have not come to rest. */
+  private rests(id: string, incarnation: number): boolean {
+    const ordered = this.ordered.get(id);
+    if (ordered?.incarnation !== incarnation) return false;
+    return this.parts.clock.now() - ordered.begunAt < REST_MS;
+  }
+
   private begin({ id, span }: Assignment): void {
     const server = this.parts.directory.get(id);
     if (server === undefined) return;
@@ -184,11 +195,20 @@
     if (ordered?.incarnation !== incarnation) {
       // A server without layers has most likely had no order; a conflict makes the driver ask it.
       const accepted = server.record.span === undefined ? 0 : 1;
-      ordered = { incarnation, span, accepted, done: false, nextCheckAt: 0, inFlight: false };
+      ordered = {
+        incarnation,
+        span,
+        accepted,
+        done: false,
+        nextCheckAt: 0,
+        begunAt: 0,
+        inFlight: false,
+      };
       this.ordered.set(id, ordered);
     }
     ordered.span = span;
     ordered.done = false;
+    ordered.begunAt = this.parts.clock.now();
     this.send(server, ordered);
   }
 
--- a/src/core/placement/PlacementPlanner.ts
+++ b/src/core/placement/PlacementPlanner.ts
@@ -1,13 +1,13 @@
 /**
  * Decides which layers each server of an engine holds.
  *
- * Memory that layers leave free holds requests, so a server is never filled with layers. Servers that
- * hold layers keep them; empty servers take the layers that their own failure domain covers least, then
- * those that the fleet covers least. A gap that no empty server can fill is closed by neighbours that
- * hold a few layers more, or by a server whose own layers the domain holds elsewhere too.
+ * Memory that layers leave free holds requests, so a server is never filled with layers, and a layer
+ * counts by the requests that its servers have memory for. Servers that hold layers keep them unless a
+ * change is worth much more than it disturbs; empty servers take what is worth most.
  */
 import type { EngineProfile, LayerSpan } from '../deployment/Types.js';
-import { Coverage, firstGap } from './Coverage.js';
+import { Coverage } from './Coverage.js';
+import { bestSpan, spanGain } from './CoverageValue.js';
 
 /** A server as the planner sees it. */
 export interface PlacementServer {
@@ -16,7 +16,7 @@
   readonly accelerator: string;
   /** Layers that it holds or was ordered to hold. */
   readonly span: LayerSpan | undefined;
-  /** Whether it takes no order now, since one is being carried out. */
+  /** Whether it takes no order now, since it had one a short while ago. */
   readonly isBusy: boolean;
 }
 
@@ -35,14 +35,14 @@
 /** Layers a failure domain should hold, as a multiple of the model: room for overlap. */
 const WANTED_COPIES = 1.15;
 
-/** Weight of a gap in the own failure domain against one in the fleet. */
-const HOME_WEIGHT = 4;
+/** Changes of servers that hold layers in one round; the weight store shares its speed among loads. */
+const MAX_CHANGES = 3;
 
-/** Value of the n-th copy of a layer falls by this factor with each copy. */
-const COPY_DECAY = 0.25;
+/** A change must be worth this much: about the first server of one layer in its failure domain. */
+const MIN_GAIN = 3;
 
-/** Gaps that are closed in one round; the weight store shares its speed among more loads. */
-const MAX_REPAIRS = 4;
+/** Worth of each layer that a server gives up, since requests pass through it. */
+const GIVEN_UP_LOSS = 0.2;
 
 /** Layers that fit into a share of an accelerator's memory. */
 function layersWithin(engine: EngineProfile, accelerator: string, share: number): number {
@@ -50,6 +50,14 @@
   return Math.min(engine.layers, Math.floor((memoryMb * share) / engine.layerMb));
 }
 
+/** Usual requests that an accelerator has memory for besides some layers. */
+function requestsBeside(engine: EngineProfile, accelerator: string, layers: number): number {
+  const memoryMb = engine.accelerators.get(accelerator)?.memoryMb ?? 0;
+  const tokens = engine.usualPromptTokens + engine.usualAnswerTokens;
+  const requestMb = (engine.tokenMb / engine.layers) * layers * tokens;
+  return Math.max(0, memoryMb - layers * engine.layerMb) / requestMb;
+}
+
 /** Smallest share of memory for layers with which every failure domain covers the model. */
 export function layerShare(engine: EngineProfile, servers: readonly PlacementServer[]): number {
   for (const share of LAYER_SHARES) {
@@ -64,25 +72,8 @@
   return MAX_LAYER_SHARE;
 }
 
-function copyValue(coverage: Coverage, failureDomain: string, layer: number): number {
-  const home = COPY_DECAY ** coverage.home(failureDomain)[layer];
-  return HOME_WEIGHT * home + COPY_DECAY ** coverage.all[layer];
-}
-
-/** The span of `size` layers that is worth most; the earliest of equals, so that spans tile. */
-function bestSpan(coverage: Coverage, failureDomain: string, size: number): LayerSpan {
-  let sum = 0;
-  let best = -Infinity;
-  let from = 0;
-  for (let to = 1; to <= coverage.all.length; to += 1) {
-    sum += copyValue(coverage, failureDomain, to - 1);
-    if (to > size) sum -= copyValue(coverage, failureDomain, to - 1 - size);
-    if (to >= size && sum > best + 1e-9) {
-      best = sum;
-      from = to - size;
-    }
-  }
-  return { from, to: from + size };
+function overlap(a: LayerSpan, b: LayerSpan): number {
+  return Math.max(0, Math.min(a.to, b.to) - Math.max(a.from, b.from));
 }
 
 /** Plans the servers of one engine. */
@@ -96,12 +87,12 @@
   public constructor(
     private readonly engine: EngineProfile,
     private readonly servers: readonly PlacementServer[],
-    private readonly movable: (server: PlacementServer) => boolean,
+    private readonly failureDomain: string,
   ) {
     this.coverage = new Coverage(engine.layers);
     for (const server of servers) {
       if (server.span === undefined) continue;
-      this.coverage.add(server.failureDomain, server.span);
+      this.coverage.add(server.failureDomain, server.span, this.requests(server, server.span));
       this.spans.set(server.id, server.span);
     }
   }
@@ -111,83 +102,91 @@
     const share = layerShare(this.engine, this.servers);
     const empty: { server: PlacementServer; size: number }[] = [];
     for (const server of this.servers) {
-      if (server.span !== undefined || !this.movable(server)) continue;
+      if (server.span !== undefined || server.failureDomain !== this.failureDomain) continue;
       empty.push({ server, size: layersWithin(this.engine, server.accelerator, share) });
     }
     empty.sort((a, b) => b.size - a.size || (a.server.id < b.server.id ? -1 : 1));
     for (const { server, size } of empty) {
-      if (size > 0) this.assign(server, bestSpan(this.coverage, server.failureDomain, size));
+      if (size > 0) this.assign(server, this.bestFor(server, size));
     }
   }
 
-  /** Closes gaps of one failure domain, those of the whole fleet first. */
-  public repair(failureDomain: string): void {
-    for (let repairs = 0; repairs < MAX_REPAIRS; repairs += 1) {
-      const home = this.coverage.home(failureDomain);
-      const gap = firstGap(this.coverage.all) ?? firstGap(home);
-      if (gap === undefined || home[gap.from] > 0) return;
-      if (!this.extendNeighbour(failureDomain, gap) && !this.moveSpare(failureDomain, gap)) return;
+  /** Changes the servers for which another span is worth most, one after another. */
+  public improve(): void {
+    for (let changes = 0; changes < MAX_CHANGES; changes += 1) {
+      let best: { server: PlacementServer; span: LayerSpan } | undefined;
+      let bestGain = MIN_GAIN;
+      for (const server of this.servers) {
+        if (!this.mayChange(server)) continue;
+        for (const span of this.optionsFor(server)) {
+          const gain = this.gainOf(server, span);
+          if (gain <= bestGain) continue;
+          bestGain = gain;
+          best = { server, span };
+        }
+      }
+      if (best === undefined) return;
+      this.assign(best.server, best.span);
     }
   }
 
-  /** Lets a server that holds layers beside the gap hold some of the gap too. */
-  private extendNeighbour(failureDomain: string, gap: LayerSpan): boolean {
-    for (const server of this.servers) {
-      const span = this.spans.get(server.id);
-      if (span === undefined || !this.mayMove(server, failureDomain)) continue;
-      const most = layersWithin(this.engine, server.accelerator, MAX_LAYER_SHARE);
-      const room = most - (span.to - span.from);
-      if (room <= 0) continue;
-      if (span.from < gap.from && span.to >= gap.from) {
-        this.assign(server, { from: span.from, to: Math.min(span.to + room, gap.to) });
-        return true;
-      }
-      if (span.to > gap.to && span.from <= gap.to) {
-        this.assign(server, { from: Math.max(span.from - room, gap.from), to: span.to });
-        return true;
-      }
-    }
-    return false;
+  private requests({ accelerator }: PlacementServer, { from, to }: LayerSpan): number {
+    return requestsBeside(this.engine, accelerator, to - from);
   }
 
-  /** Moves the smallest server whose layers the domain holds elsewhere too. */
-  private moveSpare(failureDomain: string, gap: LayerSpan): boolean {
-    const home = this.coverage.home(failureDomain);
-    let best: PlacementServer | undefined;
-    let bestSize = Infinity;
-    for (const server of this.servers) {
-      const span = this.spans.get(server.id);
-      if (span === undefined || !this.mayMove(server, failureDomain)) continue;
-      const size = span.to - span.from;
-      if (size >= bestSize || !heldTwice(home, span)) continue;
-      best = server;
-      bestSize = size;
+  private bestFor(server: PlacementServer, size: number): LayerSpan {
+    const requests = requestsBeside(this.engine, server.accelerator, size);
+    return bestSpan(this.coverage, this.failureDomain, size, requests);
+  }
+
+  private mayChange(server: PlacementServer): boolean {
+    if (server.failureDomain !== this.failureDomain || server.isBusy) return false;
+    return server.span !== undefined && !this.assignments.has(server.id);
+  }
+
+  /** Another place for the same number of layers, and more layers on either side. */
+  private optionsFor(server: PlacementServer): LayerSpan[] {
+    const held = this.spans.get(server.id) as LayerSpan;
+    const size = held.to - held.from;
+    this.withdraw(server, held);
+    const options = [this.bestFor(server, size)];
+    this.restore(server, held);
+    const most = layersWithin(this.engine, server.accelerator, MAX_LAYER_SHARE);
+    for (let more = 1; more <= most - size; more += 1) {
+      if (held.from >= more) options.push({ from: held.from - more, to: held.to });
+      if (held.to + more <= this.engine.layers)
+        options.push({ from: held.from, to: held.to + more });
     }
-    if (best === undefined) return false;
-    const from = Math.min(gap.from, this.engine.layers - bestSize);
-    this.assign(best, { from, to: from + bestSize });
-    return true;
+    return options;
   }
 
-  private mayMove(server: PlacementServer, failureDomain: string): boolean {
-    if (server.failureDomain !== failureDomain || server.isBusy) return false;
-    return this.movable(server) && !this.assignments.has(server.id);
+  private gainOf(server: PlacementServer, span: LayerSpan): number {
+    const held = this.spans.get(server.id) as LayerSpan;
+    const givenUp = held.to - held.from - overlap(held, span);
+    const loss = spanGain(this.coverage, this.failureDomain, held, -this.requests(server, held));
+    this.withdraw(server, held);
+    const gain = spanGain(this.coverage, this.failureDomain, span, this.requests(server, span));
+    this.restore(server, held);
+    return gain + loss - givenUp * GIVEN_UP_LOSS;
+  }
+
+  private withdraw(server: PlacementServer, span: LayerSpan): void {
+    this.coverage.remove(server.failureDomain, span, this.requests(server, span));
+  }
+
+  private restore(server: PlacementServer, span: LayerSpan): void {
+    this.coverage.add(server.failureDomain, span, this.requests(server, span));
   }
 
   private assign(server: PlacementServer, span: LayerSpan): void {
     const held = this.spans.get(server.id);
-    if (held !== undefined) this.coverage.remove(server.failureDomain, held);
-    this.coverage.add(server.failureDomain, span);
+    if (held !== undefined) this.withdraw(server, held);
+    this.restore(server, span);
     this.spans.set(server.id, span);
     this.assignments.set(server.id, span);
   }
 }
 
-function heldTwice(copies: Int16Array, span: LayerSpan): boolean {
-  for (let layer = span.from; layer < span.to; layer += 1) if (copies[layer] < 2) return false;
-  return true;
-}
-
 /**
  * Plans the servers of one failure domain.
  * @param servers - usable servers of the engine, in all failure domains
@@ -199,8 +198,8 @@
   servers: readonly PlacementServer[],
   failureDomain: string,
 ): Assignment[] {
-  const plan = new Plan(engine, servers, (server) => server.failureDomain === failureDomain);
+  const plan = new Plan(engine, servers, failureDomain);
   plan.fillEmpty();
-  plan.repair(failureDomain);
+  plan.improve();
   return [...plan.assignments].map(([id, span]) => ({ id, span }));
 }
