--- a/src/core/limits/RetryBudget.ts
+++ b/src/core/limits/RetryBudget.ts
@@ -39,6 +39,11 @@
     saved.retries = Math.min(maxSaved, saved.retries + perRequest);
   }
 
+  /** Whether a retry is left. */
+  public has(key: string, now: number): boolean {
+    return this.refilled(key, now).retries >= 1;
+  }
+
   /** Takes one retry; false when none is left. */
   public take(key: string, now: number): boolean {
     const saved = this.refilled(key, now);
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -152,6 +152,7 @@
     const { clock, counters, decisions } = this.parts;
     this.avoid.add(failed);
     if (this.ended || this.msLeft < MIN_SEND_MS) return false;
+    if (!this.ledger.hasRetry(clock.now())) return false;
     const target = this.chooseTarget();
     if (target === undefined || !this.ledger.allows(target.server)) return false;
     counters.retry(reason);
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -7,9 +7,9 @@
  * its first server goes on at another, after the last event that the caller has.
  */
 import type { Disposable } from '../../ports/Types.js';
-import type { KnownServer } from '../deployment/ServerDirectory.js';
 import { InvariantKind } from '../Invariant.js';
 import { RefusalReason, RetryReason } from '../Outcome.js';
+import { Claim } from '../routing/Claim.js';
 import type { Stage } from '../routing/Types.js';
 import { BaseRelay, type Target } from './BaseRelay.js';
 import { retryReason } from './CallRelay.js';
@@ -41,9 +41,20 @@
 /** An order for a new route is answered within link delays, in milliseconds. */
 const REROUTE_TIMEOUT_MS = 250;
 
+/** Pause after a refused new route; longer after each further one, in milliseconds. */
+const REROUTE_PAUSE_MS = 100;
+
+/** A stream that is stalled and was refused this many new routes is taken to another first server. */
+const MAX_REFUSALS = 2;
+
 /** Time for which a server that turned a request away for want of memory gets none, in milliseconds. */
 const REST_MS = 150;
 
+/** Stages of a new route at servers that are not on the old one. */
+function newStages(before: readonly Stage[], after: readonly Stage[]): Stage[] {
+  return after.filter(({ server }) => !before.some((stage) => stage.server === server));
+}
+
 export class StreamRelay extends BaseRelay implements WatchedStream {
   public lastEventAt = this.parts.clock.now();
 
@@ -61,6 +72,11 @@
 
   private rerouting = false;
 
+  /** Refusals of new routes since the last one that was taken. */
+  private refusals = 0;
+
+  private nextRerouteAt = -Infinity;
+
   /** Grows with each send, so that answers about an earlier one are told apart. */
   private epoch = 0;
 
@@ -80,6 +96,7 @@
 
   public leave(servers: ReadonlySet<string>, reason: RetryReason): void {
     if (this.ended || this.rerouting || this.stages.length === 0) return;
+    if (this.parts.clock.now() < this.nextRerouteAt) return;
     for (const server of servers) this.avoid.add(server);
     const first = this.stages[0];
     if (!servers.has(first.server)) {
@@ -233,16 +250,11 @@
   /** Takes the stream to another first server. */
   private moveOn(reason: RetryReason, failed: string): void {
     if (!this.assigned.route.resumable) return;
+    this.ledger.settle(true);
+    if (this.sendAgain(reason, failed)) return;
     // Without another server, the one before may still come back to life.
-    if (this.canGoElsewhere) {
-      this.ledger.settle(true);
-      if (!this.sendAgain(reason, failed)) this.avoid.delete(failed);
-    }
-  }
-
-  private get canGoElsewhere(): boolean {
-    const target = this.chooseTarget();
-    return target !== undefined && this.ledger.allows(target.server);
+    this.avoid.delete(failed);
+    this.nextRerouteAt = this.parts.clock.now() + REROUTE_PAUSE_MS;
   }
 
   /** Asks the first server to take the stream over other servers. */
@@ -256,6 +268,8 @@
     if (stages === undefined) return;
     this.rerouting = true;
     const { epoch } = this;
+    // Counted from now on, so that streams that leave together do not all choose the same servers.
+    const claim = new Claim(this.parts.load, newStages(this.stages, stages), this.tokens, 0);
     const sentAt = this.parts.clock.now();
     const answer = await this.parts.port.reroute(
       first.server,
@@ -264,25 +278,28 @@
       stages,
       REROUTE_TIMEOUT_MS,
     );
+    claim.dispose();
     this.rerouting = false;
     this.noteReroute(reason, stages, answer, sentAt);
-    if (!this.ended && epoch === this.epoch) this.rerouted(stages, answer, server);
+    if (!this.ended && epoch === this.epoch) this.rerouted(reason, stages, answer);
   }
 
-  private rerouted(stages: readonly Stage[], answer: RerouteAnswer, first: KnownServer): void {
+  private rerouted(reason: RetryReason, stages: readonly Stage[], answer: RerouteAnswer): void {
     if (answer.status === RerouteStatus.Taken) {
+      this.refusals = 0;
       this.stages = stages;
       this.moveClaim(stages);
       this.lastEventAt = this.parts.clock.now();
       return;
     }
-    if (answer.faultAddress !== undefined) {
-      const blamed = this.parts.directory.at(answer.faultAddress);
-      if (blamed !== undefined) this.avoid.add(blamed.record.id);
-      return;
-    }
-    if (answer.status === RerouteStatus.Unknown) return;
-    this.moveOn(RetryReason.Silence, first.record.id);
+    this.refusals += 1;
+    this.nextRerouteAt = this.parts.clock.now() + REROUTE_PAUSE_MS * this.refusals;
+    const blamed = answer.faultAddress && this.parts.directory.at(answer.faultAddress);
+    if (blamed) this.avoid.add(blamed.record.id);
+    // A stream that still runs over a leaving server is left alone; it may end before the server does.
+    if (reason === RetryReason.Leaving || answer.status === RerouteStatus.Unknown) return;
+    if (answer.status === RerouteStatus.Lost || this.refusals > MAX_REFUSALS)
+      this.moveOn(RetryReason.Silence, this.stages[0].server);
   }
 
   private noteReroute(
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -3,8 +3,8 @@
   type ClientRequest,
   type ClientRequestArgs,
   type IncomingMessage,
-  type OutgoingHttpHeaders,
 } from 'node:http';
+import type { Socket } from 'node:net';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
 import {
   CallFailure,
@@ -65,12 +65,19 @@
   };
 }
 
+/** Whether an answer says itself where it ends. */
+function isFramed({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
 /** One call in progress. */
 export class OpenCall implements Disposable {
   private readonly outgoing: ClientRequest;
 
   private connectTimer: NodeJS.Timeout | undefined;
 
+  private socket: Socket | undefined;
+
   private isOver = false;
 
   private connected = false;
@@ -81,16 +88,18 @@
     agent: ServerAgent,
   ) {
     const { message } = call.request;
-    this.outgoing = httpRequest({
+    const options: ClientRequestArgs & { allowHalfOpen: boolean } = {
       ...hostAndPort(call.server.address),
       method: message.method,
       path: message.target,
+      allowHalfOpen: true, // a socket that closes by itself cannot be asked whether it was reset
       // A kept connection may close under a request, which then cannot be told from one that ran.
       agent: call.stages.length > 0 || message.method === 'GET' ? agent : false,
       // Node takes raw headers here, though its types name only records.
-      headers: headersFor(call) as unknown as OutgoingHttpHeaders,
-    } satisfies ClientRequestArgs);
-    this.outgoing.on('socket', (socket) => this.watchConnect(socket.connecting, socket));
+      headers: headersFor(call),
+    };
+    this.outgoing = httpRequest(options);
+    this.outgoing.on('socket', (socket) => this.watch(socket));
     this.outgoing.on('response', (answer) => this.read(answer));
     this.outgoing.on('error', () => this.fail(this.lost));
     this.outgoing.end(message.body);
@@ -98,17 +107,24 @@
 
   public dispose(): void {
     if (this.isOver) return;
+    this.close();
+    this.outgoing.destroy();
+  }
+
+  private close(): void {
     this.isOver = true;
     clearTimeout(this.connectTimer);
-    this.outgoing.destroy();
+    this.socket?.removeListener('end', this.askForReset);
   }
 
   private get lost(): CallFailure {
     return this.connected ? CallFailure.Lost : CallFailure.NotSent;
   }
 
-  private watchConnect(connecting: boolean, socket: NodeJS.EventEmitter): void {
-    if (!connecting) {
+  private watch(socket: Socket): void {
+    this.socket = socket;
+    socket.prependListener('end', this.askForReset);
+    if (!socket.connecting) {
       this.connected = true;
       return;
     }
@@ -122,6 +138,17 @@
     });
   }
 
+  /**
+   * Tells a reset from an end. libuv reports a reset that arrives together with data as an end of the
+   * stream; writing nothing then fails with the reset and sends nothing otherwise.
+   */
+  private readonly askForReset = (): void => {
+    if (this.socket?.writable !== true) return;
+    this.socket.write('', (error) => {
+      if (error) this.fail(CallFailure.Lost);
+    });
+  };
+
   private read(answer: IncomingMessage): void {
     if (this.isOver) return;
     const head = toHead(answer);
@@ -136,8 +163,10 @@
       if (!this.isOver) this.listener.onData(chunk);
     });
     answer.on('end', () => {
-      if (answer.complete) this.succeed();
-      else this.fail(CallFailure.Lost);
+      if (!answer.complete) this.fail(CallFailure.Lost);
+      else if (isFramed(answer)) this.succeed();
+      // The answer to the question about a reset comes first.
+      else setImmediate(() => this.succeed());
     });
     answer.on('error', () => this.fail(CallFailure.Lost));
     answer.on('close', () => this.fail(CallFailure.Lost));
@@ -145,14 +174,13 @@
 
   private succeed(): void {
     if (this.isOver) return;
-    this.isOver = true;
+    this.close();
     this.listener.onEnd();
   }
 
   private fail(failure: CallFailure): void {
     if (this.isOver) return;
-    this.isOver = true;
-    clearTimeout(this.connectTimer);
+    this.close();
     this.listener.onFailure(failure);
   }
 }
--- a/src/platform/ServerAgent.ts
+++ b/src/platform/ServerAgent.ts
@@ -7,11 +7,11 @@
 /** Idle connections kept for each server. */
 const MAX_IDLE = 32;
 
-function destroyOnData(this: Duplex): void {
+function destroySelf(this: Duplex): void {
   this.destroy();
 }
 
-/** Keeps connections to servers, and drops one on which bytes come that no request asked for. */
+/** Keeps connections to servers, and drops those that end or bring bytes unasked. */
 export class ServerAgent extends Agent {
   public constructor() {
     super({ keepAlive: true, maxFreeSockets: MAX_IDLE, scheduling: 'lifo', timeout: IDLE_MS });
@@ -21,12 +21,12 @@
     // Typed as void in @types/node, though Node uses the result.
     const base = Agent.prototype as unknown as { keepSocketAlive(kept: Duplex): boolean };
     const keeps = base.keepSocketAlive.call(this, socket);
-    if (keeps) socket.on('data', destroyOnData);
+    if (keeps) socket.on('data', destroySelf).on('end', destroySelf);
     return keeps;
   }
 
   public override reuseSocket(socket: Duplex, request: ClientRequest): void {
-    socket.removeListener('data', destroyOnData);
+    socket.removeListener('data', destroySelf).removeListener('end', destroySelf);
     const base = Agent.prototype as unknown as {
       reuseSocket(reused: Duplex, by: ClientRequest): void;
     };
