Stand-ins of the platform and tests of a router instance over sockets; whole answers without length are passed on

Cause: the end of an answer without length waits for the question about a reset, and its close came first (502 for a whole answer). The new test failed first.

--- /dev/null
+++ b/features/platform/StandInServer.ts
@@ -0,0 +1,198 @@
+/** A stand-in for a backend server, after the platform's published protocol. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { StandInStore } from './StandInStore.js';
+
+/** How the server answers a request. */
+export enum AnswerStyle {
+  Whole = 'whole',
+  /** Without a length; ends with its connection. */
+  Unframed = 'unframed',
+  /** Without a length, and reset in the middle. */
+  UnframedReset = 'unframed and reset',
+  /** With the id of another request. */
+  Foreign = 'of another request',
+  /** Rejected, with the statement that it did not run. */
+  Rejected = 'rejected',
+  /** Broken off in the middle of its length. */
+  Truncated = 'broken off',
+}
+
+const LAYERS = 80;
+
+const EVENTS = 12;
+
+const EVENT_MS = 10;
+
+const ANSWER = 'the whole answer of the server';
+
+export class StandInServer {
+  public style = AnswerStyle.Whole;
+
+  /** Requests that the server ran, by id. */
+  public readonly ran: string[] = [];
+
+  /** Headers of the requests that it ran. */
+  public readonly seen: IncomingMessage['headers'][] = [];
+
+  private span: { source: number; to: number } | undefined;
+
+  private orders = 0;
+
+  private address = '';
+
+  private readonly sockets = new Set<Socket>();
+
+  private readonly server: Server = createServer((request, response) => {
+    this.handle(request, response);
+  });
+
+  public constructor(
+    public readonly id: string,
+    private readonly service: string,
+    private readonly zone: string,
+    private readonly kind: string,
+    private readonly store: StandInStore,
+  ) {
+    this.server.on('connection', (socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
+  }
+
+  public listen(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.listen(0, '127.0.0.1', () => {
+        this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+        this.announce('ready');
+        resolve();
+      });
+    });
+  }
+
+  /** Crashes: every connection is reset and none is taken any more. */
+  public crash(): void {
+    this.server.close();
+    for (const socket of this.sockets) socket.resetAndDestroy();
+  }
+
+  /** Writes the server's entry. */
+  public announce(state: string): void {
+    this.store.put('servers', this.id, {
+      service: this.service,
+      address: this.address,
+      zone: this.zone,
+      version: 'v1',
+      slots: 134,
+      state,
+      seq_no: 7,
+      born: 1,
+      route_kind: this.kind,
+      ...(this.span !== undefined && { layer_count: { ...this.span, version: 1 } }),
+    });
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    let body = '';
+    for await (const chunk of request) body += chunk;
+    if (request.url === '/-/report') this.report(response);
+    else if (request.url === '/-/order') this.order(response, body);
+    else this.run(request, response);
+  }
+
+  private report(response: ServerResponse): void {
+    response.end(
+      JSON.stringify({
+        seq_no: this.orders,
+        busy: false,
+        ...(this.span !== undefined && { layer_count: this.span }),
+      }),
+    );
+  }
+
+  private order(response: ServerResponse, body: string): void {
+    const order = JSON.parse(body) as {
+      operation: string;
+      source: number;
+      to: number;
+      precondition: number;
+    };
+    if (order.precondition !== this.orders) {
+      response.writeHead(409).end('{}');
+      return;
+    }
+    this.orders += 1;
+    this.span = { source: order.source, to: order.to };
+    response.writeHead(202).end('{}');
+    this.announce('ready');
+  }
+
+  private run(request: IncomingMessage, response: ServerResponse): void {
+    const { headers } = request;
+    if (headers['x-expect-instance'] !== this.id) {
+      response.writeHead(421).end();
+      return;
+    }
+    if (this.style === AnswerStyle.Rejected) {
+      response.writeHead(503, { 'x-not-executed': '1' }).end();
+      return;
+    }
+    this.ran.push(String(headers['x-attempt-id']));
+    this.seen.push(headers);
+    if (headers['x-hop-count'] === undefined) this.answer(request, response);
+    else this.stream(request, response);
+  }
+
+  private answer(request: IncomingMessage, response: ServerResponse): void {
+    const isForeign = this.style === AnswerStyle.Foreign;
+    const id = isForeign ? 'another' : String(request.headers['x-attempt-id']);
+    const head = `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\n`;
+    const { socket } = request;
+    switch (this.style) {
+      case AnswerStyle.Unframed:
+        socket.end(`${head}connection: close\r\n\r\n${ANSWER}`);
+        return;
+      case AnswerStyle.UnframedReset:
+        socket.write(`${head}connection: close\r\n\r\n${ANSWER.slice(0, 9)}`);
+        socket.resetAndDestroy();
+        return;
+      case AnswerStyle.Truncated:
+        socket.end(`${head}content-length: ${ANSWER.length}\r\n\r\n${ANSWER.slice(0, 9)}`);
+        return;
+      default:
+        response.writeHead(200, { 'x-attempt-id': id, 'x-server-seal': 'seal' }).end(ANSWER);
+    }
+  }
+
+  private stream(request: IncomingMessage, response: ServerResponse): void {
+    const { headers } = request;
+    response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'x-attempt-id': String(headers['x-attempt-id']),
+      'x-server-seal': 'seal',
+    });
+    let number = Number(headers['last-event-id'] ?? 0);
+    const timer = setInterval(() => {
+      number += 1;
+      response.write(`id: ${number}\ndata: event ${number}\n\n`);
+      if (number < EVENTS) return;
+      clearInterval(timer);
+      response.end();
+    }, EVENT_MS);
+    response.once('close', () => clearInterval(timer));
+  }
+}
+
+/** Whether a route as servers get it covers every layer once, in order. */
+export function coversLayers(route: string): boolean {
+  let next = 0;
+  for (const part of route.split(',')) {
+    const [from, to] = part
+      .slice(part.indexOf('=') + 1)
+      .split('-')
+      .map(Number);
+    if (from !== next || to <= from) return false;
+    next = to;
+  }
+  return next === LAYERS;
+}
--- /dev/null
+++ b/features/platform/StandInStore.ts
@@ -0,0 +1,172 @@
+/** A stand-in for the platform's store, after its published protocol. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+interface StoredRow {
+  readonly table: string;
+  readonly key: string;
+  readonly payload: string;
+  readonly row_version: number;
+  readonly deleted?: boolean;
+}
+
+interface RowRef {
+  readonly table: string;
+  readonly key: string;
+  readonly payload?: string;
+  readonly row_version?: number;
+}
+
+/** How the store misbehaves. */
+export enum StoreFault {
+  None = 'none',
+  /** Answers 503 to everything. */
+  Busy = 'busy',
+  /** Answers nothing. */
+  Silent = 'silent',
+  /** Does writes and gives no answer. */
+  LosesAnswers = 'loses answers',
+  /** Has forgotten what changed. */
+  Forgets = 'forgets',
+}
+
+type Handler = (query: URLSearchParams, response: ServerResponse, body: string) => void;
+
+async function readAll(request: IncomingMessage): Promise<string> {
+  let text = '';
+  for await (const chunk of request) text += chunk;
+  return text;
+}
+
+function answer(response: ServerResponse, status: number, value?: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(value === undefined ? '' : JSON.stringify(value));
+}
+
+export class StandInStore {
+  public fault = StoreFault.None;
+
+  private readonly rows = new Map<string, StoredRow>();
+
+  private readonly history: StoredRow[] = [];
+
+  private version = 0;
+
+  private readonly waiting = new Set<() => void>();
+
+  private readonly handlers: Readonly<Record<string, Handler>> = {
+    '/-/rows-get': (query, response) => this.get(query, response),
+    '/-/rows-feed': (query, response) => this.feed(query, response),
+    '/-/rows-tx': (_query, response, body) => this.transact(response, body),
+  };
+
+  private readonly server: Server = createServer((request, response) => {
+    this.handle(request, response);
+  });
+
+  public listen(): Promise<string> {
+    return new Promise((resolve) => {
+      this.server.listen(0, '127.0.0.1', () => {
+        resolve(`127.0.0.1:${(this.server.address() as AddressInfo).port}`);
+      });
+    });
+  }
+
+  public close(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  /** Writes a row as the operator or a server does. */
+  public put(table: string, key: string, value: unknown): void {
+    this.putText(table, key, JSON.stringify(value));
+  }
+
+  /** Writes bytes that need not be JSON. */
+  public putText(table: string, key: string, text: string): void {
+    this.store({ table, key, payload: Buffer.from(text).toString('base64') });
+  }
+
+  public remove(table: string, key: string): void {
+    this.store({ table, key, payload: '' }, true);
+  }
+
+  private store({ table, key, payload = '' }: RowRef, deleted = false): void {
+    this.version += 1;
+    const row = { table, key, payload, row_version: this.version, ...(deleted && { deleted }) };
+    if (deleted) this.rows.delete(`${table}/${key}`);
+    else this.rows.set(`${table}/${key}`, row);
+    this.history.push(row);
+    for (const wake of this.waiting) wake();
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readAll(request);
+    if (this.fault === StoreFault.Silent) return;
+    if (this.fault === StoreFault.Busy) {
+      answer(response, 503);
+      return;
+    }
+    const url = new URL(request.url ?? '/', 'http://store');
+    const handler = this.handlers[url.pathname];
+    if (handler === undefined) answer(response, 404);
+    else handler(url.searchParams, response, body);
+  }
+
+  private get(query: URLSearchParams, response: ServerResponse): void {
+    const table = query.get('table');
+    const source = query.get('source') ?? '';
+    const to = query.get('to');
+    const rows = [...this.rows.values()]
+      .filter((row) => row.table === table && row.key >= source)
+      .filter((row) => to === null || row.key < to);
+    answer(response, 200, { rows, has_more: false, row_version: this.version, now_ms: 0 });
+  }
+
+  private feed(query: URLSearchParams, response: ServerResponse): void {
+    if (this.fault === StoreFault.Forgets) {
+      this.fault = StoreFault.None;
+      answer(response, 410);
+      return;
+    }
+    const after = Number(query.get('after'));
+    const table = query.get('table');
+    const changed = () =>
+      this.history.filter((row) => row.table === table && row.row_version > after);
+    let timer: NodeJS.Timeout | undefined;
+    const send = () => {
+      clearTimeout(timer);
+      answer(response, 200, { rows: changed(), row_version: this.version, now_ms: 0 });
+    };
+    const wake = () => {
+      if (changed().length === 0) return;
+      this.waiting.delete(wake);
+      send();
+    };
+    timer = setTimeout(send, Number(query.get('wait_ms')));
+    response.once('close', () => {
+      this.waiting.delete(wake);
+      clearTimeout(timer);
+    });
+    this.waiting.add(wake);
+    wake();
+  }
+
+  private transact(response: ServerResponse, body: string): void {
+    const { precondition, write } = JSON.parse(body) as {
+      precondition: RowRef[];
+      write: RowRef[];
+    };
+    const failed = precondition.filter(
+      ({ table, key, row_version: version }) =>
+        (this.rows.get(`${table}/${key}`)?.row_version ?? 0) !== version,
+    );
+    if (failed.length > 0) {
+      answer(response, 412, { rows: failed });
+      return;
+    }
+    for (const row of write) this.store(row);
+    if (this.fault === StoreFault.LosesAnswers) response.destroy();
+    else answer(response, 200, { row_version: this.version, now_ms: 0 });
+  }
+}
--- a/src/adapters/logs/StructuredLog.ts
+++ b/src/adapters/logs/StructuredLog.ts
@@ -23,18 +23,23 @@
 export class StructuredLog implements Decisions {
   private readonly logger: Logger;
 
-  private readonly destination = pino.destination({
-    sync: false,
-    minLength: BUFFER_BYTES,
-    maxLength: MAX_UNWRITTEN_BYTES,
-  });
+  private readonly destination: ReturnType<typeof pino.destination>;
 
   private readonly windows = new Map<string, Window>();
 
   private readonly timer = setInterval(() => this.destination.flush(), FLUSH_MS).unref();
 
-  /** @param instance - name written on every line */
-  public constructor(instance: string) {
+  /**
+   * @param instance - name written on every line
+   * @param file - written to in place of standard output
+   */
+  public constructor(instance: string, file?: string) {
+    this.destination = pino.destination({
+      ...(file !== undefined && { dest: file }),
+      sync: false,
+      minLength: BUFFER_BYTES,
+      maxLength: MAX_UNWRITTEN_BYTES,
+    });
     this.logger = pino(
       { base: { instance }, timestamp: pino.stdTimeFunctions.epochTime },
       this.destination,
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -169,7 +169,9 @@
       else setImmediate(() => this.succeed());
     });
     answer.on('error', () => this.fail(CallFailure.Lost));
-    answer.on('close', () => this.fail(CallFailure.Lost));
+    answer.on('close', () => {
+      if (!answer.complete) this.fail(CallFailure.Lost);
+    });
   }
 
   private succeed(): void {
