--- /dev/null
+++ b/features/core/deployment/deployment.steps.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { Deployments } from '../../../src/core/deployment/Deployments.js';
+import { RouteTable } from '../../../src/core/deployment/RouteTable.js';
+import { ServerDirectory } from '../../../src/core/deployment/ServerDirectory.js';
+import type { ServerRecord } from '../../../src/core/deployment/Types.js';
+import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
+import { deployment, record, route } from '../FleetFixture.js';
+
+interface DeploymentWorld {
+  table: RouteTable;
+  deployments: Deployments;
+  clock: VirtualClock;
+  directory: ServerDirectory;
+  first: ServerRecord;
+}
+
+Given('routes {string}', function set(this: DeploymentWorld, list: string) {
+  const routes = list.split(' ').map((name) => {
+    const slash = name.indexOf('/');
+    return route({ name, host: name.slice(0, slash), prefix: name.slice(slash) });
+  });
+  this.table = new RouteTable(deployment(routes));
+});
+
+Then(
+  'a request for {string} {string} takes route {string}',
+  function check(this: DeploymentWorld, host: string, path: string, name: string) {
+    assert.equal(this.table.routeFor(host, path)?.name ?? 'none', name);
+  },
+);
+
+When(
+  'versions {string} of the configuration arrive',
+  function run(this: DeploymentWorld, arrivals: string) {
+    this.deployments = new Deployments();
+    for (const word of arrivals.split(' '))
+      this.deployments.offer(deployment([], { ticket: Number(word) }));
+  },
+);
+
+Then('version {int} is in force', function check(this: DeploymentWorld, force: number) {
+  assert.equal(this.deployments.ticket, force);
+});
+
+Given('a server that is ready', function set(this: DeploymentWorld) {
+  this.clock = new VirtualClock();
+  this.directory = new ServerDirectory(this.clock);
+  this.first = record('server');
+  this.directory.put(this.first);
+});
+
+const CHANGES: Readonly<Record<string, (world: DeploymentWorld) => void>> = {
+  draining: ({ directory }) => directory.put(record('server', { leaving: true })),
+  ready: ({ directory }) => directory.put(record('server')),
+  born: ({ directory }) => directory.put(record('server', { incarnation: 2 })),
+  stale: ({ directory, first }) => directory.put(first),
+  removed: ({ directory }) => directory.remove('server', record('other').revision),
+  trouble: ({ directory }) => directory.noteStoreTrouble(),
+  suspect: ({ directory }) => directory.suspect('server'),
+  proof: ({ directory }) => directory.prove('server'),
+};
+
+When('its entry {string}', async function run(this: DeploymentWorld, changes: string) {
+  for (const word of changes.split(' ')) {
+    if (CHANGES[word] === undefined) await this.clock.runUntil(this.clock.now() + Number(word));
+    else CHANGES[word](this);
+  }
+});
+
+Then(
+  'after {int} ms it gets new work: {string}',
+  async function check(this: DeploymentWorld, ms: number, works: string) {
+    await this.clock.runUntil(this.clock.now() + ms);
+    this.directory.sweep();
+    assert.equal(this.directory.isUsable('server'), works === 'yes');
+  },
+);
--- /dev/null
+++ b/features/core/peers/peer-sharing.feature
@@ -0,0 +1,33 @@
+Feature: Instances tell each other what they know
+  Scenario: Work at the servers is summed over all instances
+    Given 3 instances that know each other
+    When each has 2 requests at server "s"
+    Then within 1000 ms each counts 6 requests at server "s"
+
+  Scenario: The work of an instance that is gone is not counted
+    Given 3 instances that know each other
+    When each has 2 requests at server "s"
+    And instance 0 is gone for 4000 ms
+    Then within 1000 ms the others count 4 requests at server "s"
+
+  Scenario Outline: An instance without the store learns the <what> from a peer
+    Given 3 instances that know each other
+    When instance 0 learns the <what> from the store
+    Then within 1000 ms all know the <what>
+
+    Examples:
+      | what                 |
+      | configuration        |
+      | entries of servers   |
+      | leaving of a server  |
+
+  Scenario: An instance that knows only a seed meets the others
+    Given 2 instances that know each other
+    When a third starts with the first as its seed
+    Then within 4000 ms all count 3 live instances
+
+  Scenario: A peer's older word changes nothing
+    Given 2 instances that know each other
+    When instance 0 learns the leaving of a server from the store
+    And instance 1 learns an older entry of it
+    Then within 1000 ms all know the leaving of a server
--- /dev/null
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -0,0 +1,164 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { throughWire } from '../../../src/adapters/grpc/SharingService.js';
+import { Deployments } from '../../../src/core/deployment/Deployments.js';
+import { ServerDirectory } from '../../../src/core/deployment/ServerDirectory.js';
+import type { ServerRecord } from '../../../src/core/deployment/Types.js';
+import { Failure, FailureKind } from '../../../src/core/Failure.js';
+import { PeerSharing } from '../../../src/core/peers/PeerSharing.js';
+import type { PeerDigest, PeerReceipt } from '../../../src/core/peers/Types.js';
+import { ServerLoad } from '../../../src/core/routing/ServerLoad.js';
+import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
+import { deployment, record, route } from '../FleetFixture.js';
+
+interface Instance {
+  readonly sharing: PeerSharing;
+  readonly deployments: Deployments;
+  readonly directory: ServerDirectory;
+  readonly load: ServerLoad;
+  isGone: boolean;
+}
+
+interface SharingWorld {
+  clock: VirtualClock;
+  instances: Instance[];
+}
+
+function throughJson(digest: PeerDigest): PeerDigest {
+  const { deployment: sent, ...rest } = digest;
+  const copy = JSON.parse(JSON.stringify(rest)) as PeerDigest;
+  return sent === undefined ? copy : { ...copy, deployment: throughWire(sent) };
+}
+
+function addInstance(world: SharingWorld, seeds: readonly string[]): Instance {
+  const index = world.instances.length;
+  const { clock } = world;
+  const deployments = new Deployments();
+  const directory = new ServerDirectory(clock);
+  const load = new ServerLoad();
+  const send = (address: string, digest: PeerDigest): Promise<PeerReceipt> => {
+    const peer = world.instances[Number(address)];
+    if (peer.isGone || world.instances[index].isGone) {
+      return Promise.reject(new Failure(FailureKind.PeerUnavailable, 'Gone. Tried again.'));
+    }
+    return Promise.resolve(peer.sharing.take(throughJson(digest)));
+  };
+  const sharing = new PeerSharing({
+    clock,
+    deployments,
+    directory,
+    load,
+    seeds,
+    random: { next: () => 0.5, id: () => 'id' },
+    port: { send },
+    self: { instance: `i${index}`, address: String(index), failureDomain: 'a' },
+    incarnation: 1,
+    decisions: { note: () => {} },
+    isLeaving: () => false,
+  });
+  const instance = { sharing, deployments, directory, load, isGone: false };
+  world.instances.push(instance);
+  return instance;
+}
+
+Given('{int} instances that know each other', function set(this: SharingWorld, count: number) {
+  this.clock = new VirtualClock();
+  this.instances = [];
+  for (let index = 0; index < count; index += 1) addInstance(this, []);
+  for (const { sharing } of this.instances) {
+    for (let index = 0; index < count; index += 1)
+      sharing.meet({ instance: `i${index}`, address: String(index), failureDomain: 'a' });
+    sharing.start();
+  }
+});
+
+When(
+  'each has {int} requests at server {string}',
+  function run(this: SharingWorld, requests: number, server: string) {
+    const stages = [{ server, address: '', from: 0, to: 1 }];
+    for (const { load } of this.instances) load.add(stages, requests, 10, 0);
+  },
+);
+
+When('instance 0 is gone for {int} ms', async function run(this: SharingWorld, ms: number) {
+  await this.clock.runUntil(this.clock.now() + 500);
+  this.instances[0].isGone = true;
+  await this.clock.runUntil(this.clock.now() + ms);
+});
+
+async function checkCount(
+  world: SharingWorld,
+  ms: number,
+  instances: readonly Instance[],
+  requests: number,
+  server: string,
+): Promise<void> {
+  await world.clock.runUntil(world.clock.now() + ms);
+  for (const { load } of instances) assert.equal(load.requests(server), requests);
+}
+
+Then(
+  'within {int} ms each counts {int} requests at server {string}',
+  async function check(this: SharingWorld, ms: number, requests: number, server: string) {
+    await checkCount(this, ms, this.instances, requests, server);
+  },
+);
+
+Then(
+  'within {int} ms the others count {int} requests at server {string}',
+  async function check(this: SharingWorld, ms: number, requests: number, server: string) {
+    await checkCount(this, ms, this.instances.slice(1), requests, server);
+  },
+);
+
+const FACTS: Readonly<
+  Record<string, { learn: (instance: Instance) => void; knows: (instance: Instance) => boolean }>
+> = {
+  configuration: {
+    learn: ({ deployments }) => deployments.offer(deployment([route()], { ticket: 7 })),
+    knows: ({ deployments }) =>
+      deployments.ticket === 7 &&
+      deployments.current?.deployment.services.get('engine')?.engine?.layers === 80,
+  },
+  'entries of servers': {
+    learn: ({ directory }) => directory.put(record('server')),
+    knows: ({ directory }) => directory.isUsable('server'),
+  },
+  'leaving of a server': {
+    learn: ({ directory }) => directory.put(record('server', { revision: 1e6, leaving: true })),
+    knows: ({ directory }) => directory.get('server')?.leaving === true,
+  },
+};
+
+When(
+  /^instance 0 learns the (.+) from the store$/,
+  async function run(this: SharingWorld, what: string) {
+    await this.clock.runUntil(this.clock.now() + 500);
+    FACTS[what].learn(this.instances[0]);
+  },
+);
+
+When('instance 1 learns an older entry of it', function run(this: SharingWorld) {
+  const older: ServerRecord = record('server');
+  this.instances[1].directory.put(older);
+});
+
+Then(
+  /^within (\d+) ms all know the (.+)$/,
+  async function check(this: SharingWorld, ms: string, what: string) {
+    await this.clock.runUntil(this.clock.now() + Number(ms));
+    for (const instance of this.instances) assert.ok(FACTS[what].knows(instance));
+  },
+);
+
+When('a third starts with the first as its seed', function run(this: SharingWorld) {
+  addInstance(this, ['0']).sharing.start();
+});
+
+Then(
+  'within {int} ms all count {int} live instances',
+  async function check(this: SharingWorld, ms: number, live: number) {
+    await this.clock.runUntil(this.clock.now() + ms);
+    for (const { sharing } of this.instances) assert.equal(sharing.liveInstances, live);
+  },
+);
--- a/features/platform/router.feature
+++ b/features/platform/router.feature
@@ -27,7 +27,7 @@
     Then it gets 12 events and a complete answer with the server's signature
 
   Scenario Outline: The store <fault>
-    When the store "<fault>"
+    When the stand-in store "<fault>"
     And a caller asks for a stream
     Then it gets 12 events and a complete answer with the server's signature
 
@@ -68,6 +68,6 @@
     And the instance is not ready and takes no request
 
   Scenario: An instance that starts while the store is away learns from a peer
-    When the store "silent"
+    When the stand-in store "silent"
     And another instance starts with the first as its seed
     Then within 4 seconds the other instance serves a stream
--- a/features/platform/router.steps.ts
+++ b/features/platform/router.steps.ts
@@ -300,7 +300,7 @@
   },
 );
 
-When('the store {string}', function set(this: RouterWorld, fault: StoreFault) {
+When('the stand-in store {string}', function set(this: RouterWorld, fault: StoreFault) {
   this.store.fault = fault;
 });
 
--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -29,8 +29,8 @@
   provenAt: number;
   /** Time since which the server leaves. */
   leavingSince: number;
-  /** Time at which the entry was found missing; 0 while it is present. */
-  missingSince: number;
+  /** Time at which the entry was found missing; undefined while it is present. */
+  missingSince: number | undefined;
 }
 
 /** First suspicion lasts this long; doubled with each failure in a row, in milliseconds. */
@@ -84,7 +84,7 @@
     if (server.record.address !== record.address) this.move(server, record.address);
     server.record = record;
     server.revision = record.revision;
-    server.missingSince = 0;
+    server.missingSince = undefined;
     if (record.leaving && !server.leaving) server.leavingSince = this.clock.now();
     server.leaving = record.leaving;
     if (reborn) {
@@ -105,7 +105,8 @@
   /** Takes in that an entry is missing since a revision. */
   public remove(id: string, revision: number): void {
     const server = this.known.get(id);
-    if (server === undefined || server.missingSince !== 0 || revision <= server.revision) return;
+    if (server === undefined || server.missingSince !== undefined || revision <= server.revision)
+      return;
     server.revision = revision;
     server.missingSince = this.clock.now();
     if (server.missingSince < this.storeTroubleUntil) return;
@@ -126,7 +127,7 @@
   public sweep(): void {
     const now = this.clock.now();
     for (const [id, server] of this.known) {
-      if (server.missingSince === 0) continue;
+      if (server.missingSince === undefined) continue;
       if (!server.leaving && now >= this.storeTroubleUntil) this.leave(server);
       if (now - server.missingSince < FORGET_MS) continue;
       this.known.delete(id);
@@ -207,7 +208,7 @@
       failures: 0,
       provenAt: -Infinity,
       leavingSince: record.leaving ? this.clock.now() : Infinity,
-      missingSince: 0,
+      missingSince: undefined,
     };
     this.known.set(record.id, server);
     this.byAddress.set(record.address, server);
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -250,7 +250,7 @@
   private allRecords(): ServerRecord[] {
     const records: ServerRecord[] = [];
     for (const { record, missingSince } of this.parts.directory.all()) {
-      if (missingSince === 0) records.push(record);
+      if (missingSince === undefined) records.push(record);
     }
     return records;
   }
--- a/src/core/placement/PlacementDriver.ts
+++ b/src/core/placement/PlacementDriver.ts
@@ -154,7 +154,7 @@
     const servers: KnownServer[] = [];
     for (const server of this.parts.directory.all()) {
       if (server.record.service !== service || server.leaving) continue;
-      if (server.missingSince === 0) servers.push(server);
+      if (server.missingSince === undefined) servers.push(server);
     }
     this.followUp(servers);
     const wishes = servers.map(({ record }) => {
