--- a/features/core/peers/peer-sharing.feature
+++ b/features/core/peers/peer-sharing.feature
@@ -20,6 +20,12 @@
       | configuration        |
       | entries of servers   |
       | leaving of a server  |
+      | removal of a server  |
+
+  Scenario: A process that started with an earlier clock is heard once the one before is silent
+    Given 2 instances that know each other
+    When instance 0 starts again after its clock went back
+    Then within 100 ms all count 2 live instances
 
   Scenario: An instance that knows only a seed meets the others
     Given 2 instances that know each other
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -124,6 +124,13 @@
     learn: ({ directory }) => directory.put(record('server')),
     knows: ({ directory }) => directory.isUsable('server'),
   },
+  'removal of a server': {
+    learn: ({ directory }) => {
+      directory.put(record('server', { revision: 1e6 }));
+      directory.remove('server', 1e6 + 1);
+    },
+    knows: ({ directory }) => directory.get('server')?.leaving === true,
+  },
   'leaving of a server': {
     learn: ({ directory }) => directory.put(record('server', { revision: 1e6, leaving: true })),
     knows: ({ directory }) => directory.get('server')?.leaving === true,
@@ -138,6 +145,26 @@
   },
 );
 
+When('instance 0 starts again after its clock went back', async function run(this: SharingWorld) {
+  await this.clock.runUntil(this.clock.now() + 1000);
+  this.instances[0].sharing.dispose();
+  const self = { instance: 'i0', address: '0', failureDomain: 'a' };
+  const digest = {
+    from: self,
+    incarnation: 0,
+    leaving: false,
+    ticket: 0,
+    work: [],
+    records: [],
+    revision: 0,
+    peers: [],
+  };
+  for (let told = 0; told < 20; told += 1) {
+    this.instances[1].sharing.take(digest);
+    await this.clock.runUntil(this.clock.now() + 250);
+  }
+});
+
 When('instance 1 learns an older entry of it', function run(this: SharingWorld) {
   const older: ServerRecord = record('server');
   this.instances[1].directory.put(older);
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -6,7 +6,7 @@
 import type { Clock, Disposable, Random } from '../../ports/Types.js';
 import type { Decisions } from '../Decisions.js';
 import type { Deployments } from '../deployment/Deployments.js';
-import type { ServerDirectory } from '../deployment/ServerDirectory.js';
+import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { ServerRecord } from '../deployment/Types.js';
 import type { ServerLoad, Work } from '../routing/ServerLoad.js';
 import type { PeerAddress, PeerDigest, PeerPort, PeerReceipt, WorkShare } from './Types.js';
@@ -26,7 +26,7 @@
 }
 
 /** Time between digests to peers of the own failure domain, in milliseconds. */
-const HOME_MS = 200;
+const HOME_MS = 250;
 
 /** Digests elsewhere go out in each n-th round only. */
 const AWAY_ROUNDS = 3;
@@ -61,6 +61,13 @@
   readonly at: number;
 }
 
+/** A server's entry with what is known beyond it: a removed entry says that the server leaves. */
+function asBelieved({ record, leaving, revision }: KnownServer): ServerRecord {
+  return leaving === record.leaving && revision === record.revision
+    ? record
+    : { ...record, leaving, revision };
+}
+
 export class PeerSharing {
   private readonly peers = new Map<string, Peer>();
 
@@ -73,8 +80,8 @@
   private readonly subscription: Disposable;
 
   public constructor(private readonly parts: SharingParts) {
-    this.subscription = parts.directory.onChange(({ record }) => {
-      this.news.set(record.id, { record, at: parts.clock.now() });
+    this.subscription = parts.directory.onChange((server) => {
+      this.news.set(server.record.id, { record: asBelieved(server), at: parts.clock.now() });
     });
   }
 
@@ -85,17 +92,6 @@
     return live;
   }
 
-  /** Live instances of the own failure domain that are ranked by name; for duties that one takes. */
-  public get liveAtHome(): string[] {
-    const { failureDomain, instance } = this.parts.self;
-    const names = [instance];
-    for (const peer of this.peers.values()) {
-      if (peer.address.failureDomain === failureDomain && this.isAlive(peer))
-        names.push(peer.address.instance);
-    }
-    return names.sort();
-  }
-
   public start(): void {
     this.tick();
   }
@@ -127,7 +123,7 @@
     this.meet(digest.from);
     for (const address of digest.peers) this.meet(address);
     const peer = this.peers.get(digest.from.instance);
-    if (peer !== undefined && digest.incarnation >= peer.incarnation) {
+    if (peer !== undefined && this.isNewest(peer, digest)) {
       const wasAlive = this.isAlive(peer);
       peer.address = digest.from;
       peer.incarnation = digest.incarnation;
@@ -150,6 +146,11 @@
     return { ticket: this.parts.deployments.ticket, revision: this.parts.directory.revision };
   }
 
+  /** Whether a digest is of the peer's newest process; clocks that jump back do not matter for long. */
+  private isNewest(peer: Peer, { incarnation }: PeerDigest): boolean {
+    return incarnation >= peer.incarnation || !this.isAlive(peer);
+  }
+
   private isAlive(peer: Peer): boolean {
     return this.parts.clock.now() - peer.heardAt < ALIVE_MS;
   }
@@ -249,9 +250,7 @@
 
   private allRecords(): ServerRecord[] {
     const records: ServerRecord[] = [];
-    for (const { record, missingSince } of this.parts.directory.all()) {
-      if (missingSince === undefined) records.push(record);
-    }
+    for (const server of this.parts.directory.all()) records.push(asBelieved(server));
     return records;
   }
 
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -103,6 +103,8 @@
   private take(request: IncomingMessage, response: ServerResponse): void {
     this.open += 1;
     let relay: Relay | undefined;
+    // A write that crosses the caller's leaving fails; `close` follows and ends the request.
+    response.on('error', () => undefined);
     response.once('close', () => {
       this.open -= 1;
       if (!response.writableFinished) relay?.cancel();
--- a/src/platform/ServerAgent.ts
+++ b/src/platform/ServerAgent.ts
@@ -5,7 +5,7 @@
 const IDLE_MS = 4000;
 
 /** Idle connections kept for each server. */
-const MAX_IDLE = 32;
+const MAX_IDLE = 8; // small services take a few dozen connections from all instances together
 
 function destroySelf(this: Duplex): void {
   this.destroy();
