--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -6,7 +6,7 @@
   type Deployment,
   type EngineProfile,
   type RequestRoute,
-  type ServerRecord,
+  type BackendServer,
   type Service,
 } from '../../src/core/deployment/Types.js';
 import { Invariants } from '../../src/core/Invariant.js';
@@ -23,9 +23,7 @@
   layers: 80,
   layerMb: 1750,
   tokenMb: 0.845,
-  maxRequests: 134,
   stepMs: 0.85,
-  sequenceMs: 0.0055,
   readTokensPerMs: 196,
   activationBytes: 42_268,
   crossDomainMbps: 13_000,
@@ -44,8 +42,6 @@
 
 export const ENGINE_SERVICE: Service = {
   name: 'engine',
-  healthPath: '/healthz',
-  maxConnections: 1000,
   engine: ENGINE,
 };
 
@@ -59,7 +55,7 @@
 let nextRevision = 1;
 
 /** A server's entry; a later one has a higher revision. */
-export function record(id: string, values: Partial<ServerRecord> = {}): ServerRecord {
+export function record(id: string, values: Partial<BackendServer> = {}): BackendServer {
   nextRevision += 1;
   return {
     id,
@@ -86,9 +82,6 @@
     shares: [{ service: 'engine', weight: 1 }],
     maxServers: 2,
     timeoutMs: 20_000,
-    objectiveMs: 500,
-    maxGapMs: 200,
-    priority: 1,
     isPublic: true,
     ...values,
   };
@@ -107,7 +100,6 @@
     ]),
     accounts: undefined,
     limits: {
-      maxHeaderBytes: 16_384,
       maxBodyBytes: 1_000_000,
       headerTimeoutMs: 3000,
       idleTimeoutMs: 15_000,
--- a/features/core/deployment/deployment.steps.ts
+++ b/features/core/deployment/deployment.steps.ts
@@ -3,7 +3,7 @@
 import { Deployments } from '../../../src/core/deployment/Deployments.js';
 import { RouteTable } from '../../../src/core/deployment/RouteTable.js';
 import { ServerDirectory } from '../../../src/core/deployment/ServerDirectory.js';
-import type { ServerRecord } from '../../../src/core/deployment/Types.js';
+import type { BackendServer } from '../../../src/core/deployment/Types.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
 import { deployment, record, route } from '../FleetFixture.js';
 
@@ -12,7 +12,7 @@
   deployments: Deployments;
   clock: VirtualClock;
   directory: ServerDirectory;
-  first: ServerRecord;
+  first: BackendServer;
 }
 
 Given('routes {string}', function set(this: DeploymentWorld, list: string) {
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -3,7 +3,7 @@
 import { throughWire } from '../../../src/adapters/grpc/SharingService.js';
 import { Deployments } from '../../../src/core/deployment/Deployments.js';
 import { ServerDirectory } from '../../../src/core/deployment/ServerDirectory.js';
-import type { ServerRecord } from '../../../src/core/deployment/Types.js';
+import type { BackendServer } from '../../../src/core/deployment/Types.js';
 import { Failure, FailureKind } from '../../../src/core/Failure.js';
 import { PeerSharing } from '../../../src/core/peers/PeerSharing.js';
 import type { PeerDigest, PeerReceipt } from '../../../src/core/peers/Types.js';
@@ -166,7 +166,7 @@
 });
 
 When('instance 1 learns an older entry of it', function run(this: SharingWorld) {
-  const older: ServerRecord = record('server');
+  const older: BackendServer = record('server');
   this.instances[1].directory.put(older);
 });
 
--- a/features/platform/router.steps.ts
+++ b/features/platform/router.steps.ts
@@ -127,15 +127,10 @@
     peers: { address: peers, seeds },
     metrics: { address: await address() },
     store: { address: world.storeAddress },
-    limits: { memoryMb: 350 },
     bounds: {
       drainMs: 2000,
       stopGraceS: 8,
-      configurationMs: 2000,
-      contactMs: 3000,
-      stallMs: 3000,
       retryShare: 0.2,
-      retryWindowS: 10,
       retrySlack: 196,
     },
   });
--- a/src/core/deployment/RouteTable.ts
+++ b/src/core/deployment/RouteTable.ts
@@ -1,8 +1,8 @@
 /** Looks up routes and accounts of one deployment. */
-import type { Account, Deployment, RequestRoute } from './Types.js';
+import type { ClientAccount, Deployment, RequestRoute } from './Types.js';
 
 interface KeyHolder {
-  readonly account: Account;
+  readonly account: ClientAccount;
 }
 
 function byPrefixLength(a: RequestRoute, b: RequestRoute): number {
@@ -45,7 +45,7 @@
   }
 
   /** The account that holds a key. */
-  public accountOf(key: string): Account | undefined {
+  public accountOf(key: string): ClientAccount | undefined {
     return this.holders.get(key)?.account;
   }
 }
--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -1,7 +1,7 @@
 /** Backend servers as this instance believes them to be. */
 import type { Clock } from '../../ports/Types.js';
 import { Emitter } from '../Emitter.js';
-import type { LayerSpan, ServerRecord } from './Types.js';
+import type { LayerSpan, BackendServer } from './Types.js';
 
 /** Why a server gets no new work. */
 export enum ServerDoubt {
@@ -15,7 +15,7 @@
 
 /** One server with what is believed of it. */
 export interface KnownServer {
-  record: ServerRecord;
+  record: BackendServer;
   /** Revision of the last change taken in, removals included. */
   revision: number;
   leaving: boolean;
@@ -40,7 +40,7 @@
 const MAX_SUSPECT_MS = 6000;
 
 /** Entries that lapsed while the store was away return within two seconds of its return. */
-export const RETURN_MS = 2000;
+const RETURN_MS = 2000;
 
 /** A server that left is forgotten after this time, in milliseconds; its drain is over by then. */
 const FORGET_MS = 30_000;
@@ -72,7 +72,7 @@
   }
 
   /** Takes in an entry as the store holds it. */
-  public put(record: ServerRecord): void {
+  public put(record: BackendServer): void {
     this.newestRevision = Math.max(this.newestRevision, record.revision);
     const server = this.known.get(record.id);
     if (server === undefined) {
@@ -114,7 +114,7 @@
   }
 
   /** Takes in all entries as of a revision; servers without one are treated as removed. */
-  public replaceAll(records: readonly ServerRecord[], revision: number): void {
+  public replaceAll(records: readonly BackendServer[], revision: number): void {
     const present = new Set<string>();
     for (const record of records) {
       present.add(record.id);
@@ -198,7 +198,7 @@
     return server !== undefined && this.doubt(server) === undefined;
   }
 
-  private add(record: ServerRecord): void {
+  private add(record: BackendServer): void {
     const server: KnownServer = {
       record,
       revision: record.revision,
--- a/src/core/deployment/Types.ts
+++ b/src/core/deployment/Types.ts
@@ -30,12 +30,6 @@
   readonly maxServers: number;
   /** Longest time for which a request may be kept waiting, in milliseconds. */
   readonly timeoutMs: number;
-  /** Time to the answer or its first event that callers are promised, in milliseconds. */
-  readonly objectiveMs: number;
-  /** Longest pause between events that callers are promised, in milliseconds. */
-  readonly maxGapMs: number;
-  /** 0 is served first. */
-  readonly priority: number;
   /** Whether requests need no key. */
   readonly isPublic: boolean;
 }
@@ -56,12 +50,8 @@
   readonly layerMb: number;
   /** KV cache of one token over all layers, in megabytes. */
   readonly tokenMb: number;
-  /** Requests that a server takes as the first of a route. */
-  readonly maxRequests: number;
   /** Time of one step through all layers, in milliseconds. */
   readonly stepMs: number;
-  /** Time that each running request adds to a step, in milliseconds. */
-  readonly sequenceMs: number;
   /** Prompt tokens read in a millisecond by all layers. */
   readonly readTokensPerMs: number;
   /** Bytes that a token carries from one server to the next. */
@@ -78,24 +68,18 @@
 /** A service that requests are routed to. */
 export interface Service {
   readonly name: string;
-  readonly healthPath: string;
-  /** Connections that one server takes from all instances together. */
-  readonly maxConnections: number;
   /** Absent for plain services and engines whose servers hold whole models. */
   readonly engine: EngineProfile | undefined;
 }
 
 /** A customer with the keys that its callers present. */
-export interface Account {
+export interface ClientAccount {
   readonly name: string;
   readonly keys: readonly string[];
-  /** Overrides the route's priority when present. */
-  readonly priority: number | undefined;
 }
 
 /** Bounds on what a caller may send. */
 export interface CallerLimits {
-  readonly maxHeaderBytes: number;
   readonly maxBodyBytes: number;
   /** Time in which a request's head must arrive, in milliseconds. */
   readonly headerTimeoutMs: number;
@@ -109,7 +93,7 @@
   readonly routes: readonly RequestRoute[];
   readonly services: ReadonlyMap<string, Service>;
   /** Undefined when requests need no keys. */
-  readonly accounts: readonly Account[] | undefined;
+  readonly accounts: readonly ClientAccount[] | undefined;
   readonly limits: CallerLimits;
 }
 
@@ -120,7 +104,7 @@
 }
 
 /** What a backend server last said of itself. */
-export interface ServerRecord {
+export interface BackendServer {
   readonly id: string;
   /** Grows with each change of the entry in the store. */
   readonly revision: number;
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -7,7 +7,7 @@
 import type { Decisions } from '../Decisions.js';
 import type { Deployments } from '../deployment/Deployments.js';
 import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
-import type { ServerRecord } from '../deployment/Types.js';
+import type { BackendServer } from '../deployment/Types.js';
 import type { ServerLoad, Work } from '../routing/ServerLoad.js';
 import type { PeerAddress, PeerDigest, PeerPort, PeerReceipt, WorkShare } from './Types.js';
 
@@ -57,12 +57,12 @@
 }
 
 interface News {
-  readonly record: ServerRecord;
+  readonly record: BackendServer;
   readonly at: number;
 }
 
 /** A server's entry with what is known beyond it: a removed entry says that the server leaves. */
-function asBelieved({ record, leaving, revision }: KnownServer): ServerRecord {
+function asBelieved({ record, leaving, revision }: KnownServer): BackendServer {
   return leaving === record.leaving && revision === record.revision
     ? record
     : { ...record, leaving, revision };
@@ -248,15 +248,15 @@
     return shares;
   }
 
-  private allRecords(): ServerRecord[] {
-    const records: ServerRecord[] = [];
+  private allRecords(): BackendServer[] {
+    const records: BackendServer[] = [];
     for (const server of this.parts.directory.all()) records.push(asBelieved(server));
     return records;
   }
 
-  private recentRecords(): ServerRecord[] {
+  private recentRecords(): BackendServer[] {
     const oldest = this.parts.clock.now() - NEWS_MS;
-    const records: ServerRecord[] = [];
+    const records: BackendServer[] = [];
     for (const [id, { record, at }] of this.news) {
       if (at < oldest) this.news.delete(id);
       else records.push(record);
--- a/src/core/peers/Types.ts
+++ b/src/core/peers/Types.ts
@@ -1,5 +1,5 @@
 /** What router instances tell each other. Losing any of it costs time, never correctness. */
-import type { Deployment, ServerRecord } from '../deployment/Types.js';
+import type { Deployment, BackendServer } from '../deployment/Types.js';
 
 /** Where a peer is reached. */
 export interface PeerAddress {
@@ -27,7 +27,7 @@
   readonly ticket: number;
   readonly work: readonly WorkShare[];
   /** Entries of servers that changed lately, or all of them for a peer that knows none. */
-  readonly records: readonly ServerRecord[];
+  readonly records: readonly BackendServer[];
   /** Revision of the newest server entry that the sender has seen. */
   readonly revision: number;
   readonly peers: readonly PeerAddress[];
--- a/src/core/relay/RequestLedger.ts
+++ b/src/core/relay/RequestLedger.ts
@@ -53,11 +53,6 @@
     return this.terms.budget.has(this.terms.service, now);
   }
 
-  /** Whether no server besides those before may get the request. */
-  public get isSpent(): boolean {
-    return this.servers.size >= this.terms.maxServers;
-  }
-
   /** Servers that have had the request. */
   public get used(): ReadonlySet<string> {
     return this.servers;
--- a/src/core/relay/Types.ts
+++ b/src/core/relay/Types.ts
@@ -2,7 +2,7 @@
 import type { Disposable } from '../../ports/Types.js';
 import type { Refusal } from '../Outcome.js';
 import type { Stage } from '../routing/Types.js';
-import type { ServerRecord } from '../deployment/Types.js';
+import type { BackendServer } from '../deployment/Types.js';
 
 /** The parts of a request that reach the server unchanged. */
 export interface ForwardedMessage {
@@ -81,7 +81,7 @@
 /** One send of a request to a server. */
 export interface ServerCall {
   readonly request: CallerRequest;
-  readonly server: ServerRecord;
+  readonly server: BackendServer;
   /** Servers of the route with their layers; empty for plain services. */
   readonly stages: readonly Stage[];
   /** Time left for the server, in milliseconds. */
--- a/src/core/store/FeedFollower.ts
+++ b/src/core/store/FeedFollower.ts
@@ -45,21 +45,11 @@
     this.lastAnswerAt = parts.clock.now();
   }
 
-  /** Whether the table has been read once. */
-  public get isLoaded(): boolean {
-    return this.revision !== undefined;
-  }
-
   /** Time since the store last answered, in milliseconds. */
   public get ageMs(): number {
     return this.parts.clock.now() - this.lastAnswerAt;
   }
 
-  /** Whether the last call was answered. */
-  public get isInTouch(): boolean {
-    return this.failures === 0;
-  }
-
   public start(): void {
     this.run();
   }
--- a/src/platform/DeploymentDecoder.ts
+++ b/src/platform/DeploymentDecoder.ts
@@ -20,22 +20,17 @@
   prefix: z.string(),
   route_kind: z.string(),
   timeout_ms: z.number(),
-  slo_ms: z.number().default(0),
-  priority: z.number().default(0),
   service: z.string().optional(),
   split: z.array(z.object({ service: z.string(), weight: z.number() })).optional(),
   attempts: z.number().default(1),
   public: z.boolean().default(false),
   resumable: z.boolean().default(false),
-  target_itl_ms: z.number().default(0),
 });
 
 const ENGINE = z.object({
-  slots: z.number(),
   /** Bytes of KV cache that one token takes over all layers. */
   kv_token_bytes: z.number(),
   step_ms: z.number(),
-  per_seq_ms: z.number().default(0),
   /** Prompt tokens read in a second by a whole model. */
   read_per_s: z.number(),
   usual: z.object({ prompt: z.number(), answer: z.number() }).optional(),
@@ -57,8 +52,6 @@
 
 const SERVICE = z.object({
   name: z.string(),
-  health_path: z.string().default('/healthz'),
-  max_conns: z.number().default(64),
   inference_engine: z.unknown().optional(),
 });
 
@@ -67,7 +60,6 @@
   routes: z.array(ROUTE),
   services: z.array(SERVICE),
   limits: z.object({
-    max_header_bytes: z.number(),
     max_body_bytes: z.number(),
     header_timeout_ms: z.number(),
     idle_timeout_ms: z.number(),
@@ -77,7 +69,6 @@
       z.object({
         name: z.string(),
         api_keys: z.array(z.string()),
-        priority: z.number().optional(),
       }),
     )
     .optional(),
@@ -101,9 +92,6 @@
     shares,
     maxServers: Math.max(1, wire.attempts),
     timeoutMs: wire.timeout_ms,
-    objectiveMs: wire.slo_ms,
-    maxGapMs: wire.target_itl_ms,
-    priority: wire.priority,
     isPublic: wire.public,
   };
 }
@@ -117,9 +105,7 @@
     layers: data.layer_count,
     layerMb: data.layer_size_mb,
     tokenMb: data.kv_token_bytes / BYTES_PER_MB,
-    maxRequests: data.slots,
     stepMs: data.step_ms,
-    sequenceMs: data.per_seq_ms,
     readTokensPerMs: data.read_per_s / 1000,
     activationBytes: data.activation_bytes,
     crossDomainMbps: data.cross_zone_mbps,
@@ -142,8 +128,6 @@
 function toService(wire: z.output<typeof SERVICE>): Service {
   return {
     name: wire.name,
-    healthPath: wire.health_path,
-    maxConnections: wire.max_conns,
     engine: toEngine(wire.inference_engine),
   };
 }
@@ -165,10 +149,8 @@
     accounts: data.tenants?.map((account) => ({
       name: account.name,
       keys: account.api_keys,
-      priority: account.priority,
     })),
     limits: {
-      maxHeaderBytes: data.limits.max_header_bytes,
       maxBodyBytes: data.limits.max_body_bytes,
       headerTimeoutMs: data.limits.header_timeout_ms,
       idleTimeoutMs: data.limits.idle_timeout_ms,
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -12,7 +12,6 @@
 
 /** Limits until the operator's are known. */
 const FIRST_LIMITS: CallerLimits = {
-  maxHeaderBytes: 16_384,
   maxBodyBytes: 4_194_304,
   headerTimeoutMs: 3000,
   idleTimeoutMs: 15_000,
--- a/src/platform/ServerEntryDecoder.ts
+++ b/src/platform/ServerEntryDecoder.ts
@@ -1,6 +1,6 @@
 /** Reads what a server says of itself into the product's own types. */
 import { z } from 'zod';
-import type { LayerSpan, ServerRecord } from '../core/deployment/Types.js';
+import type { LayerSpan, BackendServer } from '../core/deployment/Types.js';
 
 /** Layers as a server reports them, under the name that the configuration uses for their number. */
 const SPAN = z.object({ source: z.number(), to: z.number() });
@@ -31,7 +31,7 @@
   id: string,
   revision: number,
   value: unknown,
-): ServerRecord | undefined {
+): BackendServer | undefined {
   const parsed = ENTRY.safeParse(value);
   if (!parsed.success) return undefined;
   const { data } = parsed;
--- a/src/platform/WireNames.ts
+++ b/src/platform/WireNames.ts
@@ -18,7 +18,6 @@
   /** Server on the route that a refusal blames. */
   faultAddress: 'at-server',
   lastEvent: 'last-event-id',
-  urgency: 'x-request-urgency',
 } as const;
 
 /** Statuses by which a server says that it did not run a request. */
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -6,29 +6,24 @@
 import { SystemRandom } from '../adapters/SystemRandom.js';
 import { Deployments } from '../core/deployment/Deployments.js';
 import { ServerDirectory } from '../core/deployment/ServerDirectory.js';
-import type { Deployment, ServerRecord } from '../core/deployment/Types.js';
 import { Invariants } from '../core/Invariant.js';
 import { LeaseKeeper } from '../core/leases/LeaseKeeper.js';
 import { RetryBudget } from '../core/limits/RetryBudget.js';
 import { PeerSharing } from '../core/peers/PeerSharing.js';
-import { decodePeer, Roster } from '../core/peers/Roster.js';
-import type { PeerAddress } from '../core/peers/Types.js';
+import { Roster } from '../core/peers/Roster.js';
 import { PlacementDriver } from '../core/placement/PlacementDriver.js';
 import { SilenceWatch } from '../core/relay/SilenceWatch.js';
 import { RelayDesk } from '../core/relay/RelayDesk.js';
 import { EngineRoutes } from '../core/routing/EngineRoutes.js';
 import { ServerLoad } from '../core/routing/ServerLoad.js';
-import { FeedFollower } from '../core/store/FeedFollower.js';
-import { decodeDeployment } from '../platform/DeploymentDecoder.js';
 import { Ingress } from '../platform/Ingress.js';
 import { Readiness } from '../platform/Readiness.js';
 import { ServerClient } from '../platform/ServerClient.js';
-import { decodeServer } from '../platform/ServerEntryDecoder.js';
 import { StoreClient } from '../platform/StoreClient.js';
-import type { Entries } from '../ports/ChangeFeed.js';
 import type { Disposable } from '../ports/Types.js';
 import { RouterMetrics } from './RouterMetrics.js';
 import type { RouterSettings } from './Settings.js';
+import { StoreWatch } from './StoreWatch.js';
 
 /** Time between sweeps of the directory, in milliseconds. */
 const SWEEP_MS = 250;
@@ -42,12 +37,6 @@
 /** Instances among which shared budgets are divided until peers are counted. */
 const ASSUMED_INSTANCES = 8;
 
-/** Wait of the feeds whose changes must be in force within seconds, in milliseconds. */
-const FEED_WAIT_MS = 2500;
-
-/** Wait of the feed of instances; peers tell of themselves as well, in milliseconds. */
-const INSTANCE_FEED_WAIT_MS = 15_000;
-
 /** Streams leave a leaving server after this share of its drain; most end before. */
 const LEAVE_SHARE = 0.6;
 
@@ -78,17 +67,13 @@
 
   private readonly placement: PlacementDriver;
 
-  private readonly configurationFeed: FeedFollower<Deployment>;
-
-  private readonly serverFeed: FeedFollower<ServerRecord>;
-
   private readonly peers = new SharingService((digest) => this.sharing.take(digest));
 
   private readonly sharing: PeerSharing;
 
   private readonly roster: Roster;
 
-  private readonly instanceFeed: FeedFollower<PeerAddress>;
+  private readonly storeWatch: StoreWatch;
 
   private leaving = false;
 
@@ -154,29 +139,6 @@
       decisions: log,
       failureDomain,
     });
-    this.configurationFeed = new FeedFollower({
-      name: 'configuration',
-      waitMs: FEED_WAIT_MS,
-      clock,
-      decisions: log,
-      feed: store.feed('op', (_key, _revision, value) => decodeDeployment(value)),
-      listener: {
-        onAll: (entries) => this.takeDeployments(entries),
-        onChanges: (entries) => this.takeDeployments(entries),
-      },
-    });
-    this.serverFeed = new FeedFollower({
-      name: 'servers',
-      waitMs: FEED_WAIT_MS,
-      clock,
-      decisions: log,
-      feed: store.feed('servers', decodeServer),
-      listener: {
-        onAll: (entries) => this.takeAllServers(entries),
-        onChanges: (entries) => this.takeServers(entries),
-        onTrouble: () => directory.noteStoreTrouble(),
-      },
-    });
     const self = { instance, address: settings.peers.address, failureDomain };
     this.sharing = new PeerSharing({
       clock,
@@ -192,17 +154,15 @@
       isLeaving: () => this.leaving,
     });
     this.roster = new Roster({ clock, table: store, self, decisions: log });
-    this.instanceFeed = new FeedFollower({
-      name: 'instances',
-      waitMs: INSTANCE_FEED_WAIT_MS,
+    this.storeWatch = new StoreWatch({
       clock,
+      store,
+      deployments,
+      directory,
+      sharing: this.sharing,
       decisions: log,
-      feed: store.ownFeed('instances', (_key, _revision, value) => decodePeer(value)),
-      listener: {
-        onAll: (entries) => this.meetPeers(entries),
-        onChanges: (entries) => this.meetPeers(entries),
-      },
     });
+    deployments.onChange(() => this.ingress.applyLimits());
     this.addGauges();
   }
 
@@ -217,9 +177,7 @@
     ]);
     this.sharing.start();
     this.roster.start();
-    this.instanceFeed.start();
-    this.configurationFeed.start();
-    this.serverFeed.start();
+    this.storeWatch.start();
     this.lease.start();
     this.placement.start();
     this.watch.start();
@@ -259,9 +217,7 @@
     this.watch.dispose();
     this.placement.dispose();
     this.lease.dispose();
-    this.configurationFeed.dispose();
-    this.serverFeed.dispose();
-    this.instanceFeed.dispose();
+    this.storeWatch.dispose();
     this.roster.dispose();
     this.sharing.dispose();
     this.peers.dispose();
@@ -277,45 +233,6 @@
     return this.deployments.current !== undefined && this.directory.revision > 0;
   }
 
-  private takeDeployments({ entries }: Entries<Deployment>): void {
-    for (const { value, revision } of entries) {
-      if (value === undefined || !this.deployments.offer(value)) continue;
-      this.ingress.applyLimits();
-      this.log.note('configuration', {
-        ticket: value.ticket,
-        revision,
-        routes: value.routes.length,
-        accounts: value.accounts?.length,
-      });
-    }
-  }
-
-  private meetPeers({ entries }: Entries<PeerAddress>): void {
-    for (const { value } of entries) if (value !== undefined) this.sharing.meet(value);
-  }
-
-  private takeAllServers({ entries, revision }: Entries<ServerRecord>): void {
-    const records: ServerRecord[] = [];
-    for (const { value } of entries) if (value !== undefined) records.push(value);
-    this.directory.replaceAll(records, revision);
-    this.log.note('servers', { known: records.length, revision });
-  }
-
-  private takeServers({ entries }: Entries<ServerRecord>): void {
-    for (const { key, value, revision } of entries) {
-      if (value === undefined) this.directory.remove(key, revision);
-      else this.directory.put(value);
-      this.log.note('server', {
-        server: key,
-        revision,
-        known: value !== undefined,
-        leaving: value?.leaving,
-        from: value?.span?.from,
-        to: value?.span?.to,
-      });
-    }
-  }
-
   private sweep(): void {
     this.directory.sweep();
     this.sweepTimer = this.clock.schedule(SWEEP_MS, () => this.sweep());
@@ -337,6 +254,6 @@
     metrics.gauge('acaciadrum_ticket', () => this.deployments.ticket);
     metrics.gauge('acaciadrum_open_requests', () => this.desk.active);
     metrics.gauge('acaciadrum_lease_fence', () => this.lease.heldFence);
-    metrics.gauge('acaciadrum_store_age_ms', () => Math.round(this.configurationFeed.ageMs));
+    metrics.gauge('acaciadrum_store_age_ms', () => Math.round(this.storeWatch.ageMs));
   }
 }
--- a/src/router/Settings.ts
+++ b/src/router/Settings.ts
@@ -20,23 +20,14 @@
   }),
   metrics: z.object({ address: ADDRESS }),
   store: z.object({ address: ADDRESS }),
-  limits: z.object({ memoryMb: z.number().positive() }),
   bounds: z.object({
     /** Time after which a leaving server gets no request, in milliseconds. */
     drainMs: MS,
     /** Time from the stop signal until the process is killed, in seconds. */
     stopGraceS: z.number().positive(),
-    /** Time after which an accepted configuration is in force, in milliseconds. */
-    configurationMs: MS,
-    /** Time of calm after which bounds hold again, in milliseconds. */
-    contactMs: MS,
-    /** Time for which a server waits for a silent one behind it, in milliseconds. */
-    stallMs: MS,
     /** Retries allowed for each request to a service, over all instances. */
     retryShare: z.number().nonnegative(),
-    /** Window in which retries are counted, in seconds. */
-    retryWindowS: z.number().positive(),
-    /** Retries in a window beyond the share, over all instances. */
+    /** Retries beyond the share in the users' window, over all instances. */
     retrySlack: z.number().nonnegative(),
   }),
 });
--- /dev/null
+++ b/src/router/StoreWatch.ts
@@ -0,0 +1,131 @@
+/** Follows the store's tables and passes what they say to the decisions. */
+import type { Decisions } from '../core/Decisions.js';
+import type { Deployments } from '../core/deployment/Deployments.js';
+import type { ServerDirectory } from '../core/deployment/ServerDirectory.js';
+import type { BackendServer, Deployment } from '../core/deployment/Types.js';
+import type { PeerSharing } from '../core/peers/PeerSharing.js';
+import { decodePeer } from '../core/peers/Roster.js';
+import type { PeerAddress } from '../core/peers/Types.js';
+import { FeedFollower } from '../core/store/FeedFollower.js';
+import { decodeDeployment } from '../platform/DeploymentDecoder.js';
+import { decodeServer } from '../platform/ServerEntryDecoder.js';
+import type { StoreClient } from '../platform/StoreClient.js';
+import type { Entries } from '../ports/ChangeFeed.js';
+import type { Clock } from '../ports/Types.js';
+
+/** Wait of the feeds whose changes must be in force within seconds, in milliseconds. */
+const FEED_WAIT_MS = 2500;
+
+/** Wait of the feed of instances; peers tell of themselves as well, in milliseconds. */
+const INSTANCE_FEED_WAIT_MS = 15_000;
+
+export interface StoreWatchParts {
+  readonly clock: Clock;
+  readonly store: StoreClient;
+  readonly deployments: Deployments;
+  readonly directory: ServerDirectory;
+  readonly sharing: PeerSharing;
+  readonly decisions: Decisions;
+}
+
+export class StoreWatch {
+  private readonly deploymentFeed: FeedFollower<Deployment>;
+
+  private readonly serverFeed: FeedFollower<BackendServer>;
+
+  private readonly instanceFeed: FeedFollower<PeerAddress>;
+
+  public constructor(private readonly parts: StoreWatchParts) {
+    const { clock, store, directory, decisions } = parts;
+    this.deploymentFeed = new FeedFollower({
+      name: 'configuration',
+      waitMs: FEED_WAIT_MS,
+      clock,
+      decisions,
+      feed: store.feed('op', (_key, _revision, value) => decodeDeployment(value)),
+      listener: {
+        onAll: (entries) => this.takeDeployments(entries),
+        onChanges: (entries) => this.takeDeployments(entries),
+      },
+    });
+    this.serverFeed = new FeedFollower({
+      name: 'servers',
+      waitMs: FEED_WAIT_MS,
+      clock,
+      decisions,
+      feed: store.feed('servers', decodeServer),
+      listener: {
+        onAll: (entries) => this.takeAllServers(entries),
+        onChanges: (entries) => this.takeServers(entries),
+        onTrouble: () => directory.noteStoreTrouble(),
+      },
+    });
+    this.instanceFeed = new FeedFollower({
+      name: 'instances',
+      waitMs: INSTANCE_FEED_WAIT_MS,
+      clock,
+      decisions,
+      feed: store.ownFeed('instances', (_key, _revision, value) => decodePeer(value)),
+      listener: {
+        onAll: (entries) => this.meetPeers(entries),
+        onChanges: (entries) => this.meetPeers(entries),
+      },
+    });
+  }
+
+  /** Time since the store last answered about the configuration, in milliseconds. */
+  public get ageMs(): number {
+    return this.deploymentFeed.ageMs;
+  }
+
+  public start(): void {
+    this.instanceFeed.start();
+    this.deploymentFeed.start();
+    this.serverFeed.start();
+  }
+
+  public dispose(): void {
+    this.deploymentFeed.dispose();
+    this.serverFeed.dispose();
+    this.instanceFeed.dispose();
+  }
+
+  private takeDeployments({ entries }: Entries<Deployment>): void {
+    for (const { value, revision } of entries) {
+      if (value === undefined || !this.parts.deployments.offer(value)) continue;
+      this.parts.decisions.note('configuration', {
+        ticket: value.ticket,
+        revision,
+        routes: value.routes.length,
+        accounts: value.accounts?.length,
+      });
+    }
+  }
+
+  private meetPeers({ entries }: Entries<PeerAddress>): void {
+    for (const { value } of entries) if (value !== undefined) this.parts.sharing.meet(value);
+  }
+
+  private takeAllServers({ entries, revision }: Entries<BackendServer>): void {
+    const servers: BackendServer[] = [];
+    for (const { value } of entries) if (value !== undefined) servers.push(value);
+    this.parts.directory.replaceAll(servers, revision);
+    this.parts.decisions.note('servers', { known: servers.length, revision });
+  }
+
+  private takeServers({ entries }: Entries<BackendServer>): void {
+    const { directory, decisions } = this.parts;
+    for (const { key, value, revision } of entries) {
+      if (value === undefined) directory.remove(key, revision);
+      else directory.put(value);
+      decisions.note('server', {
+        server: key,
+        revision,
+        known: value !== undefined,
+        leaving: value?.leaving,
+        from: value?.span?.from,
+        to: value?.span?.to,
+      });
+    }
+  }
+}
