Divide the retry budget among the instances known, for fleets of more than eight

Cause: the slack was divided by eight whatever the fleet; with 66 instances together it would be passed eight times over. No change for fleets of up to eight.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -168,12 +168,12 @@
       routes: new EngineRoutes(directory, load, 'a'),
       port: this.servers,
       watch: this.watch,
-      budget: new RetryBudget({
+      budget: new RetryBudget(() => ({
         perRequest: 0.2,
         maxSaved: retries,
         initial: retries,
         refillPerS: 0,
-      }),
+      })),
       counters: SILENT_COUNTERS,
       invariants: new Invariants(true),
       homeDomain: 'a',
--- a/src/core/limits/RetryBudget.ts
+++ b/src/core/limits/RetryBudget.ts
@@ -29,12 +29,12 @@
 export class RetryBudget {
   private readonly saved = new Map<string, Saved>();
 
-  /** @param allowance - how many retries each key may use */
-  public constructor(private readonly allowance: RetryAllowance = USUAL_ALLOWANCE) {}
+  /** @param allowance - says how many retries each key may use now */
+  public constructor(private readonly allowance: () => RetryAllowance = () => USUAL_ALLOWANCE) {}
 
   /** Records a request that counts towards the budget. */
   public succeed(key: string, now: number): void {
-    const { maxSaved, perRequest } = this.allowance;
+    const { maxSaved, perRequest } = this.allowance();
     const saved = this.refilled(key, now);
     saved.retries = Math.min(maxSaved, saved.retries + perRequest);
   }
@@ -53,13 +53,14 @@
   }
 
   private refilled(key: string, now: number): Saved {
+    const { initial, maxSaved, refillPerS } = this.allowance();
     let saved = this.saved.get(key);
     if (saved === undefined) {
-      saved = { retries: this.allowance.initial, at: now };
+      saved = { retries: initial, at: now };
       this.saved.set(key, saved);
     }
-    const refill = ((now - saved.at) / 1000) * this.allowance.refillPerS;
-    saved.retries = Math.min(this.allowance.maxSaved, saved.retries + refill);
+    const refill = ((now - saved.at) / 1000) * refillPerS;
+    saved.retries = Math.min(maxSaved, saved.retries + refill);
     saved.at = now;
     return saved;
   }
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -92,6 +92,11 @@
     return live;
   }
 
+  /** Instances heard of lately, live or not, this one included. */
+  public get knownInstances(): number {
+    return this.peers.size + 1;
+  }
+
   public start(): void {
     this.tick();
   }
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -8,7 +8,7 @@
 import { ServerDirectory } from '../core/deployment/ServerDirectory.js';
 import { Invariants } from '../core/Invariant.js';
 import { LeaseKeeper } from '../core/leases/LeaseKeeper.js';
-import { RetryBudget } from '../core/limits/RetryBudget.js';
+import { RetryBudget, type RetryAllowance } from '../core/limits/RetryBudget.js';
 import { PeerSharing } from '../core/peers/PeerSharing.js';
 import { Roster } from '../core/peers/Roster.js';
 import { PlacementDriver } from '../core/placement/PlacementDriver.js';
@@ -34,8 +34,8 @@
 /** Time kept for closing connections before the process is killed, in milliseconds. */
 const EXIT_MARGIN_MS = 400;
 
-/** Instances among which shared budgets are divided until peers are counted. */
-const ASSUMED_INSTANCES = 8;
+/** Shared budgets are divided among at least so many instances, since peers are met one by one. */
+const FEWEST_INSTANCES = 8;
 
 /** Streams leave a leaving server after this share of its drain; most end before. */
 const LEAVE_SHARE = 0.6;
@@ -88,7 +88,6 @@
     const random = new SystemRandom();
     const store = new StoreClient(this.http, settings.store.address);
     const invariants = new Invariants(false, (message) => log.note('invariant', { message }));
-    const retriesSaved = bounds.retrySlack / ASSUMED_INSTANCES;
     this.watch = new SilenceWatch({
       clock,
       directory,
@@ -105,12 +104,7 @@
       routes: new EngineRoutes(directory, load, failureDomain),
       port: servers,
       watch: this.watch,
-      budget: new RetryBudget({
-        perRequest: bounds.retryShare,
-        maxSaved: retriesSaved,
-        initial: retriesSaved,
-        refillPerS: 0,
-      }),
+      budget: new RetryBudget(() => this.retryAllowance),
       decisions: log,
       counters: this.metrics,
       invariants,
@@ -233,6 +227,13 @@
     return this.deployments.current !== undefined && this.directory.revision > 0;
   }
 
+  /** This instance's part of the retries that all instances may use together. */
+  private get retryAllowance(): RetryAllowance {
+    const { retryShare, retrySlack } = this.settings.bounds;
+    const saved = retrySlack / Math.max(FEWEST_INSTANCES, this.sharing.knownInstances);
+    return { perRequest: retryShare, maxSaved: saved, initial: saved, refillPerS: 0 };
+  }
+
   private sweep(): void {
     this.directory.sweep();
     this.sweepTimer = this.clock.schedule(SWEEP_MS, () => this.sweep());
