--- a/features/core/relay/relays.feature
+++ b/features/core/relay/relays.feature
@@ -47,6 +47,11 @@
       | rejected before the first event              | rejected e1 end     | 1     | 200         |         |
       | two losses use up the route's servers        | e1 lost lost        | 1     | cut         | 1       |
 
+  Scenario: A request turned away for a later server goes to its first servers again, never to a third
+    Given a stream over three first servers and two later ones
+    When its first server turns it away, and the next one for "later-0"
+    Then every send began at one of two first servers and the stream can still be whole
+
   Scenario: A stream that may not be resumed is cut, never joined from two runs
     Given a stream that may not be resumed
     When the stream gets "e1 lost"
--- a/features/core/relay/relays.steps.ts
+++ b/features/core/relay/relays.steps.ts
@@ -114,6 +114,45 @@
   startStream(this, true);
 });
 
+Given('a stream over three first servers and two later ones', function set(this: RelayWorld) {
+  const fixture = new RelayFixture();
+  fixture.deployments.offer(deployment([route()]));
+  for (const index of [0, 1, 2]) {
+    const span = { from: 0, to: 30 };
+    fixture.directory.put(record(`first-${index}`, { accelerator: 'h100', span }));
+  }
+  for (const index of [0, 1]) {
+    const span = { from: 30, to: 80 };
+    fixture.directory.put(record(`later-${index}`, { accelerator: 'whole', span }));
+  }
+  start(this, fixture);
+});
+
+function turnAway({ fixture }: RelayWorld, faultAddress: string | undefined): void {
+  const { listener } = fixture.servers.last;
+  listener.onHead(answerHead({ status: 503, sealed: false, notExecuted: true, faultAddress }));
+  listener.onEnd();
+}
+
+When(
+  'its first server turns it away, and the next one for {string}',
+  function run(this: RelayWorld, later: string) {
+    const { servers, directory } = this.fixture;
+    turnAway(this, servers.last.call.server.address);
+    turnAway(this, directory.get(later)?.record.address);
+  },
+);
+
+Then(
+  'every send began at one of two first servers and the stream can still be whole',
+  function check(this: RelayWorld) {
+    const firsts = this.fixture.servers.calls.map(({ call }) => call.server.id);
+    assert.equal(new Set(firsts).size, 2);
+    assert.equal(firsts.length, 3);
+    assert.equal(this.caller.outcome, 'open');
+  },
+);
+
 Given('a stream that may not be resumed', function set(this: RelayWorld) {
   startStream(this, false);
 });
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -259,7 +259,8 @@
 
   protected wishFor(engine: EngineProfile): RouteWish {
     const { service } = this.assigned;
-    return { service, engine, tokens: this.tokens, avoid: this.avoid, kept: [] };
+    const wish = { service, engine, tokens: this.tokens, avoid: this.avoid, kept: [] };
+    return this.ledger.isSpent ? { ...wish, firsts: this.ledger.used } : wish;
   }
 
   private choosePlain(): Target | undefined {
--- a/src/core/relay/RequestLedger.ts
+++ b/src/core/relay/RequestLedger.ts
@@ -48,6 +48,11 @@
     return this.servers.has(server) || this.servers.size < this.terms.maxServers;
   }
 
+  /** Whether no server besides those before may get the request. */
+  public get isSpent(): boolean {
+    return this.servers.size >= this.terms.maxServers;
+  }
+
   /** Whether the budget has a retry left. */
   public hasRetry(now: number): boolean {
     return this.terms.budget.has(this.terms.service, now);
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -15,6 +15,8 @@
   readonly avoid: ReadonlySet<string>;
   /** Stages whose KV cache is worth keeping. */
   readonly kept: readonly Stage[];
+  /** Servers at which the route may begin; any when absent. */
+  readonly firsts?: ReadonlySet<string>;
 }
 
 /** Requests with more stages are rejected by the servers. */
@@ -70,10 +72,13 @@
 
   /** @returns undefined when the usable servers do not cover every layer with room for the request */
   public plan(wish: RouteWish): readonly Stage[] | undefined {
-    const { service, engine, avoid, tokens } = wish;
+    const { service, engine, avoid, tokens, firsts } = wish;
+    const candidates = this.candidatesOf(service, engine);
     return this.solve(
       wish,
-      this.candidatesOf(service, engine),
+      firsts === undefined
+        ? candidates
+        : candidates.filter(({ server, from }) => from > 0 || firsts.has(server)),
       (id) => !avoid.has(id) && this.hasRoom(id, engine, tokens),
     );
   }
