The body of a rejection is no part of a later failure's answer

Cause: bodies that are no stream were kept from one send to the next, so a server's failure after a rejection was passed on with both bodies. Found by reading; the new test failed first.

--- a/features/core/relay/relays.feature
+++ b/features/core/relay/relays.feature
@@ -52,6 +52,11 @@
     When its first server turns it away, and the next one for "later-0"
     Then every send began at one of two first servers and the stream can still be whole
 
+  Scenario: The body of a rejection is no part of a later failure
+    Given a stream over two servers
+    When the stream gets "rejected 500"
+    Then the caller has the body "answer" and status 500
+
   Scenario: A stream that may not be resumed is cut, never joined from two runs
     Given a stream that may not be resumed
     When the stream gets "e1 lost"
--- a/features/core/relay/relays.steps.ts
+++ b/features/core/relay/relays.steps.ts
@@ -185,6 +185,14 @@
   },
 );
 
+Then(
+  'the caller has the body {string} and status {int}',
+  function check(this: RelayWorld, body: string, status: number) {
+    assert.equal(this.caller.text, body);
+    assert.equal(this.caller.status, status);
+  },
+);
+
 When('the caller leaves', function run(this: RelayWorld) {
   this.relay.cancel();
 });
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -110,6 +110,7 @@
 
   protected listener(target: Target): ServerCallListener {
     this.splitter.restart();
+    this.chunks.length = 0;
     this.head = undefined;
     this.gapMs = 0;
     this.epoch += 1;
