--- a/features/core/FakeServers.ts
+++ b/features/core/FakeServers.ts
@@ -1,4 +1,4 @@
-import type { ReportPort } from '../../src/core/relay/SilenceWatch.js';
+import type { ReportPort } from '../../src/core/placement/Types.js';
 import {
   RerouteStatus,
   type RerouteAnswer,
--- a/features/core/placement/placement-driver.steps.ts
+++ b/features/core/placement/placement-driver.steps.ts
@@ -1,11 +1,12 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { PlacementDriver } from '../../../src/core/placement/PlacementDriver.js';
 import {
   OrderAnswer,
-  PlacementDriver,
   type OrderPort,
   type PlacementOrder,
-} from '../../../src/core/placement/PlacementDriver.js';
+  type ReportPort,
+} from '../../../src/core/placement/Types.js';
 import { deployment, record, RelayFixture, route } from '../FleetFixture.js';
 
 interface DriverWorld {
@@ -38,7 +39,7 @@
     const { orders, fence, fixture } = this;
     const queue = answers.split(',').map(answerNamed);
     const [accepted, layers] = reports.split(':');
-    const port: OrderPort = {
+    const port: OrderPort & ReportPort = {
       order: (order) => {
         orders.push(order);
         return Promise.resolve(queue[orders.length - 1] ?? OrderAnswer.Taken);
--- /dev/null
+++ b/src/core/placement/Types.ts
@@ -0,0 +1,50 @@
+/** What is asked of servers about the layers they hold. */
+import type { LayerSpan } from '../deployment/Types.js';
+
+/** A server's answer to an order. */
+export enum OrderAnswer {
+  /** Begun, or held already. */
+  Taken = 'taken',
+  /** The server's state is not the one that the order names. */
+  Conflict = 'conflict',
+  /** No answer: it may be carried out, now or later. */
+  Unknown = 'unknown',
+  Refused = 'refused',
+}
+
+/** An order to hold a span of layers. */
+export interface PlacementOrder {
+  readonly id: string;
+  readonly address: string;
+  readonly span: LayerSpan;
+  /** Orders that the server must have accepted before this one. */
+  readonly ordersAccepted: number;
+}
+
+/** What a server reports when asked. */
+export interface ServerReport {
+  readonly ordersAccepted: number;
+  readonly span: LayerSpan | undefined;
+  /** Whether an order is being carried out. */
+  readonly busy: boolean;
+  /** Requests that wait for a server further on their route. */
+  readonly blocked: readonly BlockedRequest[];
+}
+
+/** A request that began at the reporting server and waits for another. */
+export interface BlockedRequest {
+  readonly id: string;
+  /** Address of the server that it waits for. */
+  readonly address: string;
+}
+
+/** Sends orders to servers. */
+export interface OrderPort {
+  order(order: PlacementOrder, timeoutMs: number): Promise<OrderAnswer>;
+}
+
+/** Asks servers for reports. */
+export interface ReportPort {
+  /** Undefined when the server gives no answer in time. */
+  report(id: string, address: string, timeoutMs: number): Promise<ServerReport | undefined>;
+}
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -5,6 +5,7 @@
 import type { ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { EngineProfile } from '../deployment/Types.js';
 import type { RouteWish } from '../routing/EngineRoutes.js';
+import { describeStages } from '../routing/StageText.js';
 import type { Stage } from '../routing/Types.js';
 import { choosePlainServer } from '../routing/PlainChoice.js';
 import { Claim } from '../routing/Claim.js';
@@ -128,7 +129,7 @@
       id: request.id,
       server: target.server,
       revision: server.revision,
-      route: stages.map(({ server: stage, from, to }) => `${stage}=${from}-${to}`).join(','),
+      route: describeStages(stages),
       msLeft: Math.round(this.msLeft),
     });
     this.call = port.call(
--- a/src/core/relay/SilenceWatch.ts
+++ b/src/core/relay/SilenceWatch.ts
@@ -9,14 +9,9 @@
 import type { Decisions } from '../Decisions.js';
 import { ServerDoubt, type ServerDirectory } from '../deployment/ServerDirectory.js';
 import { RetryReason } from '../Outcome.js';
-import type { ServerReport } from '../placement/PlacementDriver.js';
+import type { ReportPort, ServerReport } from '../placement/Types.js';
 import type { StreamRegistry, WatchedStream } from './RelayParts.js';
 
-/** Asks a server for a report. */
-export interface ReportPort {
-  report(id: string, address: string, timeoutMs: number): Promise<ServerReport | undefined>;
-}
-
 export interface SilenceParts {
   readonly clock: Clock;
   readonly directory: ServerDirectory;
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -10,6 +10,7 @@
 import { InvariantKind } from '../Invariant.js';
 import { RefusalReason, RetryReason } from '../Outcome.js';
 import { Claim } from '../routing/Claim.js';
+import { describeStages } from '../routing/StageText.js';
 import type { Stage } from '../routing/Types.js';
 import { BaseRelay, type Target } from './BaseRelay.js';
 import { retryReason } from './CallRelay.js';
@@ -316,7 +317,7 @@
       answer: answer.status,
       blamed: answer.faultAddress,
       avoided: [...this.avoid].join(','),
-      route: stages.map(({ server, from, to }) => `${server}=${from}-${to}`).join(','),
+      route: describeStages(stages),
       silentMs: Math.round(sentAt - this.lastEventAt),
       ms: Math.round(this.parts.clock.now() - sentAt),
     });
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -1,7 +1,7 @@
 /** Chooses the servers that a request to an engine passes through. */
 import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { Accelerator, EngineProfile, Service } from '../deployment/Types.js';
-import { coversOnce, planRoute } from './RoutePlanner.js';
+import { coversOnce, planCheapestRoute } from './RoutePlanner.js';
 import type { ServerLoad } from './ServerLoad.js';
 import type { Candidate, Stage } from './Types.js';
 
@@ -89,11 +89,10 @@
     usable: (id: string) => boolean,
   ): readonly Stage[] | undefined {
     const { engine } = wish;
-    const route = planRoute({
+    const route = planCheapestRoute({
       candidates,
       layers: engine.layers,
       homeDomain: this.homeDomain,
-      busyMs: () => 0,
       usable,
       kept: wish.kept,
       rebuildLayerMs: wish.tokens / (engine.readTokensPerMs * engine.layers),
--- a/src/core/routing/RoutePlanner.ts
+++ b/src/core/routing/RoutePlanner.ts
@@ -1,6 +1,13 @@
 /** Chooses routes by shortest path over layer boundaries. */
 import { segmentCuts } from './FlowPlan.js';
-import type { Candidate, Route, RouteQuery, Stage } from './Types.js';
+import type {
+  Candidate,
+  PricedRouteQuery,
+  Route,
+  RouteQuery,
+  RouteSearch,
+  Stage,
+} from './Types.js';
 
 /** One-way time between two failure domains, in milliseconds. */
 const CROSS_DOMAIN_LINK_MS = 0.6;
@@ -37,34 +44,55 @@
   return layerMs + TOLL_MS * (busyMs / TOLL_BUSY_MS) ** TOLL_POWER;
 }
 
-function keptLayers(query: RouteQuery, server: string, from: number, to: number): number {
+/** A route search with what a stage and a link cost. */
+interface Search extends RouteSearch {
+  /** Price of a stage of some layers, without rebuilding, in milliseconds. */
+  readonly stageMs: (candidate: Candidate, layers: number) => number;
+  /** Price of a link between two failure domains, in milliseconds. */
+  readonly crossMs: number;
+}
+
+function byBusyTime(query: RouteQuery): Search {
+  return {
+    ...query,
+    crossMs: CROSS_DOMAIN_LINK_MS,
+    stageMs: (candidate, layers) =>
+      layers * layerPrice(candidate.layerMs, query.busyMs(candidate.server)) +
+      candidate.linkMs +
+      HOP_MS,
+  };
+}
+
+function byCosts({ costs, ...query }: PricedRouteQuery): Search {
+  return {
+    ...query,
+    crossMs: costs.crossMs,
+    stageMs: (candidate, layers) => layers * candidate.layerMs + costs.visitMs(candidate.server),
+  };
+}
+
+function keptLayers(search: Search, server: string, from: number, to: number): number {
   let kept = 0;
-  for (const stage of query.kept) {
+  for (const stage of search.kept) {
     if (stage.server !== server) continue;
     kept += Math.max(0, Math.min(to, stage.to) - Math.max(from, stage.from));
   }
   return kept;
 }
 
-function stageCost(query: RouteQuery, candidate: Candidate, from: number, to: number): number {
+function stageCost(search: Search, candidate: Candidate, from: number, to: number): number {
   const layers = to - from;
   const rebuilt =
-    query.kept.length === 0 ? 0 : layers - keptLayers(query, candidate.server, from, to);
-  const rebuildMs = rebuilt * query.rebuildLayerMs;
-  if (query.costs !== undefined)
-    return layers * candidate.layerMs + query.costs.visitMs(candidate.server) + rebuildMs;
-  const busyMs = query.busyMs(candidate.server);
-  const runMs = layers * layerPrice(candidate.layerMs, busyMs);
-  return runMs + candidate.linkMs + HOP_MS + rebuildMs;
+    search.kept.length === 0 ? 0 : layers - keptLayers(search, candidate.server, from, to);
+  return search.stageMs(candidate, layers) + rebuilt * search.rebuildLayerMs;
 }
 
-function linkMs(query: RouteQuery, fromDomain: string, toDomain: string): number {
-  if (fromDomain === toDomain) return 0;
-  return query.costs?.crossMs ?? CROSS_DOMAIN_LINK_MS;
+function linkMs(search: Search, fromDomain: string, toDomain: string): number {
+  return fromDomain === toDomain ? 0 : search.crossMs;
 }
 
-function domainOf(arrival: Arrival, query: RouteQuery): string {
-  return arrival.candidate?.failureDomain ?? query.homeDomain;
+function domainOf(arrival: Arrival, search: Search): string {
+  return arrival.candidate?.failureDomain ?? search.homeDomain;
 }
 
 function toRoute(last: Arrival, boundaries: readonly number[], end: number): Route {
@@ -98,7 +126,7 @@
 }
 
 function extend(
-  query: RouteQuery,
+  search: Search,
   boundaries: readonly number[],
   arrivals: Map<string, Arrival>[],
   index: number,
@@ -108,7 +136,7 @@
   let best: Arrival | undefined;
   let bestCost = Infinity;
   for (const arrival of arrivals[index].values()) {
-    const cost = arrival.cost + linkMs(query, domainOf(arrival, query), candidate.failureDomain);
+    const cost = arrival.cost + linkMs(search, domainOf(arrival, search), candidate.failureDomain);
     if (cost >= bestCost) continue;
     bestCost = cost;
     best = arrival;
@@ -118,7 +146,7 @@
     const to = boundaries[next];
     if (to > candidate.to) break;
     offer(arrivals[next], candidate.failureDomain, {
-      cost: bestCost + stageCost(query, candidate, from, to),
+      cost: bestCost + stageCost(search, candidate, from, to),
       candidate,
       fromBoundary: index,
       previous: best,
@@ -127,12 +155,12 @@
 }
 
 function shortestPath(
-  query: RouteQuery,
+  search: Search,
   candidates: readonly Candidate[],
   boundaries: readonly number[],
 ): Route | undefined {
   const arrivals = boundaries.map(() => new Map<string, Arrival>());
-  offer(arrivals[0], query.homeDomain, {
+  offer(arrivals[0], search.homeDomain, {
     cost: 0,
     candidate: undefined,
     fromBoundary: 0,
@@ -141,14 +169,27 @@
   for (const [index, boundary] of boundaries.entries()) {
     for (const candidate of candidates) {
       if (candidate.from > boundary || candidate.to <= boundary) continue;
-      extend(query, boundaries, arrivals, index, candidate);
+      extend(search, boundaries, arrivals, index, candidate);
     }
   }
   let last: Arrival | undefined;
   for (const arrival of (arrivals.at(-1) as Map<string, Arrival>).values()) {
     if (last === undefined || arrival.cost < last.cost) last = arrival;
   }
-  return last === undefined ? undefined : toRoute(last, boundaries, query.layers);
+  return last === undefined ? undefined : toRoute(last, boundaries, search.layers);
+}
+
+function usableOf({ candidates, usable }: RouteSearch): Candidate[] {
+  return candidates.filter((candidate) => usable(candidate.server));
+}
+
+/**
+ * Plans the route that costs least, wherever its servers are.
+ * @returns undefined when the usable servers do not cover every layer
+ */
+export function planCheapestRoute(query: PricedRouteQuery): Route | undefined {
+  const boundaries = segmentCuts(query.candidates, query.layers);
+  return shortestPath(byCosts(query), usableOf(query), boundaries);
 }
 
 /**
@@ -157,17 +198,17 @@
  */
 export function planRoute(query: RouteQuery): Route | undefined {
   const boundaries = segmentCuts(query.candidates, query.layers);
-  const usable = query.candidates.filter((candidate) => query.usable(candidate.server));
-  if (query.costs !== undefined) return shortestPath(query, usable, boundaries);
+  const search = byBusyTime(query);
+  const usable = usableOf(query);
   const home = usable.filter((candidate) => candidate.failureDomain === query.homeDomain);
-  const homeRoute = home.length === 0 ? undefined : shortestPath(query, home, boundaries);
+  const homeRoute = home.length === 0 ? undefined : shortestPath(search, home, boundaries);
   if (home.length === usable.length) return homeRoute;
   if (homeRoute !== undefined) {
     // No route elsewhere is cheaper than home without its congestion, so most choices end here.
     if (homeRoute.costMs <= costWithoutToll(query, home, homeRoute) * FAR_WORSE) return homeRoute;
     if (homeRoute.costMs <= cheapestCost(query, usable, boundaries) * FAR_WORSE) return homeRoute;
   }
-  return shortestPath(query, usable, boundaries) ?? homeRoute;
+  return shortestPath(search, usable, boundaries) ?? homeRoute;
 }
 
 /** A route's cost if its servers were idle. */
--- a/src/core/routing/Types.ts
+++ b/src/core/routing/Types.ts
@@ -28,27 +28,34 @@
   readonly linkMs: number;
 }
 
-/** Prices of a route in milliseconds, for engines that say what their work takes. */
-export interface RouteCosts {
-  /** Passing from one failure domain to another. */
-  readonly crossMs: number;
-  /** Waiting at a server, whatever the number of its layers. */
-  readonly visitMs: (server: string) => number;
-}
-
-/** What a route choice may depend on besides the configuration. */
-export interface RouteQuery {
+/** What every route choice depends on. */
+export interface RouteSearch {
   readonly candidates: readonly Candidate[];
   readonly layers: number;
   readonly homeDomain: string;
-  /** Busy time that a server adds to each token, in milliseconds. */
-  readonly busyMs: (server: string) => number;
   /** Whether a server may get new work. */
   readonly usable: (server: string) => boolean;
   /** Stages whose KV cache is worth keeping. */
   readonly kept: readonly Stage[];
   /** Time to rebuild the KV cache of one layer elsewhere, in milliseconds. */
   readonly rebuildLayerMs: number;
-  /** Replaces the usual prices for congestion and links; `busyMs` is not used then. */
-  readonly costs?: RouteCosts;
+}
+
+/** A route choice by the measured busy time of servers. */
+export interface RouteQuery extends RouteSearch {
+  /** Busy time that a server adds to each token, in milliseconds. */
+  readonly busyMs: (server: string) => number;
+}
+
+/** Prices of a route in milliseconds, for engines that say what their work takes. */
+export interface RouteCosts {
+  /** Passing from one failure domain to another. */
+  readonly crossMs: number;
+  /** Waiting at a server, whatever the number of its layers. */
+  readonly visitMs: (server: string) => number;
+}
+
+/** A route choice by prices that are known beforehand. */
+export interface PricedRouteQuery extends RouteSearch {
+  readonly costs: RouteCosts;
 }
--- a/src/platform/ServerClient.ts
+++ b/src/platform/ServerClient.ts
@@ -5,8 +5,9 @@
   OrderAnswer,
   type OrderPort,
   type PlacementOrder,
+  type ReportPort,
   type ServerReport,
-} from '../core/placement/PlacementDriver.js';
+} from '../core/placement/Types.js';
 import {
   RerouteStatus,
   type RerouteAnswer,
@@ -29,7 +30,7 @@
   blocked: z.array(z.object({ id: z.string(), address: z.string() })).default([]),
 });
 
-export class ServerClient implements ServerPort, OrderPort {
+export class ServerClient implements ServerPort, OrderPort, ReportPort {
   private readonly agent = new ServerAgent();
 
   public constructor(private readonly http: HttpClient) {}
