One instance of each failure domain speaks for it, so exchanges no longer grow with the square of the fleet

A new check with 66 instances counts all work within 3 s and bounds each one's exchanges at 12 a second; a second one takes the speaker away.

--- a/features/core/peers/peer-sharing.feature
+++ b/features/core/peers/peer-sharing.feature
@@ -32,6 +32,18 @@
     When a third starts with the first as its seed
     Then within 4000 ms all count 3 live instances
 
+  Scenario: In a large fleet, each instance has a few exchanges a second and counts all work
+    Given 3 domains of 22 instances that know each other
+    When each has 2 requests at server "s"
+    Then within 3000 ms each counts 132 requests at server "s"
+    And no instance begins more than 12 exchanges a second
+
+  Scenario: Work goes on being counted when the speaker of a domain is gone
+    Given 3 domains of 4 instances that know each other
+    When each has 2 requests at server "s"
+    And instance 0 is gone for 4000 ms
+    Then within 1000 ms the others count 22 requests at server "s"
+
   Scenario: A peer's older word changes nothing
     Given 2 instances that know each other
     When instance 0 learns the leaving of a server from the store
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -6,7 +6,7 @@
 import type { BackendServer } from '../../../src/core/deployment/Types.js';
 import { Failure, FailureKind } from '../../../src/core/Failure.js';
 import { PeerSharing } from '../../../src/core/peers/PeerSharing.js';
-import type { PeerDigest, PeerReceipt } from '../../../src/core/peers/Types.js';
+import { WorkScope, type PeerAddress, type PeerDigest } from '../../../src/core/peers/Types.js';
 import { ServerLoad } from '../../../src/core/routing/ServerLoad.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
 import { deployment, record, route } from '../FleetFixture.js';
@@ -16,7 +16,9 @@
   readonly deployments: Deployments;
   readonly directory: ServerDirectory;
   readonly load: ServerLoad;
+  readonly domain: string;
   isGone: boolean;
+  sent: number;
 }
 
 interface SharingWorld {
@@ -30,14 +32,19 @@
   return sent === undefined ? copy : { ...copy, deployment: throughWire(sent) };
 }
 
-function addInstance(world: SharingWorld, seeds: readonly string[]): Instance {
+function selfOf(index: number, failureDomain: string): PeerAddress {
+  return { instance: `i${index}`, address: String(index), failureDomain, incarnation: 1 };
+}
+
+function addInstance(world: SharingWorld, seeds: readonly string[], domain = 'a'): Instance {
   const index = world.instances.length;
   const { clock } = world;
   const deployments = new Deployments();
   const directory = new ServerDirectory(clock);
   const load = new ServerLoad();
-  const send = (address: string, digest: PeerDigest): Promise<PeerReceipt> => {
+  const send = (address: string, digest: PeerDigest): Promise<PeerDigest> => {
     const peer = world.instances[Number(address)];
+    world.instances[index].sent += 1;
     if (peer.isGone || world.instances[index].isGone) {
       return Promise.reject(new Failure(FailureKind.PeerUnavailable, 'Gone. Tried again.'));
     }
@@ -49,14 +56,12 @@
     directory,
     load,
     seeds,
-    random: { next: () => 0.5, id: () => 'id' },
     port: { send },
-    self: { instance: `i${index}`, address: String(index), failureDomain: 'a' },
-    incarnation: 1,
+    self: selfOf(index, domain),
     decisions: { note: () => {} },
     isLeaving: () => false,
   });
-  const instance = { sharing, deployments, directory, load, isGone: false };
+  const instance = { sharing, deployments, directory, load, domain, isGone: false, sent: 0 };
   world.instances.push(instance);
   return instance;
 }
@@ -65,12 +70,26 @@
   this.clock = new VirtualClock();
   this.instances = [];
   for (let index = 0; index < count; index += 1) addInstance(this, []);
-  for (const { sharing } of this.instances) {
-    for (let index = 0; index < count; index += 1)
-      sharing.meet({ instance: `i${index}`, address: String(index), failureDomain: 'a' });
+  meetAll(this.instances);
+});
+
+function meetAll(instances: readonly Instance[]): void {
+  for (const { sharing } of instances) {
+    for (const [index, { domain }] of instances.entries()) sharing.meet(selfOf(index, domain));
     sharing.start();
   }
-});
+}
+
+Given(
+  '{int} domains of {int} instances that know each other',
+  function set(this: SharingWorld, domains: number, count: number) {
+    this.clock = new VirtualClock();
+    this.instances = [];
+    for (let index = 0; index < domains * count; index += 1)
+      addInstance(this, [], `d${index % domains}`);
+    meetAll(this.instances);
+  },
+);
 
 When(
   'each has {int} requests at server {string}',
@@ -148,13 +167,11 @@
 When('instance 0 starts again after its clock went back', async function run(this: SharingWorld) {
   await this.clock.runUntil(this.clock.now() + 1000);
   this.instances[0].sharing.dispose();
-  const self = { instance: 'i0', address: '0', failureDomain: 'a' };
   const digest = {
-    from: self,
-    incarnation: 0,
+    from: { ...selfOf(0, 'a'), incarnation: 0 },
     leaving: false,
     ticket: 0,
-    work: [],
+    work: { scope: WorkScope.Instance, instances: 1, shares: [] },
     records: [],
     revision: 0,
     peers: [],
@@ -189,3 +206,11 @@
     for (const { sharing } of this.instances) assert.equal(sharing.liveInstances, live);
   },
 );
+
+Then(
+  'no instance begins more than {int} exchanges a second',
+  function check(this: SharingWorld, most: number) {
+    const seconds = this.clock.now() / 1000;
+    for (const { sent } of this.instances) assert.ok(sent <= most * seconds, `${sent} exchanges`);
+  },
+);
--- a/src/adapters/grpc/SharingService.ts
+++ b/src/adapters/grpc/SharingService.ts
@@ -11,7 +11,7 @@
 } from '@grpc/grpc-js';
 import { Failure, FailureKind } from '../../core/Failure.js';
 import type { Deployment, EngineProfile } from '../../core/deployment/Types.js';
-import type { PeerDigest, PeerPort, PeerReceipt } from '../../core/peers/Types.js';
+import type { PeerDigest, PeerPort } from '../../core/peers/Types.js';
 
 /** Deployments with thousands of routes fit. */
 const MAX_MESSAGE_BYTES = 32 * 1024 * 1024;
@@ -54,7 +54,7 @@
     requestSerialize: serialize,
     requestDeserialize: (bytes: Buffer) => deserialize<PeerDigest>(bytes),
     responseSerialize: serialize,
-    responseDeserialize: (bytes: Buffer) => deserialize<PeerReceipt>(bytes),
+    responseDeserialize: (bytes: Buffer) => deserialize<PeerDigest>(bytes),
   },
 };
 
@@ -63,7 +63,7 @@
 type Share = (
   digest: PeerDigest,
   options: { deadline: number },
-  callback: (error: Error | null, receipt: PeerReceipt) => void,
+  callback: (error: Error | null, answer: PeerDigest) => void,
 ) => void;
 
 export class SharingService implements PeerPort {
@@ -71,13 +71,11 @@
 
   private readonly server = new Server({ 'grpc.max_receive_message_length': MAX_MESSAGE_BYTES });
 
-  /** @param take - takes in a digest and says what this instance holds */
-  public constructor(take: (digest: PeerDigest) => PeerReceipt) {
+  /** @param take - takes in a digest and returns this instance's */
+  public constructor(take: (digest: PeerDigest) => PeerDigest) {
     this.server.addService(SHARING, {
-      Share: (
-        call: ServerUnaryCall<PeerDigest, PeerReceipt>,
-        callback: sendUnaryData<PeerReceipt>,
-      ) => callback(null, take(call.request)),
+      Share: (call: ServerUnaryCall<PeerDigest, PeerDigest>, callback: sendUnaryData<PeerDigest>) =>
+        callback(null, take(call.request)),
     });
   }
 
@@ -96,13 +94,13 @@
     this.clients.clear();
   }
 
-  public send(address: string, digest: PeerDigest): Promise<PeerReceipt> {
+  public send(address: string, digest: PeerDigest): Promise<PeerDigest> {
     const client = this.clientFor(address) as unknown as { Share: Share };
     return new Promise((resolve, reject) => {
       // The deadline is wall time in this library; a jump of the clock loses one digest at most.
-      client.Share(digest, { deadline: Date.now() + DEADLINE_MS }, (error, receipt) => {
+      client.Share(digest, { deadline: Date.now() + DEADLINE_MS }, (error, answer) => {
         if (error === null) {
-          resolve(receipt);
+          resolve(answer);
           return;
         }
         this.drop(address);
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -1,22 +1,30 @@
 /**
  * Tells peers of this instance's work at the servers, and passes on what the store said.
  *
- * Instances at home hear of each other often, since they compete for the same servers; the others less.
+ * One instance of each failure domain speaks for it: the others exchange digests with it alone, and it
+ * with its like elsewhere. An instance thus has a few exchanges a second in a fleet of any size. When it
+ * falls silent, the next one by name takes its place.
  */
-import type { Clock, Disposable, Random } from '../../ports/Types.js';
+import type { Clock, Disposable } from '../../ports/Types.js';
 import type { Decisions } from '../Decisions.js';
 import type { Deployments } from '../deployment/Deployments.js';
 import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { BackendServer } from '../deployment/Types.js';
-import type { ServerLoad, Work } from '../routing/ServerLoad.js';
-import type { PeerAddress, PeerDigest, PeerPort, PeerReceipt, WorkShare } from './Types.js';
+import type { ServerLoad } from '../routing/ServerLoad.js';
+import { PeerTable, type Peer } from './PeerTable.js';
+import {
+  WorkScope,
+  type PeerAddress,
+  type PeerDigest,
+  type PeerPort,
+  type WorkReport,
+} from './Types.js';
+import { listShares, sumWork, WorkTable } from './WorkTable.js';
 
 export interface SharingParts {
   readonly clock: Clock;
-  readonly random: Random;
   readonly port: PeerPort;
   readonly self: PeerAddress;
-  readonly incarnation: number;
   readonly seeds: readonly string[];
   readonly deployments: Deployments;
   readonly directory: ServerDirectory;
@@ -25,37 +33,18 @@
   readonly isLeaving: () => boolean;
 }
 
-/** Time between digests to peers of the own failure domain, in milliseconds. */
-const HOME_MS = 250;
+/** Time between digests, in milliseconds: servers' own reports are as old. */
+const ROUND_MS = 250;
 
-/** Digests elsewhere go out in each n-th round only. */
-const AWAY_ROUNDS = 3;
+/** Seeds are told in each n-th round while no peer is known. */
+const SEED_ROUNDS = 3;
 
-/** Most peers told in one round, at home and elsewhere each; more are told in turn. */
-const FANOUT = 6;
-
-/** A peer's work counts for this time after its last digest, in milliseconds. */
-const WORK_MS = 2500;
-
-/** A peer that was not heard of for this time is not counted, in milliseconds. */
-const ALIVE_MS = 3000;
-
-/** A peer that was not heard of for this time is forgotten, in milliseconds. */
-const FORGET_MS = 60_000;
+/** Digests name the known peers in each n-th round. */
+const PEER_ROUNDS = 16;
 
 /** Changes of servers are passed on for this time, in milliseconds. */
 const NEWS_MS = 4000;
 
-interface Peer {
-  address: PeerAddress;
-  incarnation: number;
-  heardAt: number;
-  work: readonly WorkShare[];
-  /** What the peer last said that it holds. */
-  receipt: PeerReceipt;
-  sending: boolean;
-}
-
 interface News {
   readonly record: BackendServer;
   readonly at: number;
@@ -69,7 +58,18 @@
 }
 
 export class PeerSharing {
-  private readonly peers = new Map<string, Peer>();
+  private readonly table: PeerTable;
+
+  /** Work of instances at home, by instance. */
+  private readonly home = new WorkTable();
+
+  /** Work of other failure domains, as their speakers count it. */
+  private readonly away = new WorkTable();
+
+  /** Work of all others, as the speaker of the own failure domain counts it. */
+  private readonly told = new WorkTable();
+
+  private counted = 0;
 
   private readonly news = new Map<string, News>();
 
@@ -80,21 +80,20 @@
   private readonly subscription: Disposable;
 
   public constructor(private readonly parts: SharingParts) {
+    this.table = new PeerTable(parts.self);
     this.subscription = parts.directory.onChange((server) => {
       this.news.set(server.record.id, { record: asBelieved(server), at: parts.clock.now() });
     });
   }
 
-  /** Live instances, this one included. */
+  /** Instances whose work is counted, this one included. */
   public get liveInstances(): number {
-    let live = 1;
-    for (const peer of this.peers.values()) if (this.isAlive(peer)) live += 1;
-    return live;
+    return this.counted + 1;
   }
 
-  /** Instances heard of lately, live or not, this one included. */
+  /** Instances heard of, live or not, this one included. */
   public get knownInstances(): number {
-    return this.peers.size + 1;
+    return this.table.size;
   }
 
   public start(): void {
@@ -107,150 +106,146 @@
     this.subscription.dispose();
   }
 
-  /** Learns of a peer from the store. */
+  /** Learns of a peer from the store, whose entry is its newest. */
   public meet(address: PeerAddress): void {
-    if (address.instance === this.parts.self.instance) return;
-    const peer = this.peers.get(address.instance);
-    if (peer !== undefined) return;
-    this.peers.set(address.instance, {
-      address,
-      incarnation: 0,
-      heardAt: -Infinity,
-      work: [],
-      receipt: { ticket: 0, revision: 0 },
-      sending: false,
-    });
+    this.table.meet(address, true);
   }
 
-  /** Takes in a peer's digest. @returns what this instance holds now */
-  public take(digest: PeerDigest): PeerReceipt {
-    const { deployments, directory, clock } = this.parts;
-    this.meet(digest.from);
-    for (const address of digest.peers) this.meet(address);
-    const peer = this.peers.get(digest.from.instance);
-    if (peer !== undefined && this.isNewest(peer, digest)) {
-      const wasAlive = this.isAlive(peer);
-      peer.address = digest.from;
-      peer.incarnation = digest.incarnation;
-      peer.heardAt = digest.leaving ? -Infinity : clock.now();
-      peer.work = digest.work;
-      peer.receipt = { ticket: digest.ticket, revision: digest.revision };
-      if (!wasAlive && !digest.leaving) this.note('peer', peer);
-    }
-    for (const record of digest.records) directory.put(record);
-    if (digest.deployment !== undefined && deployments.offer(digest.deployment)) {
-      this.parts.decisions.note('configuration', {
-        ticket: digest.deployment.ticket,
-        from: digest.from.instance,
-      });
-    }
-    return this.receipt;
-  }
-
-  private get receipt(): PeerReceipt {
-    return { ticket: this.parts.deployments.ticket, revision: this.parts.directory.revision };
-  }
-
-  /** Whether a digest is of the peer's newest process; clocks that jump back do not matter for long. */
-  private isNewest(peer: Peer, { incarnation }: PeerDigest): boolean {
-    return incarnation >= peer.incarnation || !this.isAlive(peer);
-  }
-
-  private isAlive(peer: Peer): boolean {
-    return this.parts.clock.now() - peer.heardAt < ALIVE_MS;
+  /** Takes in a peer's digest. @returns what this instance tells it */
+  public take(digest: PeerDigest): PeerDigest {
+    this.learn(digest);
+    const peer = this.table.get(digest.from.instance);
+    const { from } = digest;
+    const work =
+      from.failureDomain === this.parts.self.failureDomain
+        ? this.workForAllBut(from.instance)
+        : this.workOfDomain();
+    return this.digestFor(peer, work);
   }
 
   private tick(): void {
     this.round += 1;
-    this.forget();
-    this.parts.load.setOthers(this.sumWork());
-    const { failureDomain } = this.parts.self;
-    const home: Peer[] = [];
-    const away: Peer[] = [];
-    for (const peer of this.peers.values()) {
-      if (peer.address.failureDomain === failureDomain) home.push(peer);
-      else away.push(peer);
-    }
-    for (const peer of this.pick(home, this.round)) this.tell(peer);
-    if (this.round % AWAY_ROUNDS === 0) {
-      for (const peer of this.pick(away, this.round / AWAY_ROUNDS)) this.tell(peer);
-      if (home.length + away.length === 0) this.tellSeeds();
-    }
-    this.timer = this.parts.clock.schedule(HOME_MS, () => this.tick());
+    const now = this.parts.clock.now();
+    this.forgetNews(now);
+    this.count(now);
+    const hub = this.table.homeHub(now);
+    if (hub !== undefined) this.tell(hub, this.ownWork());
+    else this.tellOtherDomains(now);
+    if (this.table.size === 1 && this.round % SEED_ROUNDS === 0) this.tellSeeds();
+    this.timer = this.parts.clock.schedule(ROUND_MS, () => this.tick());
   }
 
-  /** All peers of a small group; of a large one, those whose turn it is. */
-  private pick(peers: readonly Peer[], turn: number): readonly Peer[] {
-    if (peers.length <= FANOUT) return peers;
-    const picked: Peer[] = [];
-    for (let index = 0; index < FANOUT; index += 1) {
-      picked.push(peers[(turn * FANOUT + index) % peers.length]);
+  private tellOtherDomains(now: number): void {
+    const work = this.workOfDomain();
+    for (const domain of this.table.otherDomains()) {
+      const hub = this.table.hubOf(domain, now);
+      if (hub !== undefined) this.tell(hub, work);
     }
-    return picked;
   }
 
-  private sumWork(): Map<string, Work> {
-    const now = this.parts.clock.now();
-    const sum = new Map<string, Work>();
-    for (const peer of this.peers.values()) {
-      if (now - peer.heardAt > WORK_MS) continue;
-      for (const share of peer.work) {
-        const work = sum.get(share.server);
-        if (work === undefined) {
-          sum.set(share.server, { ...share });
-          continue;
-        }
-        work.requests += share.requests;
-        work.readingTokens += share.readingTokens;
-        work.tokenLayers += share.tokenLayers;
-      }
-    }
-    return sum;
+  /** Counts the fuller of both accounts: after a change of the speaker, one of them is in the making. */
+  private count(now: number): void {
+    for (const table of [this.home, this.away, this.told]) table.expire(now);
+    const heard = sumWork([...this.home.reports(), ...this.away.reports()]);
+    const told = sumWork(this.told.reports());
+    const fuller = told.instances > heard.instances ? told : heard;
+    this.counted = fuller.instances;
+    this.parts.load.setOthers(fuller.work);
   }
 
-  private async tell(peer: Peer): Promise<void> {
-    if (peer.sending) return;
-    peer.sending = true;
-    const wasAlive = this.isAlive(peer);
+  private async tell(peer: Peer, work: WorkReport): Promise<void> {
+    const { clock, port } = this.parts;
+    peer.isAsked = true;
+    const wasAlive = this.table.isAlive(peer, clock.now());
     try {
-      peer.receipt = await this.parts.port.send(peer.address.address, this.digestFor(peer));
+      this.learn(await port.send(peer.address.address, this.digestFor(peer, work)));
     } catch (error) {
-      if (wasAlive && !this.isAlive(peer)) this.note('peer-lost', peer, (error as Error).message);
+      this.table.distrust(peer, clock.now());
+      if (wasAlive) this.note('peer-lost', peer, (error as Error).message);
     } finally {
-      peer.sending = false;
+      peer.isAsked = false;
     }
   }
 
-  private async tellSeeds(): Promise<void> {
+  private tellSeeds(): void {
     for (const seed of this.parts.seeds) {
-      if (seed === this.parts.self.address) continue;
-      // A seed may be stale or down; the store names the peers as well.
-      this.parts.port.send(seed, this.digestFor(undefined)).catch(() => undefined);
+      if (seed !== this.parts.self.address) this.tellSeed(seed);
     }
   }
 
-  private digestFor(peer: Peer | undefined): PeerDigest {
-    const { deployments, directory, self, incarnation, isLeaving } = this.parts;
+  private async tellSeed(seed: string): Promise<void> {
+    try {
+      this.learn(await this.parts.port.send(seed, this.digestFor(undefined, this.ownWork())));
+    } catch (error) {
+      this.parts.decisions.note('seed-lost', { seed, error: (error as Error).message });
+    }
+  }
+
+  /** Takes in what a digest, or the answer to one, says. */
+  private learn(digest: PeerDigest): void {
+    const { deployments, directory, decisions } = this.parts;
+    this.hear(digest);
+    for (const address of digest.peers) this.table.meet(address, false);
+    for (const record of digest.records) directory.put(record);
+    if (digest.deployment === undefined || !deployments.offer(digest.deployment)) return;
+    decisions.note('configuration', {
+      ticket: digest.deployment.ticket,
+      from: digest.from.instance,
+    });
+  }
+
+  private hear({ from, leaving, ticket, revision, work }: PeerDigest): void {
+    const now = this.parts.clock.now();
+    if (from.instance === this.parts.self.instance) return;
+    const known = this.table.get(from.instance);
+    // An older process of the same instance; one whose clock went back is heard once that is silent.
+    const isOld = known !== undefined && from.incarnation < known.address.incarnation;
+    if (isOld && this.table.isAlive(known, now)) return;
+    this.table.meet(from, true);
+    const peer = this.table.get(from.instance) as Peer;
+    const wasAlive = this.table.isAlive(peer, now);
+    peer.heardAt = now;
+    peer.ticket = ticket;
+    peer.revision = revision;
+    if (leaving) this.table.distrust(peer, now);
+    else if (!wasAlive) this.note('peer', peer);
+    if (work.scope === WorkScope.Others) this.told.put('speaker', work, now);
+    // The speakers of a failure domain replace each other.
+    else if (work.scope === WorkScope.FailureDomain) this.away.put(from.failureDomain, work, now);
+    else this.home.put(from.instance, work, now);
+  }
+
+  private digestFor(peer: Peer | undefined, work: WorkReport): PeerDigest {
+    const { deployments, directory, self, isLeaving } = this.parts;
     const table = deployments.current;
-    const isBehind = peer !== undefined && peer.receipt.ticket < deployments.ticket;
-    const knowsNone = peer !== undefined && peer.receipt.revision === 0;
+    const isBehind = peer !== undefined && peer.ticket < deployments.ticket;
+    const knowsNone = peer !== undefined && peer.revision === 0;
     return {
       from: self,
-      incarnation,
       leaving: isLeaving(),
       ticket: deployments.ticket,
-      work: this.ownWork(),
-      records: knowsNone ? this.allRecords() : this.recentRecords(),
       revision: directory.revision,
-      peers: this.round % 10 === 0 ? [...this.peers.values()].map(({ address }) => address) : [],
+      work,
+      records: knowsNone ? this.allRecords() : this.recentRecords(),
+      peers: knowsNone || this.round % PEER_ROUNDS === 0 ? this.table.addresses() : [],
       ...(isBehind && table !== undefined && { deployment: table.deployment }),
     };
   }
 
-  private ownWork(): WorkShare[] {
-    const shares: WorkShare[] = [];
-    for (const [server, work] of this.parts.load.listOwn()) shares.push({ server, ...work });
-    return shares;
+  private ownWork(): WorkReport {
+    const shares = listShares(this.parts.load.listOwn());
+    return { scope: WorkScope.Instance, instances: 1, shares };
+  }
+
+  private workForAllBut(instance: string): WorkReport {
+    const home = this.home.reports(instance);
+    const { instances, work } = sumWork([this.ownWork(), ...home, ...this.away.reports()]);
+    return { scope: WorkScope.Others, instances, shares: listShares(work) };
+  }
+
+  private workOfDomain(): WorkReport {
+    const { instances, work } = sumWork([this.ownWork(), ...this.home.reports()]);
+    return { scope: WorkScope.FailureDomain, instances, shares: listShares(work) };
   }
 
   private allRecords(): BackendServer[] {
@@ -260,20 +255,13 @@
   }
 
   private recentRecords(): BackendServer[] {
-    const oldest = this.parts.clock.now() - NEWS_MS;
     const records: BackendServer[] = [];
-    for (const [id, { record, at }] of this.news) {
-      if (at < oldest) this.news.delete(id);
-      else records.push(record);
-    }
+    for (const { record } of this.news.values()) records.push(record);
     return records;
   }
 
-  private forget(): void {
-    const oldest = this.parts.clock.now() - FORGET_MS;
-    for (const [name, { heardAt }] of this.peers) {
-      if (heardAt !== -Infinity && heardAt < oldest) this.peers.delete(name);
-    }
+  private forgetNews(now: number): void {
+    for (const [id, { at }] of this.news) if (now - at > NEWS_MS) this.news.delete(id);
   }
 
   private note(event: string, peer: Peer, error?: string): void {
@@ -282,7 +270,7 @@
       peer: instance,
       address,
       domain: failureDomain,
-      ticket: peer.receipt.ticket,
+      ticket: peer.ticket,
       error,
     });
   }
--- a/src/core/peers/Roster.ts
+++ b/src/core/peers/Roster.ts
@@ -4,7 +4,12 @@
 import type { Decisions } from '../Decisions.js';
 import type { PeerAddress } from './Types.js';
 
-const PEER = z.object({ instance: z.string(), address: z.string(), failureDomain: z.string() });
+const PEER = z.object({
+  instance: z.string(),
+  address: z.string(),
+  failureDomain: z.string(),
+  incarnation: z.number().default(0),
+});
 
 /** Reads an instance's row; undefined when it is not one. */
 export function decodePeer(value: unknown): PeerAddress | undefined {
--- a/src/core/peers/Types.ts
+++ b/src/core/peers/Types.ts
@@ -6,9 +6,11 @@
   readonly instance: string;
   readonly address: string;
   readonly failureDomain: string;
+  /** Start of the peer's process, in Unix milliseconds. */
+  readonly incarnation: number;
 }
 
-/** An instance's own work at one server. */
+/** Work at one server. */
 export interface WorkShare {
   readonly server: string;
   readonly requests: number;
@@ -16,20 +18,35 @@
   readonly tokenLayers: number;
 }
 
-/** One message from an instance to a peer. */
+/** Whose work a digest holds. */
+export enum WorkScope {
+  /** The sender's own. */
+  Instance = 'instance',
+  /** That of all instances of the sender's failure domain. */
+  FailureDomain = 'failure-domain',
+  /** That of all instances but the receiver. */
+  Others = 'others',
+}
+
+/** Work in progress, with the number of instances that it comes from. */
+export interface WorkReport {
+  readonly scope: WorkScope;
+  readonly instances: number;
+  readonly shares: readonly WorkShare[];
+}
+
+/** One message from an instance to a peer, or the answer to it. */
 export interface PeerDigest {
   readonly from: PeerAddress;
-  /** Start of the sender's process, in Unix milliseconds. */
-  readonly incarnation: number;
   /** Whether the sender is stopping. */
   readonly leaving: boolean;
   /** Number of the ticket in force at the sender. */
   readonly ticket: number;
-  readonly work: readonly WorkShare[];
-  /** Entries of servers that changed lately, or all of them for a peer that knows none. */
-  readonly records: readonly BackendServer[];
   /** Revision of the newest server entry that the sender has seen. */
   readonly revision: number;
+  readonly work: WorkReport;
+  /** Entries of servers that changed lately, or all of them for a peer that knows none. */
+  readonly records: readonly BackendServer[];
   readonly peers: readonly PeerAddress[];
   /** The deployment in force, when the receiver's is older. */
   readonly deployment?: Deployment;
@@ -37,12 +54,6 @@
 
 /** Sends digests. */
 export interface PeerPort {
-  /** @returns the receiver's ticket and revision; rejects when it does not answer in time */
-  send(address: string, digest: PeerDigest): Promise<PeerReceipt>;
-}
-
-/** What a receiver holds. */
-export interface PeerReceipt {
-  readonly ticket: number;
-  readonly revision: number;
+  /** @returns the receiver's digest; rejects when it does not answer in time */
+  send(address: string, digest: PeerDigest): Promise<PeerDigest>;
 }
--- /dev/null
+++ b/src/core/peers/WorkTable.ts
@@ -0,0 +1,70 @@
+/** Keeps the work that peers report, and adds it up. */
+import type { Work } from '../routing/ServerLoad.js';
+import type { WorkReport, WorkShare } from './Types.js';
+
+/** A report counts for this time, in milliseconds. */
+const WORK_MS = 2500;
+
+interface Account {
+  readonly report: WorkReport;
+  readonly at: number;
+}
+
+/** Work at each server, with the number of instances that it comes from. */
+export interface WorkSum {
+  readonly instances: number;
+  readonly work: ReadonlyMap<string, Work>;
+}
+
+/** Adds up reports. */
+export function sumWork(reports: Iterable<WorkReport>): WorkSum {
+  const work = new Map<string, Work>();
+  let instances = 0;
+  for (const report of reports) {
+    instances += report.instances;
+    for (const { server, requests, readingTokens, tokenLayers } of report.shares) {
+      const sum = work.get(server);
+      if (sum === undefined) {
+        work.set(server, { requests, readingTokens, tokenLayers });
+        continue;
+      }
+      sum.requests += requests;
+      sum.readingTokens += readingTokens;
+      sum.tokenLayers += tokenLayers;
+    }
+  }
+  return { instances, work };
+}
+
+/** Work as a report states it. */
+export function listShares(work: Iterable<readonly [string, Readonly<Work>]>): WorkShare[] {
+  const shares: WorkShare[] = [];
+  for (const [server, at] of work) shares.push({ server, ...at });
+  return shares;
+}
+
+export class WorkTable {
+  private readonly accounts = new Map<string, Account>();
+
+  public put(source: string, report: WorkReport, now: number): void {
+    this.accounts.set(source, { report, at: now });
+  }
+
+  public delete(source: string): void {
+    this.accounts.delete(source);
+  }
+
+  /** Forgets reports that are too old to count. */
+  public expire(now: number): void {
+    for (const [source, { at }] of this.accounts) {
+      if (now - at > WORK_MS) this.accounts.delete(source);
+    }
+  }
+
+  /** Reports of all sources, or of all but one. */
+  public reports(besides?: string): WorkReport[] {
+    const reports: WorkReport[] = [];
+    for (const [source, { report }] of this.accounts) if (source !== besides) reports.push(report);
+    return reports;
+  }
+}
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -133,16 +133,19 @@
       decisions: log,
       failureDomain,
     });
-    const self = { instance, address: settings.peers.address, failureDomain };
+    const self = {
+      instance,
+      address: settings.peers.address,
+      failureDomain,
+      incarnation: Date.now(),
+    };
     this.sharing = new PeerSharing({
       clock,
-      random,
       self,
       deployments,
       directory,
       load,
       port: this.peers,
-      incarnation: Date.now(),
       seeds: settings.peers.seeds,
       decisions: log,
       isLeaving: () => this.leaving,
