Only the speaker of a failure domain follows the store and the lease

Instances now hear entries and configuration from their domain's speaker, and follow the store themselves when nobody they hear from has a fresh answer. Entries missed while cut off are sent by revision.

--- a/features/core/peers/peer-sharing.feature
+++ b/features/core/peers/peer-sharing.feature
@@ -49,3 +49,8 @@
     When instance 0 learns the leaving of a server from the store
     And instance 1 learns an older entry of it
     Then within 1000 ms all know the leaving of a server
+
+  Scenario: What an instance missed while it was cut off it learns afterwards
+    Given 3 instances that know each other
+    When instance 2 is cut off while instance 0 learns the leaving of a server, for 9000 ms
+    Then within 4000 ms all know the leaving of a server
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -60,6 +60,7 @@
     self: selfOf(index, domain),
     decisions: { note: () => {} },
     isLeaving: () => false,
+    storeAgeMs: () => Infinity,
   });
   const instance = { sharing, deployments, directory, load, domain, isGone: false, sent: 0 };
   world.instances.push(instance);
@@ -214,3 +215,13 @@
     for (const { sent } of this.instances) assert.ok(sent <= most * seconds, `${sent} exchanges`);
   },
 );
+
+When(
+  'instance {int} is cut off while instance 0 learns the leaving of a server, for {int} ms',
+  async function run(this: SharingWorld, cut: number, ms: number) {
+    this.instances[cut].isGone = true;
+    FACTS['leaving of a server'].learn(this.instances[0]);
+    await this.clock.runUntil(this.clock.now() + ms);
+    this.instances[cut].isGone = false;
+  },
+);
--- /dev/null
+++ b/features/core/store/store-duty.steps.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { StoreDuty } from '../../../src/core/store/StoreDuty.js';
+import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
+
+interface DutyWorld {
+  clock: VirtualClock;
+  hearsay: { isSpeaker: boolean; heardStoreAgeMs: number };
+  follows: boolean;
+}
+
+Given(
+  'an instance that speaks for its domain: {word}, and hears of store answers {int} ms old',
+  function set(this: DutyWorld, speaks: string, ageMs: number) {
+    this.clock = new VirtualClock();
+    this.hearsay = { isSpeaker: speaks === 'yes', heardStoreAgeMs: ageMs };
+    this.follows = false;
+    const following = {
+      follow: () => {
+        this.follows = true;
+      },
+      rest: () => {
+        this.follows = false;
+      },
+    };
+    const { clock, hearsay } = this;
+    new StoreDuty({ clock, hearsay, following, decisions: { note: () => {} } }).start();
+  },
+);
+
+When(
+  'another speaks for its domain, with answers {int} ms old',
+  function run(this: DutyWorld, ageMs: number) {
+    this.hearsay.isSpeaker = false;
+    this.hearsay.heardStoreAgeMs = ageMs;
+  },
+);
+
+When('{int} ms pass', async function run(this: DutyWorld, ms: number) {
+  await this.clock.runUntil(this.clock.now() + ms);
+});
+
+Then('it follows the store: {word}', function check(this: DutyWorld, follows: string) {
+  assert.equal(this.follows, follows === 'yes');
+});
--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -71,15 +71,15 @@
     this.storeTroubleUntil = this.clock.now() + RETURN_MS;
   }
 
-  /** Takes in an entry as the store holds it. */
-  public put(record: BackendServer): void {
+  /** Takes in an entry as the store holds it. @returns whether it says something new */
+  public put(record: BackendServer): boolean {
     this.newestRevision = Math.max(this.newestRevision, record.revision);
     const server = this.known.get(record.id);
     if (server === undefined) {
       this.add(record);
-      return;
+      return true;
     }
-    if (record.revision <= server.revision) return;
+    if (record.revision <= server.revision) return false;
     const reborn = record.incarnation !== server.record.incarnation;
     if (server.record.address !== record.address) this.move(server, record.address);
     server.record = record;
@@ -92,6 +92,7 @@
       server.failures = 0;
     }
     this.changes.fire(server);
+    return true;
   }
 
   /** Takes in the layers that a server itself has named, ahead of its entry in the store. */
--- a/src/core/leases/LeaseKeeper.ts
+++ b/src/core/leases/LeaseKeeper.ts
@@ -72,6 +72,8 @@
   readonly holder: string;
   /** Beginning of the holder's name that earlier runs of this process had as well. */
   readonly predecessor?: string;
+  /** Whether this instance may take the lease; always when absent. A holder that may not lets it lapse. */
+  readonly isCandidate?: () => boolean;
   readonly log: (message: string) => void;
 }
 
@@ -136,8 +138,9 @@
   }
 
   private async tick(): Promise<void> {
+    const { isCandidate } = this.parts;
     try {
-      await this.step();
+      if (isCandidate === undefined || isCandidate()) await this.step();
     } catch {
       // The lease lapses unless a later renewal lands.
     }
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -31,6 +31,8 @@
   readonly load: ServerLoad;
   readonly decisions: Decisions;
   readonly isLeaving: () => boolean;
+  /** Time since the store last answered this instance, in milliseconds. */
+  readonly storeAgeMs: () => number;
 }
 
 /** Time between digests, in milliseconds: servers' own reports are as old. */
@@ -45,11 +47,6 @@
 /** Changes of servers are passed on for this time, in milliseconds. */
 const NEWS_MS = 4000;
 
-interface News {
-  readonly record: BackendServer;
-  readonly at: number;
-}
-
 /** A server's entry with what is known beyond it: a removed entry says that the server leaves. */
 function asBelieved({ record, leaving, revision }: KnownServer): BackendServer {
   return leaving === record.leaving && revision === record.revision
@@ -71,7 +68,8 @@
 
   private counted = 0;
 
-  private readonly news = new Map<string, News>();
+  /** When a server last changed, while that is news. */
+  private readonly news = new Map<string, number>();
 
   private round = 0;
 
@@ -82,7 +80,7 @@
   public constructor(private readonly parts: SharingParts) {
     this.table = new PeerTable(parts.self);
     this.subscription = parts.directory.onChange((server) => {
-      this.news.set(server.record.id, { record: asBelieved(server), at: parts.clock.now() });
+      this.news.set(server.record.id, parts.clock.now());
     });
   }
 
@@ -96,6 +94,16 @@
     return this.table.size;
   }
 
+  /** Whether this instance speaks for its failure domain. */
+  public get isSpeaker(): boolean {
+    return this.table.homeHub(this.parts.clock.now()) === undefined;
+  }
+
+  /** Time since the store last answered a peer, as far as heard, in milliseconds. */
+  public get heardStoreAgeMs(): number {
+    return this.parts.clock.now() - this.table.storeHeardAt;
+  }
+
   public start(): void {
     this.tick();
   }
@@ -154,16 +162,17 @@
   }
 
   private async tell(peer: Peer, work: WorkReport): Promise<void> {
+    if (peer.askedAt !== undefined) return;
     const { clock, port } = this.parts;
-    peer.isAsked = true;
-    const wasAlive = this.table.isAlive(peer, clock.now());
+    peer.askedAt = clock.now();
+    const wasAlive = this.table.isAlive(peer, peer.askedAt);
     try {
       this.learn(await port.send(peer.address.address, this.digestFor(peer, work)));
     } catch (error) {
       this.table.distrust(peer, clock.now());
       if (wasAlive) this.note('peer-lost', peer, (error as Error).message);
     } finally {
-      peer.isAsked = false;
+      peer.askedAt = undefined;
     }
   }
 
@@ -183,10 +192,10 @@
 
   /** Takes in what a digest, or the answer to one, says. */
   private learn(digest: PeerDigest): void {
-    const { deployments, directory, decisions } = this.parts;
+    const { deployments, decisions } = this.parts;
     this.hear(digest);
     for (const address of digest.peers) this.table.meet(address, false);
-    for (const record of digest.records) directory.put(record);
+    for (const record of digest.records) this.learnServer(record, digest.from);
     if (digest.deployment === undefined || !deployments.offer(digest.deployment)) return;
     decisions.note('configuration', {
       ticket: digest.deployment.ticket,
@@ -194,7 +203,20 @@
     });
   }
 
-  private hear({ from, leaving, ticket, revision, work }: PeerDigest): void {
+  private learnServer(record: BackendServer, from: PeerAddress): void {
+    const { directory, decisions } = this.parts;
+    if (!directory.put(record)) return;
+    decisions.note('server', {
+      server: record.id,
+      revision: record.revision,
+      leaving: record.leaving,
+      from: record.span?.from,
+      to: record.span?.to,
+      heardFrom: from.instance,
+    });
+  }
+
+  private hear({ from, leaving, ticket, revision, storeAgeMs, work }: PeerDigest): void {
     const now = this.parts.clock.now();
     if (from.instance === this.parts.self.instance) return;
     const known = this.table.get(from.instance);
@@ -207,6 +229,7 @@
     peer.heardAt = now;
     peer.ticket = ticket;
     peer.revision = revision;
+    peer.storeHeardAt = now - (storeAgeMs ?? Infinity);
     if (leaving) this.table.distrust(peer, now);
     else if (!wasAlive) this.note('peer', peer);
     if (work.scope === WorkScope.Others) this.told.put('speaker', work, now);
@@ -220,14 +243,16 @@
     const table = deployments.current;
     const isBehind = peer !== undefined && peer.ticket < deployments.ticket;
     const knowsNone = peer !== undefined && peer.revision === 0;
+    const storeAgeMs = Math.round(Math.min(this.parts.storeAgeMs(), this.heardStoreAgeMs));
     return {
       from: self,
       leaving: isLeaving(),
       ticket: deployments.ticket,
       revision: directory.revision,
       work,
-      records: knowsNone ? this.allRecords() : this.recentRecords(),
+      records: this.recordsSince(peer?.revision ?? Infinity),
       peers: knowsNone || this.round % PEER_ROUNDS === 0 ? this.table.addresses() : [],
+      ...(Number.isFinite(storeAgeMs) && { storeAgeMs }),
       ...(isBehind && table !== undefined && { deployment: table.deployment }),
     };
   }
@@ -248,20 +273,18 @@
     return { scope: WorkScope.FailureDomain, instances, shares: listShares(work) };
   }
 
-  private allRecords(): BackendServer[] {
+  /** Entries that changed lately, or after a revision. */
+  private recordsSince(revision: number): BackendServer[] {
     const records: BackendServer[] = [];
-    for (const server of this.parts.directory.all()) records.push(asBelieved(server));
-    return records;
-  }
-
-  private recentRecords(): BackendServer[] {
-    const records: BackendServer[] = [];
-    for (const { record } of this.news.values()) records.push(record);
+    for (const server of this.parts.directory.all()) {
+      const isMissed = server.revision > revision;
+      if (isMissed || this.news.has(server.record.id)) records.push(asBelieved(server));
+    }
     return records;
   }
 
   private forgetNews(now: number): void {
-    for (const [id, { at }] of this.news) if (now - at > NEWS_MS) this.news.delete(id);
+    for (const [id, at] of this.news) if (now - at > NEWS_MS) this.news.delete(id);
   }
 
   private note(event: string, peer: Peer, error?: string): void {
--- a/src/core/peers/PeerTable.ts
+++ b/src/core/peers/PeerTable.ts
@@ -4,6 +4,9 @@
 /** A peer without an answer, or one that stops, is not chosen for this time, in milliseconds. */
 const DISTRUST_MS = 3000;
 
+/** A peer that takes longer to answer is passed over until it does, in milliseconds. */
+const ANSWER_MS = 200;
+
 /** A peer that was not heard of for this time is not counted as live, in milliseconds. */
 const ALIVE_MS = 3000;
 
@@ -11,8 +14,10 @@
   address: PeerAddress;
   heardAt: number;
   distrustedUntil: number;
-  /** Whether a digest to the peer has no answer yet. */
-  isAsked: boolean;
+  /** When a digest was sent to the peer that has no answer yet; undefined when there is none. */
+  askedAt: number | undefined;
+  /** Time of the store's last answer of which the peer knows. */
+  storeHeardAt: number;
   /** Ticket and revision that the peer last said it holds. */
   ticket: number;
   revision: number;
@@ -56,7 +61,8 @@
         address,
         heardAt: -Infinity,
         distrustedUntil: -Infinity,
-        isAsked: false,
+        askedAt: undefined,
+        storeHeardAt: -Infinity,
         ticket: 0,
         revision: 0,
       });
@@ -67,6 +73,13 @@
     peer.address = address;
   }
 
+  /** Time of the store's last answer of which any peer knows. */
+  public get storeHeardAt(): number {
+    let heardAt = -Infinity;
+    for (const peer of this.peers.values()) heardAt = Math.max(heardAt, peer.storeHeardAt);
+    return heardAt;
+  }
+
   public isAlive(peer: Peer, now: number): boolean {
     return now - peer.heardAt < ALIVE_MS;
   }
@@ -83,8 +96,9 @@
   public hubOf(failureDomain: string, now: number): Peer | undefined {
     let hub: Peer | undefined;
     for (const peer of this.peers.values()) {
-      const { address, isAsked, distrustedUntil } = peer;
-      if (address.failureDomain !== failureDomain || isAsked || distrustedUntil > now) continue;
+      const { address, askedAt, distrustedUntil } = peer;
+      if (address.failureDomain !== failureDomain || distrustedUntil > now) continue;
+      if (askedAt !== undefined && now - askedAt > ANSWER_MS) continue;
       if (hub === undefined || address.instance < hub.address.instance) hub = peer;
     }
     return hub;
--- a/src/core/peers/Roster.ts
+++ b/src/core/peers/Roster.ts
@@ -1,5 +1,6 @@
-/** Writes this instance's address into the store, where others find it at their start. */
+/** Writes this instance's address into the store, and finds those of the others there. */
 import { z } from 'zod';
+import type { ChangeFeed } from '../../ports/ChangeFeed.js';
 import type { Clock, Disposable, TableService } from '../../ports/Types.js';
 import type { Decisions } from '../Decisions.js';
 import type { PeerAddress } from './Types.js';
@@ -20,7 +21,9 @@
 export interface RosterParts {
   readonly clock: Clock;
   readonly table: TableService;
+  readonly instances: ChangeFeed<PeerAddress>;
   readonly self: PeerAddress;
+  readonly meet: (address: PeerAddress) => void;
   readonly decisions: Decisions;
 }
 
@@ -44,12 +47,14 @@
   }
 
   private async enrol(): Promise<void> {
-    const { table, self, clock, decisions } = this.parts;
+    const { table, instances, self, meet, clock, decisions } = this.parts;
     try {
       await table.transact({
         conditions: [],
         writes: [{ key: `instances/${self.instance}`, value: self }],
       });
+      const { entries } = await instances.readAll();
+      for (const { value } of entries) if (value !== undefined) meet(value);
     } catch (error) {
       decisions.note('roster', { outcome: 'tried again', error: (error as Error).message });
       if (!this.disposed) this.timer = clock.schedule(RETRY_MS, () => this.enrol());
--- a/src/core/peers/Types.ts
+++ b/src/core/peers/Types.ts
@@ -44,6 +44,8 @@
   readonly ticket: number;
   /** Revision of the newest server entry that the sender has seen. */
   readonly revision: number;
+  /** Time since the store last answered the sender or anyone it heard from, in milliseconds. */
+  readonly storeAgeMs?: number;
   readonly work: WorkReport;
   /** Entries of servers that changed lately, or all of them for a peer that knows none. */
   readonly records: readonly BackendServer[];
--- a/src/core/store/FeedFollower.ts
+++ b/src/core/store/FeedFollower.ts
@@ -37,29 +37,34 @@
 
   private failures = 0;
 
-  private lastAnswerAt: number;
+  private lastAnswerAt = -Infinity;
 
-  private disposed = false;
+  /** Whether the table is to be followed. */
+  private wanted = false;
 
-  public constructor(private readonly parts: FollowerParts<T>) {
-    this.lastAnswerAt = parts.clock.now();
-  }
+  private isRunning = false;
+
+  public constructor(private readonly parts: FollowerParts<T>) {}
 
-  /** Time since the store last answered, in milliseconds. */
+  /** Time since the store last answered, in milliseconds; infinite when it never did. */
   public get ageMs(): number {
     return this.parts.clock.now() - this.lastAnswerAt;
   }
 
+  /** Begins to follow, or goes on where it rested. */
   public start(): void {
-    this.run();
+    this.wanted = true;
+    if (!this.isRunning) this.run();
   }
 
+  /** Makes no further calls. */
   public dispose(): void {
-    this.disposed = true;
+    this.wanted = false;
   }
 
   private async run(): Promise<void> {
-    while (!this.disposed) {
+    this.isRunning = true;
+    while (this.wanted) {
       try {
         await this.step();
         this.noteAnswer();
@@ -68,19 +73,20 @@
         await this.sleep(Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (this.failures - 1)));
       }
     }
+    this.isRunning = false;
   }
 
   private async step(): Promise<void> {
     const { feed, listener } = this.parts;
     if (this.revision === undefined) {
       const all = await feed.readAll();
-      if (this.disposed) return;
+      if (!this.wanted) return;
       this.revision = all.revision;
       listener.onAll(all);
       return;
     }
     const changes = await feed.changesSince(this.revision, this.parts.waitMs);
-    if (this.disposed) return;
+    if (!this.wanted) return;
     if (changes === undefined) {
       this.parts.decisions.note('history-lost', { table: this.parts.name, since: this.revision });
       this.revision = undefined;
--- /dev/null
+++ b/src/core/store/StoreDuty.ts
@@ -0,0 +1,79 @@
+/**
+ * Decides whether this instance follows the store itself.
+ *
+ * One instance of each failure domain does, and the others hear from it: calls to the store then grow with
+ * the number of failure domains, not of instances. An instance that hears of no fresh answer of the store
+ * from anyone follows it as well.
+ */
+import type { Clock, Disposable } from '../../ports/Types.js';
+import type { Decisions } from '../Decisions.js';
+
+/** What is known of how the store is followed elsewhere. */
+export interface StoreHearsay {
+  /** Whether this instance speaks for its failure domain. */
+  readonly isSpeaker: boolean;
+  /** Time since the store last answered a peer, as far as heard, in milliseconds. */
+  readonly heardStoreAgeMs: number;
+}
+
+/** What follows the store. */
+export interface StoreFollowing {
+  follow(): void;
+  /** Makes no more calls. */
+  rest(): void;
+}
+
+export interface StoreDutyParts {
+  readonly clock: Clock;
+  readonly hearsay: StoreHearsay;
+  readonly following: StoreFollowing;
+  readonly decisions: Decisions;
+}
+
+/** Time between looks, in milliseconds: as often as peers are heard. */
+const LOOK_MS = 250;
+
+/** A process that starts asks its peers first, in milliseconds. */
+const FIRST_LOOK_MS = 600;
+
+/** Older hearsay is not relied on, in milliseconds: the speaker's own feed waits 2.5 s for a change. */
+const FRESH_MS = 4000;
+
+/** Following goes on for this time after its last reason, so that a slow speaker causes no reading anew. */
+const KEEP_MS = 10_000;
+
+export class StoreDuty {
+  private followsUntil = -Infinity;
+
+  private follows = false;
+
+  private timer: Disposable | undefined;
+
+  public constructor(private readonly parts: StoreDutyParts) {}
+
+  public start(): void {
+    this.timer = this.parts.clock.schedule(FIRST_LOOK_MS, () => this.look());
+  }
+
+  public dispose(): void {
+    this.timer?.dispose();
+  }
+
+  private look(): void {
+    const { clock, hearsay } = this.parts;
+    const now = clock.now();
+    const { isSpeaker, heardStoreAgeMs } = hearsay;
+    if (isSpeaker || heardStoreAgeMs > FRESH_MS) this.followsUntil = now + KEEP_MS;
+    this.set(now < this.followsUntil, isSpeaker, heardStoreAgeMs);
+    this.timer = clock.schedule(LOOK_MS, () => this.look());
+  }
+
+  private set(follows: boolean, isSpeaker: boolean, heardStoreAgeMs: number): void {
+    if (follows === this.follows) return;
+    this.follows = follows;
+    const { following, decisions } = this.parts;
+    if (follows) following.follow();
+    else following.rest();
+    decisions.note('store-duty', { follows, isSpeaker, heardMs: Math.round(heardStoreAgeMs) });
+  }
+}
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -10,7 +10,8 @@
 import { LeaseKeeper } from '../core/leases/LeaseKeeper.js';
 import { RetryBudget, type RetryAllowance } from '../core/limits/RetryBudget.js';
 import { PeerSharing } from '../core/peers/PeerSharing.js';
-import { Roster } from '../core/peers/Roster.js';
+import { decodePeer, Roster } from '../core/peers/Roster.js';
+import { StoreDuty } from '../core/store/StoreDuty.js';
 import { PlacementDriver } from '../core/placement/PlacementDriver.js';
 import { SilenceWatch } from '../core/relay/SilenceWatch.js';
 import { RelayDesk } from '../core/relay/RelayDesk.js';
@@ -75,6 +76,8 @@
 
   private readonly storeWatch: StoreWatch;
 
+  private readonly storeDuty: StoreDuty;
+
   private leaving = false;
 
   private sweepTimer: Disposable | undefined;
@@ -122,6 +125,7 @@
       name: `placement/${failureDomain}`,
       holder: `${instance}/${random.id(4)}`,
       predecessor: `${instance}/`,
+      isCandidate: () => this.sharing.isSpeaker,
       log: (message) => log.note('lease', { message }),
     });
     this.placement = new PlacementDriver({
@@ -149,16 +153,32 @@
       seeds: settings.peers.seeds,
       decisions: log,
       isLeaving: () => this.leaving,
+      storeAgeMs: () => this.storeWatch.ageMs,
+    });
+    const instances = store.ownFeed('instances', (_key, _revision, value) => decodePeer(value));
+    this.roster = new Roster({
+      clock,
+      table: store,
+      instances,
+      self,
+      meet: (address) => this.sharing.meet(address),
+      decisions: log,
     });
-    this.roster = new Roster({ clock, table: store, self, decisions: log });
     this.storeWatch = new StoreWatch({
       clock,
       store,
+      instances,
       deployments,
       directory,
       sharing: this.sharing,
       decisions: log,
     });
+    this.storeDuty = new StoreDuty({
+      clock,
+      hearsay: this.sharing,
+      following: this.storeWatch,
+      decisions: log,
+    });
     deployments.onChange(() => this.ingress.applyLimits());
     this.addGauges();
   }
@@ -174,7 +194,7 @@
     ]);
     this.sharing.start();
     this.roster.start();
-    this.storeWatch.start();
+    this.storeDuty.start();
     this.lease.start();
     this.placement.start();
     this.watch.start();
@@ -214,7 +234,8 @@
     this.watch.dispose();
     this.placement.dispose();
     this.lease.dispose();
-    this.storeWatch.dispose();
+    this.storeDuty.dispose();
+    this.storeWatch.rest();
     this.roster.dispose();
     this.sharing.dispose();
     this.peers.dispose();
@@ -258,6 +279,8 @@
     metrics.gauge('acaciadrum_ticket', () => this.deployments.ticket);
     metrics.gauge('acaciadrum_open_requests', () => this.desk.active);
     metrics.gauge('acaciadrum_lease_fence', () => this.lease.heldFence);
-    metrics.gauge('acaciadrum_store_age_ms', () => Math.round(this.storeWatch.ageMs));
+    metrics.gauge('acaciadrum_store_age_ms', () =>
+      Math.round(Math.min(this.storeWatch.ageMs, this.sharing.heardStoreAgeMs)),
+    );
   }
 }
--- a/src/router/StoreWatch.ts
+++ b/src/router/StoreWatch.ts
@@ -4,13 +4,13 @@
 import type { ServerDirectory } from '../core/deployment/ServerDirectory.js';
 import type { BackendServer, Deployment } from '../core/deployment/Types.js';
 import type { PeerSharing } from '../core/peers/PeerSharing.js';
-import { decodePeer } from '../core/peers/Roster.js';
 import type { PeerAddress } from '../core/peers/Types.js';
 import { FeedFollower } from '../core/store/FeedFollower.js';
+import type { StoreFollowing } from '../core/store/StoreDuty.js';
 import { decodeDeployment } from '../platform/DeploymentDecoder.js';
 import { decodeServer } from '../platform/ServerEntryDecoder.js';
 import type { StoreClient } from '../platform/StoreClient.js';
-import type { Entries } from '../ports/ChangeFeed.js';
+import type { ChangeFeed, Entries } from '../ports/ChangeFeed.js';
 import type { Clock } from '../ports/Types.js';
 
 /** Wait of the feeds whose changes must be in force within seconds, in milliseconds. */
@@ -22,13 +22,14 @@
 export interface StoreWatchParts {
   readonly clock: Clock;
   readonly store: StoreClient;
+  readonly instances: ChangeFeed<PeerAddress>;
   readonly deployments: Deployments;
   readonly directory: ServerDirectory;
   readonly sharing: PeerSharing;
   readonly decisions: Decisions;
 }
 
-export class StoreWatch {
+export class StoreWatch implements StoreFollowing {
   private readonly deploymentFeed: FeedFollower<Deployment>;
 
   private readonly serverFeed: FeedFollower<BackendServer>;
@@ -36,7 +37,7 @@
   private readonly instanceFeed: FeedFollower<PeerAddress>;
 
   public constructor(private readonly parts: StoreWatchParts) {
-    const { clock, store, directory, decisions } = parts;
+    const { clock, store, instances, directory, decisions } = parts;
     this.deploymentFeed = new FeedFollower({
       name: 'configuration',
       waitMs: FEED_WAIT_MS,
@@ -65,7 +66,7 @@
       waitMs: INSTANCE_FEED_WAIT_MS,
       clock,
       decisions,
-      feed: store.ownFeed('instances', (_key, _revision, value) => decodePeer(value)),
+      feed: instances,
       listener: {
         onAll: (entries) => this.meetPeers(entries),
         onChanges: (entries) => this.meetPeers(entries),
@@ -78,13 +79,13 @@
     return this.deploymentFeed.ageMs;
   }
 
-  public start(): void {
+  public follow(): void {
     this.instanceFeed.start();
     this.deploymentFeed.start();
     this.serverFeed.start();
   }
 
-  public dispose(): void {
+  public rest(): void {
     this.deploymentFeed.dispose();
     this.serverFeed.dispose();
     this.instanceFeed.dispose();
