--- a/features/core/deployment/deployment.feature
+++ b/features/core/deployment/deployment.feature
@@ -38,4 +38,9 @@
       | a suspicion lapses                               | suspect                  | 800  | yes   |
       | a suspect gets none                              | suspect                  | 100  | no    |
       | a second failure in a row counts for longer      | suspect 800 suspect      | 1000 | no    |
+      | a server that turned a request away rests        | turned                   | 100  | no    |
+      | not for long                                     | turned                   | 200  | yes   |
+      | one that turns all away is passed over           | turned 200 turned 400 turned 700 turned | 700 | no |
+      | requests turned away at the same time are one    | turned turned turned     | 200  | yes   |
+      | work that it took ends the series                | turned 200 turned 400 took turned | 200 | yes |
       | a sign of life between them does not             | suspect 800 proof suspect | 800 | yes   |
--- a/features/core/deployment/deployment.steps.ts
+++ b/features/core/deployment/deployment.steps.ts
@@ -58,6 +58,8 @@
   removed: ({ directory }) => directory.remove('server', record('other').revision),
   trouble: ({ directory }) => directory.noteStoreTrouble(),
   suspect: ({ directory }) => directory.suspect('server'),
+  turned: ({ directory }) => directory.turnedAway('server'),
+  took: ({ directory }) => directory.tookWork('server'),
   proof: ({ directory }) => directory.prove('server'),
 };
 
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -87,7 +87,7 @@
     this.clock = new VirtualClock();
     this.instances = [];
     for (let index = 0; index < domains * count; index += 1)
-      addInstance(this, [], `d${index % domains}`);
+      addInstance(this, [], `d${index % domains}`).deployments.offer(deployment([route()]));
     meetAll(this.instances);
   },
 );
--- a/features/core/routing/engine-routes.feature
+++ b/features/core/routing/engine-routes.feature
@@ -44,3 +44,13 @@
       | lost | route         |
       | s2   | s1 t2 s3      |
       | s3   | s1 s2 t3      |
+
+  Scenario Outline: A server that keeps turning requests away is <use> when <others>
+    Given three servers for a route and spares for each
+    When "s2" has turned requests away for 2000 ms and "<lost>" is lost
+    Then a new request's route is "<route>"
+
+    Examples: servers leave in series while the store is away
+      | use         | others                         | lost | route    |
+      | passed over | another holds its layers       | t3   | s1 t2 s3 |
+      | asked       | nothing else holds its layers  | t2   | s1 s2 s3 |
--- a/features/core/routing/engine-routes.steps.ts
+++ b/features/core/routing/engine-routes.steps.ts
@@ -194,3 +194,22 @@
   assert.equal(this.stages.map(({ server }) => server).join(' '), expected);
   assert.ok(coversOnce(this.stages, ENGINE.layers));
 });
+
+When(
+  '{string} has turned requests away for {int} ms and {string} is lost',
+  async function run(this: RoutesWorld, server: string, ms: number, lost: string) {
+    const { clock, directory } = this.fixture;
+    const endsAt = clock.now() + ms;
+    while (clock.now() < endsAt) {
+      directory.turnedAway(server);
+      await clock.runUntil(clock.now() + 160);
+    }
+    directory.suspect(lost);
+  },
+);
+
+Then("a new request's route is {string}", function check(this: RoutesWorld, expected: string) {
+  const { directory, load } = this.fixture;
+  const stages = new EngineRoutes(directory, load, 'a').plan(WISH);
+  assert.equal(stages?.map(({ server }) => server).join(' '), expected);
+});
--- a/features/core/store/store-duty.feature
+++ b/features/core/store/store-duty.feature
@@ -8,19 +8,19 @@
       | case                                            | speaks | age   | ms   | follows |
       | the speaker follows                             | yes    | 0     | 700  | yes     |
       | others hear from it                             | no     | 300   | 9000 | no      |
-      | a process that starts asks its peers first      | yes    | 0     | 500  | no      |
+      | a process that starts asks its peers first      | yes    | 0     | 100  | no      |
       | when nobody hears from the store, all try       | no     | 4500  | 700  | yes     |
 
   Scenario: A speaker that was passed over for a moment goes on
     Given an instance that speaks for its domain: yes, and hears of store answers 0 ms old
     When 700 ms pass
     And another speaks for its domain, with answers 300 ms old
-    And 9000 ms pass
+    And 2000 ms pass
     Then it follows the store: yes
 
   Scenario: A former speaker rests after a while
     Given an instance that speaks for its domain: yes, and hears of store answers 0 ms old
     When 700 ms pass
     And another speaks for its domain, with answers 300 ms old
-    And 11000 ms pass
+    And 5000 ms pass
     Then it follows the store: no
--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -9,8 +9,10 @@
   Leaving = 'leaving',
   /** It refused connections, broke off or fell silent. */
   Suspect = 'suspect',
-  /** It turned a request away for want of memory. */
+  /** It turned a request away a moment ago. */
   Full = 'full',
+  /** It turned several requests away and took none between them. */
+  Declining = 'declining',
 }
 
 /** One server with what is believed of it. */
@@ -21,8 +23,12 @@
   leaving: boolean;
   /** Time until which the server counts as suspect. */
   suspectUntil: number;
-  /** Time until which the server gets no new work for want of memory. */
+  /** Time until which the server gets no new work, since it turned one away. */
   restsUntil: number;
+  /** Time until which it gets new work only if nothing else holds its layers. */
+  declinesUntil: number;
+  /** Times that it turned work away without taking any between them. */
+  refusals: number;
   /** Failures without a sign of life between them; lengthens the next suspicion. */
   failures: number;
   /** Time of the last sign that the server works. */
@@ -39,6 +45,12 @@
 /** A suspicion never lasts longer, in milliseconds: a restarted server comes back within seconds. */
 const MAX_SUSPECT_MS = 6000;
 
+/** A server that turned a request away gets none for this time, in milliseconds: some memory is freed by then. */
+const REST_MS = 150;
+
+/** A server that turns all requests away is passed over for at most this time, in milliseconds. */
+const MAX_DECLINE_MS = 3000;
+
 /** Entries that lapsed while the store was away return within two seconds of its return. */
 const RETURN_MS = 2000;
 
@@ -90,6 +102,8 @@
     if (reborn) {
       server.suspectUntil = 0;
       server.failures = 0;
+      server.declinesUntil = 0;
+      server.refusals = 0;
     }
     this.changes.fire(server);
     return true;
@@ -128,9 +142,9 @@
   public sweep(): void {
     const now = this.clock.now();
     for (const [id, server] of this.known) {
-      if (server.missingSince === undefined) continue;
-      if (!server.leaving && now >= this.storeTroubleUntil) this.leave(server);
-      if (now - server.missingSince < FORGET_MS) continue;
+      if (server.missingSince !== undefined && !server.leaving && now >= this.storeTroubleUntil)
+        this.leave(server);
+      if (!server.leaving || now - server.leavingSince < FORGET_MS) continue;
       this.known.delete(id);
       if (this.byAddress.get(server.record.address) === server)
         this.byAddress.delete(server.record.address);
@@ -164,13 +178,22 @@
   }
 
   /**
-   * Keeps new work from a server for a moment, as one that is short of memory; no sign of a fault.
-   * @param forMs - how long, in milliseconds
+   * Records that a server turned a request away. Once, it is short of memory; time after time, it leaves
+   * and its entry does not say so, as the store may be away.
    */
-  public rest(id: string, forMs: number): void {
+  public turnedAway(id: string): void {
     const server = this.known.get(id);
-    if (server === undefined) return;
-    server.restsUntil = Math.max(server.restsUntil, this.clock.now() + forMs);
+    const now = this.clock.now();
+    if (server === undefined || server.restsUntil > now) return;
+    server.restsUntil = now + REST_MS;
+    server.declinesUntil = now + Math.min(MAX_DECLINE_MS, REST_MS * 2 ** server.refusals);
+    server.refusals += 1;
+  }
+
+  /** Records that a server took new work. */
+  public tookWork(id: string): void {
+    const server = this.known.get(id);
+    if (server !== undefined) server.refusals = 0;
   }
 
   public get(id: string): KnownServer | undefined {
@@ -191,7 +214,8 @@
     if (server.leaving) return ServerDoubt.Leaving;
     const now = this.clock.now();
     if (server.suspectUntil > now) return ServerDoubt.Suspect;
-    return server.restsUntil > now ? ServerDoubt.Full : undefined;
+    if (server.restsUntil > now) return ServerDoubt.Full;
+    return server.declinesUntil > now ? ServerDoubt.Declining : undefined;
   }
 
   public isUsable(id: string): boolean {
@@ -199,6 +223,12 @@
     return server !== undefined && this.doubt(server) === undefined;
   }
 
+  /** Whether a server can go on with work that it has. */
+  public isWorking(id: string): boolean {
+    const server = this.known.get(id);
+    return server !== undefined && !server.leaving && server.suspectUntil <= this.clock.now();
+  }
+
   private add(record: BackendServer): void {
     const server: KnownServer = {
       record,
@@ -206,6 +236,8 @@
       leaving: record.leaving,
       suspectUntil: 0,
       restsUntil: 0,
+      declinesUntil: 0,
+      refusals: 0,
       failures: 0,
       provenAt: -Infinity,
       leavingSince: record.leaving ? this.clock.now() : Infinity,
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -38,6 +38,9 @@
 /** Time between digests, in milliseconds: servers' own reports are as old. */
 const ROUND_MS = 250;
 
+/** The same until the first configuration is known, in milliseconds. */
+const FIRST_ROUND_MS = 40;
+
 /** Seeds are told in each n-th round while no peer is known. */
 const SEED_ROUNDS = 3;
 
@@ -132,7 +135,6 @@
   }
 
   private tick(): void {
-    this.round += 1;
     const now = this.parts.clock.now();
     this.forgetNews(now);
     this.count(now);
@@ -140,7 +142,10 @@
     if (hub !== undefined) this.tell(hub, this.ownWork());
     else this.tellOtherDomains(now);
     if (this.table.size === 1 && this.round % SEED_ROUNDS === 0) this.tellSeeds();
-    this.timer = this.parts.clock.schedule(ROUND_MS, () => this.tick());
+    this.round += 1;
+    const isNew = this.parts.deployments.current === undefined;
+    const waitMs = isNew ? FIRST_ROUND_MS : ROUND_MS;
+    this.timer = this.parts.clock.schedule(waitMs, () => this.tick());
   }
 
   private tellOtherDomains(now: number): void {
@@ -277,6 +282,8 @@
   private recordsSince(revision: number): BackendServer[] {
     const records: BackendServer[] = [];
     for (const server of this.parts.directory.all()) {
+      // Whether a missing server is gone or returns is not known yet.
+      if (server.missingSince !== undefined && !server.leaving) continue;
       const isMissed = server.revision > revision;
       if (isMissed || this.news.has(server.record.id)) records.push(asBelieved(server));
     }
--- a/src/core/relay/CallRelay.ts
+++ b/src/core/relay/CallRelay.ts
@@ -37,6 +37,7 @@
     const head = this.head as AnswerHead;
     this.ledger.settle(!head.notExecuted);
     if (head.notExecuted) {
+      this.parts.directory.turnedAway(server);
       if (this.isRepeatable && this.sendAgain(RetryReason.StageFailed, server)) return;
       this.failWith(RefusalReason.ServerLost);
       return;
@@ -51,6 +52,7 @@
       if (this.sendAgain(RetryReason.StageFailed, server)) return;
     }
     this.parts.directory.prove(server);
+    this.parts.directory.tookWork(server);
     this.deliver(head, body);
   }
 
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -48,9 +48,6 @@
 /** A stream that is stalled and was refused this many new routes is taken to another first server. */
 const MAX_REFUSALS = 2;
 
-/** Time for which a server that turned a request away for want of memory gets none, in milliseconds. */
-const REST_MS = 150;
-
 /** Stages of a new route at servers that are not on the old one. */
 function newStages(before: readonly Stage[], after: readonly Stage[]): Stage[] {
   return after.filter(({ server }) => !before.some((stage) => stage.server === server));
@@ -183,6 +180,7 @@
     const { request, reply, route } = this.assigned;
     this.begun = true;
     this.endReading();
+    for (const { server } of this.stages) this.parts.directory.tookWork(server);
     this.parts.counters.firstByte(route.kind, this.lastEventAt - request.arrivedAt);
     reply.head(this.head as AnswerHead);
   }
@@ -227,7 +225,7 @@
     const { directory, decisions } = this.parts;
     const at = head.faultAddress === undefined ? undefined : directory.at(head.faultAddress);
     const blamed = at?.record.id ?? target.server;
-    directory.rest(blamed, REST_MS);
+    directory.turnedAway(blamed);
     decisions.note('turned-away', {
       id: this.id,
       server: target.server,
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -1,5 +1,9 @@
 /** Chooses the servers that a request to an engine passes through. */
-import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
+import {
+  ServerDoubt,
+  type KnownServer,
+  type ServerDirectory,
+} from '../deployment/ServerDirectory.js';
 import type { Accelerator, EngineProfile, Service } from '../deployment/Types.js';
 import { coversOnce, planCheapestRoute } from './RoutePlanner.js';
 import type { ServerLoad } from './ServerLoad.js';
@@ -73,14 +77,14 @@
   /** @returns undefined when the usable servers do not cover every layer with room for the request */
   public plan(wish: RouteWish): readonly Stage[] | undefined {
     const { service, engine, avoid, tokens, firsts } = wish;
-    const candidates = this.candidatesOf(service, engine);
-    return this.solve(
-      wish,
+    const known = this.candidatesOf(service, engine);
+    const candidates =
       firsts === undefined
-        ? candidates
-        : candidates.filter(({ server, from }) => from > 0 || firsts.has(server)),
-      (id) => !avoid.has(id) && this.hasRoom(id, engine, tokens),
-    );
+        ? known
+        : known.filter(({ server, from }) => from > 0 || firsts.has(server));
+    const usable = (id: string) => !avoid.has(id) && this.hasRoom(id, engine, tokens);
+    const eager = (id: string) => usable(id) && !this.declines(id);
+    return this.solve(wish, candidates, eager) ?? this.solve(wish, candidates, usable);
   }
 
   private solve(
@@ -133,7 +137,7 @@
       if (wish.avoid.has(id)) return false;
       // Stages that stay have their memory already.
       return keptByStage.has(id)
-        ? this.directory.isUsable(id)
+        ? this.directory.isWorking(id)
         : this.hasRoom(id, engine, wish.tokens);
     });
     return stages?.[0].server === first.server && stages[0].to === first.to ? stages : undefined;
@@ -167,9 +171,16 @@
     return VISIT_MS + backlogMs + FULL_MS * fill ** FULL_POWER;
   }
 
+  private declines(id: string): boolean {
+    const server = this.directory.get(id);
+    return server !== undefined && this.directory.doubt(server) === ServerDoubt.Declining;
+  }
+
   private hasRoom(id: string, engine: EngineProfile, tokens: number): boolean {
     const server = this.directory.get(id);
-    if (server === undefined || this.directory.doubt(server) !== undefined) return false;
+    if (server === undefined) return false;
+    const doubt = this.directory.doubt(server);
+    if (doubt !== undefined && doubt !== ServerDoubt.Declining) return false;
     const { span, accelerator } = server.record;
     const kind = engine.accelerators.get(accelerator);
     if (span === undefined || kind === undefined) return false;
--- a/src/core/routing/PlainChoice.ts
+++ b/src/core/routing/PlainChoice.ts
@@ -5,6 +5,9 @@
 /** A server elsewhere is used when the home servers are this much fuller, as a share of slots. */
 const HOME_ADVANTAGE = 0.3;
 
+/** A server that turned requests away is used when all others are fuller than this, as a share of slots. */
+const DECLINE_COST = 4;
+
 /**
  * The least filled usable server of a service, the own failure domain first.
  * @returns undefined when no server may be used
@@ -21,9 +24,10 @@
   for (const server of directory.all()) {
     const { record } = server;
     if (record.service !== service || avoid.has(record.id)) continue;
-    if (directory.doubt(server) !== undefined) continue;
+    if (!directory.isWorking(record.id)) continue;
     const away = record.failureDomain === homeDomain ? 0 : HOME_ADVANTAGE;
-    const cost = load.requests(record.id) / Math.max(1, record.slots) + away;
+    const declines = directory.doubt(server) === undefined ? 0 : DECLINE_COST;
+    const cost = load.requests(record.id) / Math.max(1, record.slots) + away + declines;
     if (cost >= bestCost) continue;
     best = server;
     bestCost = cost;
--- a/src/core/store/StoreDuty.ts
+++ b/src/core/store/StoreDuty.ts
@@ -33,14 +33,14 @@
 /** Time between looks, in milliseconds: as often as peers are heard. */
 const LOOK_MS = 250;
 
-/** A process that starts asks its peers first, in milliseconds. */
-const FIRST_LOOK_MS = 600;
+/** A process that starts asks its peers first, in milliseconds: their answers take a few link delays. */
+const FIRST_LOOK_MS = 120;
 
 /** Older hearsay is not relied on, in milliseconds: the speaker's own feed waits 2.5 s for a change. */
 const FRESH_MS = 4000;
 
 /** Following goes on for this time after its last reason, so that a slow speaker causes no reading anew. */
-const KEEP_MS = 10_000;
+const KEEP_MS = 3000;
 
 export class StoreDuty {
   private followsUntil = -Infinity;
