--- a/features/core/routing/engine-routes.feature
+++ b/features/core/routing/engine-routes.feature
@@ -54,3 +54,10 @@
       | use         | others                         | lost | route    |
       | passed over | another holds its layers       | t3   | s1 t2 s3 |
       | asked       | nothing else holds its layers  | t2   | s1 s2 s3 |
+
+  Scenario: A request whose domain lost a layer goes wholly to another domain, past the link between them
+    # Load pattern: a domain's servers leave in series; prompts over the shared link would wait for each other.
+    Given the users' fleet placed by the planner
+    When the only server of domain "a" for some layers is lost
+    And 30 requests of domain "a" are under way
+    Then every route stays in one domain
--- a/features/core/routing/engine-routes.steps.ts
+++ b/features/core/routing/engine-routes.steps.ts
@@ -213,3 +213,10 @@
   const stages = new EngineRoutes(directory, load, 'a').plan(WISH);
   assert.equal(stages?.map(({ server }) => server).join(' '), expected);
 });
+
+Then('every route stays in one domain', function check(this: RoutesWorld) {
+  for (const stages of this.routes) {
+    const domains = new Set(stages.map(({ server }) => domainOf(this, server)));
+    assert.equal(domains.size, 1, [...domains].join(' '));
+  }
+});
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -41,6 +41,9 @@
 /** Weight of the time that an answer takes in all against the time to its first event. */
 const ANSWER_WEIGHT = 0.03;
 
+/** Price of a route that begins elsewhere, in milliseconds: a cut between the domains would end it. */
+const ENTRY_MS = 30;
+
 /** Transfers of others that a transfer between failure domains waits for, as a factor. */
 const CROSS_FACTOR = 3;
 
@@ -102,6 +105,7 @@
       rebuildLayerMs: wish.tokens / (engine.readTokensPerMs * engine.layers),
       costs: {
         crossMs: crossMs(engine, wish.tokens),
+        entryMs: ENTRY_MS,
         visitMs: (id) => this.visitMs(id, engine),
       },
     });
--- a/src/core/routing/RoutePlanner.ts
+++ b/src/core/routing/RoutePlanner.ts
@@ -50,12 +50,15 @@
   readonly stageMs: (candidate: Candidate, layers: number) => number;
   /** Price of a link between two failure domains, in milliseconds. */
   readonly crossMs: number;
+  /** Price of a route that begins in another failure domain than home, in milliseconds. */
+  readonly entryMs: number;
 }
 
 function byBusyTime(query: RouteQuery): Search {
   return {
     ...query,
     crossMs: CROSS_DOMAIN_LINK_MS,
+    entryMs: CROSS_DOMAIN_LINK_MS,
     stageMs: (candidate, layers) =>
       layers * layerPrice(candidate.layerMs, query.busyMs(candidate.server)) +
       candidate.linkMs +
@@ -67,6 +70,7 @@
   return {
     ...query,
     crossMs: costs.crossMs,
+    entryMs: costs.entryMs,
     stageMs: (candidate, layers) => layers * candidate.layerMs + costs.visitMs(candidate.server),
   };
 }
@@ -87,12 +91,9 @@
   return search.stageMs(candidate, layers) + rebuilt * search.rebuildLayerMs;
 }
 
-function linkMs(search: Search, fromDomain: string, toDomain: string): number {
-  return fromDomain === toDomain ? 0 : search.crossMs;
-}
-
-function domainOf(arrival: Arrival, search: Search): string {
-  return arrival.candidate?.failureDomain ?? search.homeDomain;
+function linkMs(search: Search, { candidate }: Arrival, toDomain: string): number {
+  if (candidate === undefined) return toDomain === search.homeDomain ? 0 : search.entryMs;
+  return candidate.failureDomain === toDomain ? 0 : search.crossMs;
 }
 
 function toRoute(last: Arrival, boundaries: readonly number[], end: number): Route {
@@ -136,7 +137,7 @@
   let best: Arrival | undefined;
   let bestCost = Infinity;
   for (const arrival of arrivals[index].values()) {
-    const cost = arrival.cost + linkMs(search, domainOf(arrival, search), candidate.failureDomain);
+    const cost = arrival.cost + linkMs(search, arrival, candidate.failureDomain);
     if (cost >= bestCost) continue;
     bestCost = cost;
     best = arrival;
--- a/src/core/routing/Types.ts
+++ b/src/core/routing/Types.ts
@@ -49,8 +49,10 @@
 
 /** Prices of a route in milliseconds, for engines that say what their work takes. */
 export interface RouteCosts {
-  /** Passing from one failure domain to another. */
+  /** Passing a prompt's activations from one failure domain to another. */
   readonly crossMs: number;
+  /** Beginning in another failure domain: only the request's text and its answer pass between them. */
+  readonly entryMs: number;
   /** Waiting at a server, whatever the number of its layers. */
   readonly visitMs: (server: string) => number;
 }
