--- a/features/core/relay/silence.steps.ts
+++ b/features/core/relay/silence.steps.ts
@@ -30,7 +30,6 @@
   }
   Object.assign(this, { fixture, sentEvents: 0, silent: '' });
   new RelayDesk(fixture.parts).accept(fixture.request(), new FakeCaller());
-  fixture.watch.start();
   fixture.servers.calls[0].listener.onHead(answerHead());
   for (let sent = 0; sent < 20; sent += 1) {
     sendEvent(this);
--- a/src/core/placement/PlacementDriver.ts
+++ b/src/core/placement/PlacementDriver.ts
@@ -24,9 +24,12 @@
   readonly failureDomain: string;
 }
 
-/** Time between looks at the fleet, in milliseconds. */
+/** Time between looks at the fleet while orders are open or servers change, in milliseconds. */
 const ROUND_MS = 300;
 
+/** The same while nothing changes, in milliseconds: servers come to rest, and suspicions lapse. */
+const IDLE_ROUND_MS = 2000;
+
 /** Servers that start together are placed together: wait this long after the last new one. */
 const SETTLE_MS = 700;
 
@@ -73,13 +76,19 @@
 
   private timer: Disposable | undefined;
 
+  private nextRoundAt = 0;
+
+  private subscription: Disposable | undefined;
+
   public constructor(private readonly parts: PlacementParts) {}
 
   public start(): void {
+    this.subscription = this.parts.directory.onChange(() => this.lookSoon());
     this.round();
   }
 
   public dispose(): void {
+    this.subscription?.dispose();
     this.timer?.dispose();
     this.timer = undefined;
   }
@@ -87,7 +96,32 @@
   private round(): void {
     this.noteArrivals();
     if (this.parts.lease.heldFence > 0) this.lookAtAll();
-    this.timer = this.parts.clock.schedule(ROUND_MS, () => this.round());
+    this.schedule(this.hasOpenOrders || this.isSettling ? ROUND_MS : IDLE_ROUND_MS);
+  }
+
+  private schedule(ms: number): void {
+    this.timer?.dispose();
+    this.nextRoundAt = this.parts.clock.now() + ms;
+    this.timer = this.parts.clock.schedule(ms, () => this.round());
+  }
+
+  private lookSoon(): void {
+    if (this.nextRoundAt > this.parts.clock.now() + ROUND_MS) this.schedule(ROUND_MS);
+  }
+
+  /** Whether some server has an order that it does not show; orders to servers that are gone are forgotten. */
+  private get hasOpenOrders(): boolean {
+    let isOpen = false;
+    for (const [id, { done }] of this.ordered) {
+      if (this.parts.directory.get(id) === undefined) this.ordered.delete(id);
+      else isOpen ||= !done;
+    }
+    return isOpen;
+  }
+
+  /** Whether new servers are waited for. */
+  private get isSettling(): boolean {
+    return this.parts.clock.now() - this.lastArrivalAt < SETTLE_MS;
   }
 
   private noteArrivals(): void {
@@ -101,7 +135,7 @@
   private lookAtAll(): void {
     const table = this.parts.deployments.current;
     if (table === undefined) return;
-    if (this.parts.clock.now() - this.lastArrivalAt < SETTLE_MS) return;
+    if (this.isSettling) return;
     for (const service of table.deployment.services.values()) {
       if (service.engine !== undefined) this.lookAt(service.name, service.engine);
     }
--- a/src/core/relay/SilenceWatch.ts
+++ b/src/core/relay/SilenceWatch.ts
@@ -49,23 +49,26 @@
 
   public add(stream: WatchedStream): Disposable {
     this.streams.add(stream);
+    if (this.timer === undefined) this.schedule(this.parts.clock.now());
     return { dispose: () => this.streams.delete(stream) };
   }
 
-  public start(): void {
-    this.lastTickAt = this.parts.clock.now();
-    this.timer = this.parts.clock.schedule(TICK_MS, () => this.tick());
-  }
-
   public dispose(): void {
     this.timer?.dispose();
+    this.timer = undefined;
+  }
+
+  private schedule(now: number): void {
+    this.lastTickAt = now;
+    this.timer = this.parts.clock.schedule(TICK_MS, () => this.tick());
   }
 
   private tick(): void {
     const now = this.parts.clock.now();
     const stoodStill = now - this.lastTickAt > TICK_MS + STANDSTILL_MS;
-    this.lastTickAt = now;
-    this.timer = this.parts.clock.schedule(TICK_MS, () => this.tick());
+    this.timer = undefined;
+    if (this.streams.size === 0) return;
+    this.schedule(now);
     // After a standstill, events that came meanwhile are read first.
     if (stoodStill) return;
     for (const stream of this.streams) {
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -26,8 +26,8 @@
 import type { RouterSettings } from './Settings.js';
 import { StoreWatch } from './StoreWatch.js';
 
-/** Time between sweeps of the directory, in milliseconds. */
-const SWEEP_MS = 250;
+/** Time between sweeps of the directory, in milliseconds: a fraction of the time for which entries may lapse. */
+const SWEEP_MS = 500;
 
 /** The balancer asks each second and takes an instance out after two misses, in milliseconds. */
 const BALANCER_MS = 3000;
@@ -197,7 +197,6 @@
     this.storeDuty.start();
     this.lease.start();
     this.placement.start();
-    this.watch.start();
     this.sweep();
     this.log.note('start', {
       domain: settings.failureDomain,
