--- /dev/null
+++ b/features/platform/Deployments.ts
@@ -0,0 +1,82 @@
+/** Configurations as the operator writes them, for the stand-ins. */
+
+/** Layers of the engine. */
+export const LAYERS = 80;
+
+/** Paths of the routes, by what may be repeated. */
+export enum RoutePath {
+  Stream = '/stream/',
+  Book = '/book/',
+  Read = '/read/',
+}
+
+const ROUTE = {
+  host: 'host',
+  timeout_ms: 5000,
+  slo_ms: 500,
+  priority: 1,
+  public: false,
+};
+
+/** A configuration with an engine, a plain service and one account. */
+export function configuration(version: number, key = 'key-1') {
+  return {
+    version,
+    routes: [
+      {
+        ...ROUTE,
+        name: 'stream',
+        prefix: RoutePath.Stream,
+        route_kind: 'streaming',
+        service: 'engine',
+        attempts: 2,
+        resumable: true,
+        target_itl_ms: 200,
+      },
+      {
+        ...ROUTE,
+        name: 'book',
+        prefix: RoutePath.Book,
+        route_kind: 'non_idempotent',
+        service: 'plain',
+        attempts: 1,
+      },
+      {
+        ...ROUTE,
+        name: 'read',
+        prefix: RoutePath.Read,
+        route_kind: 'idempotent',
+        service: 'plain',
+        attempts: 2,
+      },
+    ],
+    services: [
+      {
+        name: 'engine',
+        health_path: '/healthz',
+        max_conns: 100,
+        inference_engine: {
+          slots: 134,
+          kv_token_bytes: 845_373,
+          step_ms: 0.85,
+          per_seq_ms: 0.005,
+          read_per_s: 196_000,
+          usual: { prompt: 772, answer: 167 },
+          layer_count: LAYERS,
+          layer_size_mb: 1750,
+          activation_bytes: 42_268,
+          cross_zone_mbps: 13_000,
+          layer_kinds: [{ name: 'whole', size_mb: 200_000, pace: 1, read_factor: 1 }],
+        },
+      },
+      { name: 'plain', health_path: '/healthz', max_conns: 100 },
+    ],
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 100_000,
+      header_timeout_ms: 3000,
+      idle_timeout_ms: 15_000,
+    },
+    tenants: [{ name: 'account', api_keys: [key], priority: 1 }],
+  };
+}
--- /dev/null
+++ b/features/soak/FaultProxy.ts
@@ -0,0 +1,85 @@
+/** A loopback proxy that harms the connections through it. */
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+
+/** What the proxy does with bytes. */
+export enum LinkFault {
+  None = 'none',
+  /** Passes them on late. */
+  Delayed = 'delayed',
+  /** Takes connections and bytes, and passes nothing on. */
+  Silent = 'silent',
+  /** Passes requests on and no answers. */
+  OneWay = 'one-way',
+  /** Takes no connection. */
+  Refused = 'refused',
+}
+
+/** Delay of a delayed link, in milliseconds. */
+const DELAY_MS = 60;
+
+interface Pair {
+  readonly near: Socket;
+  readonly far: Socket;
+}
+
+export class FaultProxy {
+  public fault = LinkFault.None;
+
+  private readonly pairs = new Set<Pair>();
+
+  private readonly server = createServer((near) => this.accept(near));
+
+  private target = '';
+
+  /** @returns the address to connect to */
+  public listen(target: string): Promise<string> {
+    this.target = target;
+    return new Promise((resolve) => {
+      this.server.listen(0, '127.0.0.1', () => {
+        resolve(`127.0.0.1:${(this.server.address() as AddressInfo).port}`);
+      });
+    });
+  }
+
+  /** Resets every connection. */
+  public reset(): void {
+    for (const { near, far } of this.pairs) {
+      near.resetAndDestroy();
+      far.resetAndDestroy();
+    }
+  }
+
+  public close(): void {
+    this.server.close();
+    this.reset();
+  }
+
+  private accept(near: Socket): void {
+    if (this.fault === LinkFault.Refused) {
+      near.resetAndDestroy();
+      return;
+    }
+    const [host, port] = this.target.split(':');
+    const pair = { near, far: connect({ host, port: Number(port), allowHalfOpen: true }) };
+    near.allowHalfOpen = true;
+    this.pairs.add(pair);
+    this.pass(pair, pair.near, pair.far, LinkFault.Silent);
+    this.pass(pair, pair.far, pair.near, LinkFault.OneWay);
+  }
+
+  /** @param blocking - the fault besides silence that stops this direction */
+  private pass(pair: Pair, from: Socket, to: Socket, blocking: LinkFault): void {
+    const deliver = (act: () => void): void => {
+      if (this.fault === LinkFault.Silent || this.fault === blocking) return;
+      if (this.fault === LinkFault.Delayed) setTimeout(act, DELAY_MS);
+      else act();
+    };
+    from.on('data', (chunk: Buffer) => deliver(() => to.writable && to.write(chunk)));
+    from.on('end', () => deliver(() => to.end()));
+    from.on('error', () => to.resetAndDestroy());
+    from.on('close', () => {
+      this.pairs.delete(pair);
+      to.destroy();
+    });
+  }
+}
--- /dev/null
+++ b/features/soak/Promises.ts
@@ -0,0 +1,105 @@
+/** Checks what callers and servers saw against what is promised to them. */
+import type { StandInServer } from '../platform/StandInServer.js';
+import { coversLayers } from '../platform/StandInServer.js';
+
+/** What a caller got for one attempt. */
+export interface Attempt {
+  readonly id: string;
+  readonly path: string;
+  readonly key: string;
+  readonly sentAt: number;
+  readonly endedAt: number;
+  /** 0 when the connection ended without an answer. */
+  readonly status: number;
+  readonly isSealed: boolean;
+  /** Whether the answer was complete. */
+  readonly isWhole: boolean;
+  readonly body: string;
+}
+
+/** A key that the operator took away, and when the store had it. */
+export interface Revocation {
+  readonly key: string;
+  readonly at: number;
+}
+
+/** Statuses that promise that a request did not run. */
+const NOT_RUN = new Set([408, 421, 429, 503]);
+
+/** A configuration is in force this long after the store took it, in milliseconds. */
+const CONFIGURATION_MS = 3000;
+
+/** Numbers of the events in a body. */
+function eventsOf(body: string): number[] {
+  return [...body.matchAll(/^id: (\d+)$/gm)].map(([, number]) => Number(number));
+}
+
+export class Promises {
+  public readonly violations: string[] = [];
+
+  /** @param events - events of a whole stream */
+  public constructor(
+    private readonly events: number,
+    private readonly answer: (id: string) => string,
+  ) {}
+
+  /** Checks each attempt by itself, and against the servers that ran it. */
+  public checkAttempts(
+    attempts: readonly Attempt[],
+    servers: readonly StandInServer[],
+    isRepeatable: (path: string) => boolean,
+  ): void {
+    const runs = new Map<string, number>();
+    for (const server of servers) {
+      for (const id of server.ran) runs.set(id, (runs.get(id) ?? 0) + 1);
+    }
+    const known = new Set<string>();
+    for (const attempt of attempts) {
+      known.add(attempt.id);
+      const ran = runs.get(attempt.id) ?? 0;
+      if (NOT_RUN.has(attempt.status) && ran > 0)
+        this.add(attempt, `was answered ${attempt.status} and ran`);
+      if (!isRepeatable(attempt.path) && ran > 1) this.add(attempt, `ran ${ran} times`);
+      if (attempt.status === 200) this.checkAnswer(attempt);
+    }
+    for (const id of runs.keys()) if (!known.has(id)) this.violations.push(`${id} was never sent`);
+  }
+
+  /** Checks that every stream ran each layer once, in order. */
+  public checkRoutes(servers: readonly StandInServer[]): void {
+    for (const server of servers) {
+      for (const headers of server.seen) {
+        const route = headers['x-hop-count'];
+        if (route === undefined || coversLayers(String(route))) continue;
+        this.violations.push(`${String(headers['x-attempt-id'])} ran over ${String(route)}`);
+      }
+    }
+  }
+
+  /** Checks that taken keys are refused in time, and stay so. */
+  public checkKeys(attempts: readonly Attempt[], revocations: readonly Revocation[]): void {
+    for (const { key, at } of revocations) {
+      for (const attempt of attempts) {
+        const isLate = attempt.key === key && attempt.sentAt > at + CONFIGURATION_MS;
+        if (isLate && attempt.status === 200) this.add(attempt, `was served with ${key}`);
+      }
+    }
+  }
+
+  public add({ id, path }: Attempt, what: string): void {
+    this.violations.push(`${path} ${id} ${what}`);
+  }
+
+  private checkAnswer(attempt: Attempt): void {
+    const { id, body, isSealed, isWhole } = attempt;
+    if (!isSealed) this.add(attempt, 'was answered without a signature');
+    if (!body.startsWith('id:') && !attempt.path.startsWith('/stream/')) {
+      if (isWhole && body !== this.answer(id)) this.add(attempt, `got "${body}"`);
+      return;
+    }
+    const events = eventsOf(body);
+    if (events.some((number, index) => number !== index + 1))
+      this.add(attempt, `got events ${events.join(' ')}`);
+    if (isWhole && events.length !== this.events) this.add(attempt, 'ended early as complete');
+  }
+}
--- /dev/null
+++ b/features/soak/RouterProcess.ts
@@ -0,0 +1,105 @@
+/** One router daemon as a process of its own. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { createWriteStream, writeFileSync, type WriteStream } from 'node:fs';
+import { once } from 'node:events';
+import path from 'node:path';
+import { stringify } from 'yaml';
+import { freeAddress } from '../platform/Ports.js';
+
+const PROGRAM = 'dist/src/router/main.js';
+
+/** Time from SIGTERM until the process is killed, in seconds. */
+export const STOP_GRACE_S = 5;
+
+/** Time after the announcement in which a leaving server may still get work, in milliseconds. */
+export const DRAIN_MS = 1000;
+
+export class RouterProcess {
+  public callers = '';
+
+  public peers = '';
+
+  /** Whether the process runs and no signal has paused it. */
+  public isPaused = false;
+
+  private child: ChildProcess | undefined;
+
+  private readonly settingsFile: string;
+
+  private readonly log: WriteStream;
+
+  public constructor(
+    public readonly name: string,
+    private readonly failureDomain: string,
+    folder: string,
+  ) {
+    this.settingsFile = path.join(folder, `${name}.yaml`);
+    this.log = createWriteStream(path.join(folder, `${name}.log`), { flags: 'a' });
+  }
+
+  /** Writes settings with addresses of its own. */
+  public async configure(storeAddress: string, seeds: readonly string[]): Promise<void> {
+    this.callers = await freeAddress();
+    this.peers = await freeAddress();
+    const settings = {
+      instance: this.name,
+      failureDomain: this.failureDomain,
+      callers: { address: this.callers },
+      readiness: { address: await freeAddress() },
+      peers: { address: this.peers, seeds },
+      metrics: { address: await freeAddress() },
+      store: { address: storeAddress },
+      bounds: { drainMs: DRAIN_MS, stopGraceS: STOP_GRACE_S, retryShare: 0.2, retrySlack: 60 },
+    };
+    writeFileSync(this.settingsFile, stringify(settings));
+  }
+
+  public get isRunning(): boolean {
+    return this.child !== undefined;
+  }
+
+  public start(): void {
+    const child = spawn(process.execPath, ['--max-old-space-size=200', PROGRAM], {
+      env: { PATH: process.env.PATH ?? '', ACACIADRUM_CONFIG: this.settingsFile },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    child.stdout.pipe(this.log, { end: false });
+    child.stderr.pipe(this.log, { end: false });
+    child.once('exit', () => {
+      if (this.child === child) this.child = undefined;
+    });
+    this.child = child;
+    this.isPaused = false;
+  }
+
+  public signal(name: NodeJS.Signals): void {
+    if (name === 'SIGSTOP') this.isPaused = true;
+    if (name === 'SIGCONT') this.isPaused = false;
+    this.child?.kill(name);
+  }
+
+  /** Ends the process, however it is, and waits for its end. */
+  public async kill(): Promise<void> {
+    const { child } = this;
+    if (child === undefined) return;
+    const gone = once(child, 'exit');
+    child.kill('SIGKILL');
+    await gone;
+  }
+
+  /** Waits until the process has ended by itself. @returns whether it did in time */
+  public async ended(limitMs: number): Promise<boolean> {
+    const { child } = this;
+    if (child === undefined) return true;
+    const timer = AbortSignal.timeout(limitMs);
+    return once(child, 'exit', { signal: timer }).then(
+      () => true,
+      () => false,
+    );
+  }
+
+  public async dispose(): Promise<void> {
+    await this.kill();
+    this.log.end();
+  }
+}
