--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -121,6 +121,7 @@
     headers: [],
     sealed: true,
     notExecuted: false,
+    misdirected: false,
     plain: true,
     faultAddress: undefined,
     ...values,
--- a/features/core/relay/relays.feature
+++ b/features/core/relay/relays.feature
@@ -52,6 +52,11 @@
     When its first server turns it away, and the next one for "later-0"
     Then every send began at one of two first servers and the stream can still be whole
 
+  Scenario: A server that started again empty, unseen by the store, gets no request for its old layers
+    Given a stream over three first servers and two later ones
+    When its first server says that "later-0" does not hold its layers
+    Then no route passes "later-0" until its entry shows layers again
+
   Scenario: The body of a rejection is no part of a later failure
     Given a stream over two servers
     When the stream gets "rejected 500"
--- a/features/core/relay/relays.steps.ts
+++ b/features/core/relay/relays.steps.ts
@@ -128,12 +128,44 @@
   start(this, fixture);
 });
 
-function turnAway({ fixture }: RelayWorld, faultAddress: string | undefined): void {
+function turnAway(
+  { fixture }: RelayWorld,
+  faultAddress: string | undefined,
+  misdirected = false,
+): void {
   const { listener } = fixture.servers.last;
-  listener.onHead(answerHead({ status: 503, sealed: false, notExecuted: true, faultAddress }));
+  listener.onHead(
+    answerHead({ status: 503, sealed: false, notExecuted: true, misdirected, faultAddress }),
+  );
   listener.onEnd();
 }
 
+When(
+  'its first server says that {string} does not hold its layers',
+  function run(this: RelayWorld, later: string) {
+    turnAway(this, this.fixture.directory.get(later)?.record.address, true);
+  },
+);
+
+Then(
+  'no route passes {string} until its entry shows layers again',
+  async function check(this: RelayWorld, later: string) {
+    const { clock, directory, servers, parts } = this.fixture;
+    const desk = new RelayDesk(parts);
+    const passes = () => {
+      desk.accept(this.fixture.request(), new FakeCaller());
+      return servers.last.call.stages.some(({ server }) => server === later);
+    };
+    for (let count = 0; count < 20; count += 1) {
+      assert.ok(!passes());
+      await clock.runUntil(clock.now() + 200);
+    }
+    directory.put(record(later, { accelerator: 'whole', span: { from: 30, to: 80 } }));
+    directory.suspect(later === 'later-0' ? 'later-1' : 'later-0');
+    assert.ok(passes());
+  },
+);
+
 When(
   'its first server turns it away, and the next one for {string}',
   function run(this: RelayWorld, later: string) {
--- a/features/platform/StandInServer.ts
+++ b/features/platform/StandInServer.ts
@@ -1,6 +1,7 @@
 /** A stand-in for a backend server, after the platform's published protocol. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import { LAYERS } from './Deployments.js';
 import type { StandInStore } from './StandInStore.js';
 
 /** How the server answers a request. */
@@ -18,22 +19,31 @@
   Truncated = 'broken off',
 }
 
-const LAYERS = 80;
-
-const EVENTS = 12;
+/** Events of a whole stream. */
+export const EVENTS = 12;
 
 const EVENT_MS = 10;
 
-const ANSWER = 'the whole answer of the server';
+/** The whole answer to a call. */
+export function answerTo(id: string): string {
+  return `the whole answer of the server to ${id}`;
+}
+
+/** One run of a request. */
+export interface Run {
+  readonly id: string;
+  readonly at: number;
+  readonly headers: IncomingMessage['headers'];
+}
 
 export class StandInServer {
   public style = AnswerStyle.Whole;
 
-  /** Requests that the server ran, by id. */
-  public readonly ran: string[] = [];
+  /** Requests that the server ran. */
+  public readonly runs: Run[] = [];
 
-  /** Headers of the requests that it ran. */
-  public readonly seen: IncomingMessage['headers'][] = [];
+  /** Start of the server, as it says. */
+  private born = 1;
 
   private span: { source: number; to: number } | undefined;
 
@@ -60,14 +70,23 @@
     });
   }
 
-  public listen(): Promise<void> {
-    return new Promise((resolve) => {
-      this.server.listen(0, '127.0.0.1', () => {
-        this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
-        this.announce('ready');
-        resolve();
-      });
+  /** @param route - how callers reach the server, when not by its own address */
+  public async listen(
+    route: (address: string) => string | Promise<string> = (own) => own,
+  ): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
     });
+    this.address = await route(`127.0.0.1:${(this.server.address() as AddressInfo).port}`);
+    this.announce('ready');
+  }
+
+  /** Starts again after a crash, empty and at another port. */
+  public async restart(route?: (address: string) => string | Promise<string>): Promise<void> {
+    this.born += 1;
+    this.orders = 0;
+    this.span = undefined;
+    await this.listen(route);
   }
 
   /** Crashes: every connection is reset and none is taken any more. */
@@ -86,7 +105,7 @@
       slots: 134,
       state,
       seq_no: 7,
-      born: 1,
+      born: this.born,
       route_kind: this.kind,
       ...(this.span !== undefined && { layer_count: { ...this.span, version: 1 } }),
     });
@@ -137,8 +156,7 @@
       response.writeHead(503, { 'x-not-executed': '1' }).end();
       return;
     }
-    this.ran.push(String(headers['x-attempt-id']));
-    this.seen.push(headers);
+    this.runs.push({ id: String(headers['x-attempt-id']), at: performance.now(), headers });
     if (headers['x-hop-count'] === undefined) this.answer(request, response);
     else this.stream(request, response);
   }
@@ -146,21 +164,22 @@
   private answer(request: IncomingMessage, response: ServerResponse): void {
     const isForeign = this.style === AnswerStyle.Foreign;
     const id = isForeign ? 'another' : String(request.headers['x-attempt-id']);
+    const answer = answerTo(id);
     const head = `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\n`;
     const { socket } = request;
     switch (this.style) {
       case AnswerStyle.Unframed:
-        socket.end(`${head}connection: close\r\n\r\n${ANSWER}`);
+        socket.end(`${head}connection: close\r\n\r\n${answer}`);
         return;
       case AnswerStyle.UnframedReset:
-        socket.write(`${head}connection: close\r\n\r\n${ANSWER.slice(0, 9)}`);
+        socket.write(`${head}connection: close\r\n\r\n${answer.slice(0, 9)}`);
         socket.resetAndDestroy();
         return;
       case AnswerStyle.Truncated:
-        socket.end(`${head}content-length: ${ANSWER.length}\r\n\r\n${ANSWER.slice(0, 9)}`);
+        socket.end(`${head}content-length: ${answer.length}\r\n\r\n${answer.slice(0, 9)}`);
         return;
       default:
-        response.writeHead(200, { 'x-attempt-id': id, 'x-server-seal': 'seal' }).end(ANSWER);
+        response.writeHead(200, { 'x-attempt-id': id, 'x-server-seal': 'seal' }).end(answer);
     }
   }
 
--- a/features/platform/router.steps.ts
+++ b/features/platform/router.steps.ts
@@ -1,11 +1,12 @@
 import assert from 'node:assert/strict';
 import { request as httpRequest, type IncomingHttpHeaders } from 'node:http';
-import { createServer } from 'node:net';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
 import { StructuredLog } from '../../src/adapters/logs/StructuredLog.js';
 import { RouterInstance } from '../../src/router/RouterInstance.js';
 import { ROUTER_SETTINGS } from '../../src/router/Settings.js';
+import { configuration } from './Deployments.js';
+import { freeAddress, pause } from './Ports.js';
 import { AnswerStyle, coversLayers, StandInServer } from './StandInServer.js';
 import { StandInStore, StoreFault } from './StandInStore.js';
 
@@ -34,98 +35,21 @@
 
 const KINDS = ['whole', 'whole', 'whole'];
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
-function freePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const server = createServer().listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as { port: number };
-      server.close(() => resolve(port));
-    });
-  });
-}
-
-function configuration(version: number, key = 'key-1') {
-  const route = {
-    host: 'host',
-    timeout_ms: 5000,
-    slo_ms: 500,
-    priority: 1,
-    public: false,
-  };
-  return {
-    version,
-    routes: [
-      {
-        ...route,
-        name: 'stream',
-        prefix: '/stream/',
-        route_kind: 'streaming',
-        service: 'engine',
-        attempts: 2,
-        resumable: true,
-        target_itl_ms: 200,
-      },
-      {
-        ...route,
-        name: 'book',
-        prefix: '/book/',
-        route_kind: 'non_idempotent',
-        service: 'plain',
-        attempts: 1,
-      },
-    ],
-    services: [
-      {
-        name: 'engine',
-        health_path: '/healthz',
-        max_conns: 100,
-        inference_engine: {
-          slots: 134,
-          kv_token_bytes: 845_373,
-          step_ms: 0.85,
-          per_seq_ms: 0.005,
-          read_per_s: 196_000,
-          usual: { prompt: 772, answer: 167 },
-          layer_count: 80,
-          layer_size_mb: 1750,
-          activation_bytes: 42_268,
-          cross_zone_mbps: 13_000,
-          layer_kinds: [{ name: 'whole', size_mb: 200_000, pace: 1, read_factor: 1 }],
-        },
-      },
-      { name: 'plain', health_path: '/healthz', max_conns: 100 },
-    ],
-    limits: {
-      max_header_bytes: 16_384,
-      max_body_bytes: 100_000,
-      header_timeout_ms: 3000,
-      idle_timeout_ms: 15_000,
-    },
-    tenants: [{ name: 'account', api_keys: [key], priority: 1 }],
-  };
-}
-
 async function startRouter(
   world: RouterWorld,
   name: string,
   seeds: string[],
 ): Promise<RouterInstance> {
-  const address = async () => `127.0.0.1:${await freePort()}`;
-  world.callers = await address();
-  world.readiness = await address();
-  const peers = await address();
+  world.callers = await freeAddress();
+  world.readiness = await freeAddress();
+  const peers = await freeAddress();
   const settings = ROUTER_SETTINGS.parse({
     instance: name,
     failureDomain: 'a',
     callers: { address: world.callers },
     readiness: { address: world.readiness },
     peers: { address: peers, seeds },
-    metrics: { address: await address() },
+    metrics: { address: await freeAddress() },
     store: { address: world.storeAddress },
     bounds: {
       drainMs: 2000,
@@ -257,7 +181,7 @@
 Then(
   'the server saw the account, the time left and its own id, and no key',
   function check(this: RouterWorld) {
-    const headers = this.engines.flatMap(({ seen }) => seen).at(-1);
+    const headers = this.engines.flatMap(({ runs }) => runs).at(-1)?.headers;
     assert.ok(headers);
     assert.equal(headers['x-tenant'], 'account');
     assert.equal(headers.authorization, undefined);
@@ -279,7 +203,7 @@
 });
 
 Then('the call ran at most once', function check(this: RouterWorld) {
-  const runs = this.plains.flatMap(({ ran }) => ran);
+  const runs = this.plains.flatMap((server) => server.runs);
   assert.ok(runs.length <= 1);
   if (this.got.status === 503) assert.equal(runs.length, 0);
 });
@@ -288,7 +212,7 @@
   'a caller asks for a stream and its first server crashes after {int} events',
   async function run(this: RouterWorld, count: number) {
     const crash = () => {
-      const running = this.engines.find(({ ran }) => ran.includes('id-1'));
+      const running = this.engines.find((server) => server.runs.some(({ id }) => id === 'id-1'));
       running?.crash();
     };
     this.got = await ask(this, { path: '/stream/1', onEvents: { count, run: crash } });
@@ -355,7 +279,7 @@
 
 Then('only the other plain server ran them', function check(this: RouterWorld) {
   assert.deepEqual(
-    this.plains.map(({ ran }) => ran.length),
+    this.plains.map(({ runs }) => runs.length),
     [0, 10],
   );
 });
--- /dev/null
+++ b/features/soak/Callers.ts
@@ -0,0 +1,126 @@
+/** Callers that go on using their open connections until the process behind them is gone. */
+import { Agent, request as httpRequest, type IncomingMessage } from 'node:http';
+import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
+import type { SeededRandom } from '../../src/fakes/SeededRandom.js';
+import { RoutePath } from '../platform/Deployments.js';
+import { pause } from '../platform/Ports.js';
+import type { Attempt } from './Promises.js';
+import type { RouterProcess } from './RouterProcess.js';
+
+/** Time for which a caller waits, in milliseconds. */
+const DEADLINE_MS = 3000;
+
+/** A caller gives a silent connection up after this time beyond its deadline, in milliseconds. */
+const PATIENCE_MS = 500;
+
+/** Share of requests with the key that was taken away last. */
+const OLD_KEY_SHARE = 0.15;
+
+const PATHS = Object.values(RoutePath);
+
+interface Caller {
+  readonly agent: Agent;
+  router: RouterProcess;
+}
+
+export class Callers {
+  public readonly attempts: Attempt[] = [];
+
+  /** Keys that callers use; the last one is in force. */
+  public keys = ['key-1'];
+
+  private count = 0;
+
+  private isOver = false;
+
+  private loops: Promise<void>[] = [];
+
+  public constructor(
+    private readonly routers: readonly RouterProcess[],
+    private readonly random: SeededRandom,
+  ) {}
+
+  public start(callers: number): void {
+    for (let index = 0; index < callers; index += 1) {
+      const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+      this.loops.push(this.loop({ agent, router: this.routers[index % this.routers.length] }));
+    }
+  }
+
+  public async stop(): Promise<void> {
+    this.isOver = true;
+    await Promise.all(this.loops);
+  }
+
+  /** Sends one request and records what came of it. */
+  public ask(router: RouterProcess, path: string, agent?: Agent): Promise<Attempt> {
+    this.count += 1;
+    const id = `a${this.count}`;
+    const isOld = this.keys.length > 1 && this.random.chance(OLD_KEY_SHARE);
+    const key = this.keys.at(isOld ? -2 : -1) as string;
+    const sentAt = performance.now();
+    return new Promise((resolve) => {
+      let isDone = false;
+      const finish = (message: IncomingMessage | undefined, body: string): void => {
+        if (isDone) return;
+        isDone = true;
+        const attempt = {
+          id,
+          instance: router.name,
+          path,
+          key,
+          sentAt,
+          endedAt: performance.now(),
+          status: message?.statusCode ?? 0,
+          isSealed: message?.headers['x-server-seal'] === 'seal',
+          isWhole: message?.complete ?? false,
+          body,
+        };
+        this.attempts.push(attempt);
+        resolve(attempt);
+      };
+      const outgoing = httpRequest(
+        {
+          ...hostAndPort(router.callers),
+          method: 'POST',
+          path: `${path}${id}`,
+          agent: agent ?? false,
+          timeout: DEADLINE_MS + PATIENCE_MS,
+          headers: {
+            host: 'host',
+            'x-attempt-id': id,
+            'x-deadline-ms': String(DEADLINE_MS),
+            'x-token-count': '800,24',
+            authorization: `Token ${key}`,
+          },
+        },
+        (message) => {
+          let body = '';
+          message.on('data', (chunk: Buffer) => {
+            body += chunk.toString();
+          });
+          message.on('error', () => undefined);
+          message.once('close', () => finish(message, body));
+        },
+      );
+      outgoing.once('timeout', () => outgoing.destroy());
+      outgoing.once('error', () => finish(undefined, ''));
+      outgoing.end('body');
+    });
+  }
+
+  private async loop(caller: Caller): Promise<void> {
+    while (!this.isOver) {
+      const path = this.random.pick(PATHS);
+      const { status } = await this.ask(caller.router, path, caller.agent);
+      if (status === 0) caller.router = this.another(caller.router);
+      await pause(this.random.between(10, 60));
+    }
+    caller.agent.destroy();
+  }
+
+  private another(router: RouterProcess): RouterProcess {
+    const next = (this.routers.indexOf(router) + 1) % this.routers.length;
+    return this.routers[next];
+  }
+}
--- /dev/null
+++ b/features/soak/Fleet.ts
@@ -0,0 +1,105 @@
+/** The programs under test with everything around them: store, servers, links between them. */
+import { mkdirSync } from 'node:fs';
+import path from 'node:path';
+import { configuration } from '../platform/Deployments.js';
+import { AnswerStyle, StandInServer } from '../platform/StandInServer.js';
+import { StandInStore, StoreFault } from '../platform/StandInStore.js';
+import { FaultProxy, LinkFault } from './FaultProxy.js';
+import { RouterProcess } from './RouterProcess.js';
+
+const DOMAINS = ['a', 'b'];
+
+const SERVICES = ['engine', 'plain'];
+
+/** A server behind a link that can be harmed. */
+export interface LinkedServer {
+  readonly server: StandInServer;
+  readonly link: FaultProxy;
+  isUp: boolean;
+}
+
+export class Fleet {
+  public readonly store = new StandInStore();
+
+  public readonly routers: RouterProcess[] = [];
+
+  /** Each instance's own link to the store. */
+  public readonly storeLinks: FaultProxy[] = [];
+
+  public readonly servers: LinkedServer[] = [];
+
+  public version = 1;
+
+  /** @param folder - for settings and logs */
+  public constructor(private readonly folder: string) {
+    mkdirSync(folder, { recursive: true });
+  }
+
+  public async start(instances: number): Promise<void> {
+    const storeAddress = await this.store.listen();
+    this.store.put('op', 'config', configuration(this.version));
+    for (const domain of DOMAINS) {
+      for (const service of SERVICES) {
+        for (const number of [1, 2]) await this.addServer(service, domain, number);
+      }
+    }
+    const seeds: string[] = [];
+    for (let index = 0; index < instances; index += 1) {
+      const link = new FaultProxy();
+      const domain = DOMAINS[index % DOMAINS.length];
+      const router = new RouterProcess(`router-${domain}-${index}`, domain, this.folder);
+      await router.configure(await link.listen(storeAddress), seeds);
+      if (seeds.length < 2) seeds.push(router.peers);
+      this.storeLinks.push(link);
+      this.routers.push(router);
+      router.start();
+    }
+  }
+
+  /** Ends every fault; processes and servers that are down start again. */
+  public async heal(): Promise<void> {
+    this.store.fault = StoreFault.None;
+    for (const link of this.storeLinks) link.fault = LinkFault.None;
+    for (const entry of this.servers) {
+      entry.link.fault = LinkFault.None;
+      entry.server.style = AnswerStyle.Whole;
+      if (!entry.isUp) await this.restart(entry);
+    }
+    for (const router of this.routers) {
+      if (router.isPaused) router.signal('SIGCONT');
+      if (!router.isRunning) router.start();
+    }
+  }
+
+  public async restart(entry: LinkedServer): Promise<void> {
+    entry.isUp = true;
+    await entry.server.restart((own) => entry.link.listen(own));
+  }
+
+  public crash(entry: LinkedServer): void {
+    entry.isUp = false;
+    entry.server.crash();
+    entry.link.close();
+  }
+
+  public async dispose(): Promise<void> {
+    for (const router of this.routers) await router.dispose();
+    for (const entry of this.servers) if (entry.isUp) this.crash(entry);
+    for (const link of this.storeLinks) link.close();
+    this.store.close();
+  }
+
+  private async addServer(service: string, domain: string, number: number): Promise<void> {
+    const kind = service === 'engine' ? 'whole' : '';
+    const id = `${service}-${domain}-${number}`;
+    const server = new StandInServer(id, service, domain, kind, this.store);
+    const link = new FaultProxy();
+    await server.listen((own) => link.listen(own));
+    this.servers.push({ server, link, isUp: true });
+  }
+}
+
+/** Folder of one seed's settings and logs. */
+export function folderFor(seed: number): string {
+  return path.join('reports', 'soak', String(seed));
+}
--- a/features/soak/Promises.ts
+++ b/features/soak/Promises.ts
@@ -5,6 +5,7 @@
 /** What a caller got for one attempt. */
 export interface Attempt {
   readonly id: string;
+  readonly instance: string;
   readonly path: string;
   readonly key: string;
   readonly sentAt: number;
@@ -17,6 +18,20 @@
   readonly body: string;
 }
 
+/** A server that said it leaves while nothing kept that from the instances. */
+export interface Departure {
+  readonly server: StandInServer;
+  readonly at: number;
+  readonly drainMs: number;
+}
+
+/** A planned stop of an instance with nothing else amiss. */
+export interface Stop {
+  readonly instance: string;
+  readonly at: number;
+  readonly endedAt: number;
+}
+
 /** A key that the operator took away, and when the store had it. */
 export interface Revocation {
   readonly key: string;
@@ -26,6 +41,9 @@
 /** Statuses that promise that a request did not run. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
 
+/** A server that left starts again after this time at the earliest, in milliseconds. */
+export const LEAVING_MS = 2500;
+
 /** A configuration is in force this long after the store took it, in milliseconds. */
 const CONFIGURATION_MS = 3000;
 
@@ -51,7 +69,7 @@
   ): void {
     const runs = new Map<string, number>();
     for (const server of servers) {
-      for (const id of server.ran) runs.set(id, (runs.get(id) ?? 0) + 1);
+      for (const { id } of server.runs) runs.set(id, (runs.get(id) ?? 0) + 1);
     }
     const known = new Set<string>();
     for (const attempt of attempts) {
@@ -68,10 +86,35 @@
   /** Checks that every stream ran each layer once, in order. */
   public checkRoutes(servers: readonly StandInServer[]): void {
     for (const server of servers) {
-      for (const headers of server.seen) {
+      for (const { id, headers } of server.runs) {
         const route = headers['x-hop-count'];
         if (route === undefined || coversLayers(String(route))) continue;
-        this.violations.push(`${String(headers['x-attempt-id'])} ran over ${String(route)}`);
+        this.violations.push(`${id} ran over ${String(route)}`);
+      }
+    }
+  }
+
+  /** Checks that leaving servers got no new work. */
+  public checkLeaving(departures: readonly Departure[]): void {
+    for (const { server, at, drainMs } of departures) {
+      for (const run of server.runs) {
+        const sinceMs = run.at - at;
+        if (sinceMs > drainMs && run.at < at + LEAVING_MS)
+          this.violations.push(
+            `${run.id} ran at ${server.id}, ${Math.round(sinceMs)} ms after it left`,
+          );
+      }
+    }
+  }
+
+  /** Checks that a planned stop cut no request that a server had. */
+  public checkStops(attempts: readonly Attempt[], stops: readonly Stop[]): void {
+    for (const { instance, at, endedAt } of stops) {
+      for (const attempt of attempts) {
+        const isThen = attempt.instance === instance && attempt.sentAt < endedAt;
+        if (!isThen || attempt.endedAt < at || attempt.endedAt > endedAt + 50) continue;
+        if (attempt.status === 200 && !attempt.isWhole)
+          this.add(attempt, `was cut by the stop of ${instance}`);
       }
     }
   }
--- /dev/null
+++ b/features/soak/Soak.ts
@@ -0,0 +1,110 @@
+/** Plays one seed: real instances, callers and a series of overlapping faults from outside. */
+import { performance } from 'node:perf_hooks';
+import { SeededRandom } from '../../src/fakes/SeededRandom.js';
+import { RoutePath } from '../platform/Deployments.js';
+import { pause } from '../platform/Ports.js';
+import { answerTo, EVENTS } from '../platform/StandInServer.js';
+import { Callers } from './Callers.js';
+import { Fleet, folderFor } from './Fleet.js';
+import { Promises } from './Promises.js';
+import { strike, Trouble, type Scene } from './Troubles.js';
+
+export interface SoakTerms {
+  readonly seed: number;
+  readonly instances: number;
+  readonly callers: number;
+  /** Time during which faults begin, in milliseconds. */
+  readonly faultsMs: number;
+}
+
+export interface SoakResult {
+  readonly attempts: number;
+  readonly served: number;
+  readonly troubles: readonly string[];
+  readonly violations: readonly string[];
+}
+
+/** Time until fresh instances serve, in milliseconds. */
+const READY_MS = 10_000;
+
+/** Instances serve again this long after the last fault, in milliseconds: the shorter of the users' bounds. */
+const RECOVERY_MS = 12_000;
+
+const TROUBLES = Object.values(Trouble);
+
+/** Lengths of a trouble and of the pause until the next one, in milliseconds. */
+const FOR_MS = { from: 200, to: 3000 };
+const NEXT_MS = { from: 100, to: 900 };
+
+async function serves(callers: Callers, fleet: Fleet, limitMs: number): Promise<string[]> {
+  const waiting = new Set(fleet.routers);
+  const endsAt = performance.now() + limitMs;
+  while (waiting.size > 0 && performance.now() < endsAt) {
+    for (const router of waiting) {
+      const stream = await callers.ask(router, RoutePath.Stream);
+      const booked = await callers.ask(router, RoutePath.Book);
+      if (stream.status === 200 && stream.isWhole && booked.status === 200) waiting.delete(router);
+    }
+    await pause(100);
+  }
+  return [...waiting].map(({ name }) => `${name} does not serve after ${limitMs} ms`);
+}
+
+async function trouble(scene: Scene, faultsMs: number): Promise<string[]> {
+  const { random } = scene;
+  const begun: string[] = [];
+  const open: Promise<void>[] = [];
+  const startedAt = performance.now();
+  while (performance.now() - startedAt < faultsMs) {
+    const next = random.pick(TROUBLES);
+    const forMs = random.between(FOR_MS.from, FOR_MS.to);
+    begun.push(`${Math.round(performance.now() - startedAt)} ${next} (${Math.round(forMs)} ms)`);
+    open.push(strike(next, scene, forMs));
+    await pause(random.between(NEXT_MS.from, NEXT_MS.to));
+  }
+  await Promise.all(open);
+  return begun;
+}
+
+/** Plays a seed. */
+export async function soak(terms: SoakTerms): Promise<SoakResult> {
+  const random = new SeededRandom(terms.seed);
+  const fleet = new Fleet(folderFor(terms.seed));
+  await fleet.start(terms.instances);
+  const callers = new Callers(fleet.routers, random);
+  const violations: string[] = [];
+  const scene: Scene = {
+    fleet,
+    callers,
+    random,
+    violations,
+    revocations: [],
+    departures: [],
+    stops: [],
+  };
+  let troubles: string[] = [];
+  try {
+    violations.push(...(await serves(callers, fleet, READY_MS)));
+    callers.start(terms.callers);
+    troubles = await trouble(scene, terms.faultsMs);
+    await fleet.heal();
+    violations.push(...(await serves(callers, fleet, RECOVERY_MS)));
+    await callers.stop();
+  } finally {
+    await fleet.dispose();
+  }
+  const promises = new Promises(EVENTS, answerTo);
+  const servers = fleet.servers.map(({ server }) => server);
+  const { attempts } = callers;
+  promises.checkAttempts(attempts, servers, (path) => path !== (RoutePath.Book as string));
+  promises.checkRoutes(servers);
+  promises.checkKeys(attempts, scene.revocations);
+  promises.checkLeaving(scene.departures);
+  promises.checkStops(attempts, scene.stops);
+  return {
+    attempts: attempts.length,
+    served: attempts.filter(({ status, isWhole }) => status === 200 && isWhole).length,
+    troubles,
+    violations: [...violations, ...promises.violations],
+  };
+}
--- /dev/null
+++ b/features/soak/main.ts
@@ -0,0 +1,42 @@
+/** Plays seeds by hand: `npm run soak:processes -- --seeds 50 --first 1`. */
+import { Cli, Command, Option } from 'clipanion';
+import { soak } from './Soak.js';
+
+class SoakCommand extends Command {
+  public seeds = Option.String('--seeds', '1', { description: 'how many seeds' });
+
+  public first = Option.String('--first', '1', { description: 'the first seed' });
+
+  public instances = Option.String('--instances', '4', { description: 'router processes' });
+
+  public callers = Option.String('--callers', '12', { description: 'callers' });
+
+  public seconds = Option.String('--seconds', '12', {
+    description: 'time during which faults begin',
+  });
+
+  public async execute(): Promise<number> {
+    let failed = 0;
+    const first = Number(this.first);
+    for (let seed = first; seed < first + Number(this.seeds); seed += 1) {
+      const { attempts, served, troubles, violations } = await soak({
+        seed,
+        instances: Number(this.instances),
+        callers: Number(this.callers),
+        faultsMs: Number(this.seconds) * 1000,
+      });
+      this.context.stdout.write(
+        `seed ${seed}: ${attempts} requests, ${served} served, ${troubles.length} faults, ` +
+          `${violations.length} violations\n`,
+      );
+      if (violations.length === 0) continue;
+      failed += 1;
+      for (const line of [...troubles, ...violations]) this.context.stdout.write(`  ${line}\n`);
+    }
+    return failed === 0 ? 0 : 1;
+  }
+}
+
+const cli = new Cli({ binaryLabel: 'process soak', binaryName: 'soak:processes' });
+cli.register(SoakCommand);
+await cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/features/soak/soak.feature
@@ -0,0 +1,10 @@
+Feature: The promises hold while processes, servers, links and the store fail
+  The daemons run as processes of their own; faults strike from outside and overlap.
+
+  Scenario Outline: Seed <seed>
+    When 3 instances and 9 callers live through the faults of seed <seed> for 6 seconds
+    Then every promise was kept
+
+    Examples: a fresh seed first, then each that ever failed
+      | seed |
+      | 1001 |
--- /dev/null
+++ b/features/soak/soak.steps.ts
@@ -0,0 +1,27 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { soak, type SoakResult } from './Soak.js';
+
+interface SoakWorld {
+  result: SoakResult;
+}
+
+When(
+  '{int} instances and {int} callers live through the faults of seed {int} for {int} seconds',
+  { timeout: 90_000 },
+  async function run(
+    this: SoakWorld,
+    instances: number,
+    callers: number,
+    seed: number,
+    seconds: number,
+  ) {
+    this.result = await soak({ seed, instances, callers, faultsMs: seconds * 1000 });
+  },
+);
+
+Then('every promise was kept', function check(this: SoakWorld) {
+  const { served, troubles, violations } = this.result;
+  assert.deepEqual(violations, [], troubles.join('\n'));
+  assert.ok(served > 0);
+});
--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -117,6 +117,14 @@
     this.changes.fire(server);
   }
 
+  /** Records that a server does not hold what its entry says: it started again, and the store is behind. */
+  public disprove(id: string): void {
+    const server = this.known.get(id);
+    if (server === undefined || server.record.span === undefined) return;
+    server.record = { ...server.record, span: undefined };
+    this.changes.fire(server);
+  }
+
   /** Takes in that an entry is missing since a revision. */
   public remove(id: string, revision: number): void {
     const server = this.known.get(id);
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -225,7 +225,8 @@
     const { directory, decisions } = this.parts;
     const at = head.faultAddress === undefined ? undefined : directory.at(head.faultAddress);
     const blamed = at?.record.id ?? target.server;
-    directory.turnedAway(blamed);
+    if (head.misdirected) directory.disprove(blamed);
+    else directory.turnedAway(blamed);
     decisions.note('turned-away', {
       id: this.id,
       server: target.server,
--- a/src/core/relay/Types.ts
+++ b/src/core/relay/Types.ts
@@ -60,6 +60,8 @@
   readonly sealed: boolean;
   /** Whether the server states that it did not run the request, nor ever will. */
   readonly notExecuted: boolean;
+  /** Whether the blamed server is not the one expected, or does not hold its layers any longer. */
+  readonly misdirected: boolean;
   /** Whether the body is the server's own, in no other encoding. */
   readonly plain: boolean;
   /** Server on the route that the answer blames. */
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -59,6 +59,7 @@
     status: statusCode,
     headers: endToEndHeaders(message.rawHeaders, NOTHING_DROPPED),
     sealed: headers[HEADER.seal] !== undefined,
+    misdirected: statusCode === MISDIRECTED,
     notExecuted: headers[HEADER.notExecuted] !== undefined || statusCode === MISDIRECTED,
     plain: headers['content-encoding'] === undefined,
     faultAddress: typeof fault === 'string' ? fault : undefined,
