Retries come from one budget that all instances share by hearing of each other's use

Retries are now counted in the users' sliding window; each instance has a part of its own, the rest is a pool that closes as use is heard of, with bursts bounded by the time until then.

--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -61,6 +61,7 @@
     decisions: { note: () => {} },
     isLeaving: () => false,
     storeAgeMs: () => Infinity,
+    retryUse: () => [],
   });
   const instance = { sharing, deployments, directory, load, domain, isGone: false, sent: 0 };
   world.instances.push(instance);
@@ -172,7 +173,7 @@
     from: { ...selfOf(0, 'a'), incarnation: 0 },
     leaving: false,
     ticket: 0,
-    work: { scope: WorkScope.Instance, instances: 1, shares: [] },
+    work: { scope: WorkScope.Instance, instances: 1, shares: [], retries: [] },
     records: [],
     revision: 0,
     peers: [],
--- a/features/platform/router.steps.ts
+++ b/features/platform/router.steps.ts
@@ -56,6 +56,7 @@
       stopGraceS: 8,
       retryShare: 0.2,
       retrySlack: 196,
+      retryWindowS: 10,
     },
   });
   const router = new RouterInstance(settings, new StructuredLog(name, '/dev/null'));
--- a/features/soak/RouterProcess.ts
+++ b/features/soak/RouterProcess.ts
@@ -49,7 +49,13 @@
       peers: { address: this.peers, seeds },
       metrics: { address: await freeAddress() },
       store: { address: storeAddress },
-      bounds: { drainMs: DRAIN_MS, stopGraceS: STOP_GRACE_S, retryShare: 0.2, retrySlack: 60 },
+      bounds: {
+        drainMs: DRAIN_MS,
+        stopGraceS: STOP_GRACE_S,
+        retryShare: 0.2,
+        retrySlack: 60,
+        retryWindowS: 10,
+      },
     };
     writeFileSync(this.settingsFile, stringify(settings));
   }
--- a/src/core/limits/RetryBudget.ts
+++ b/src/core/limits/RetryBudget.ts
@@ -20,13 +20,23 @@
   refillPerS: 2,
 };
 
+/** Says whether retries are left, by key. */
+export interface RetryMeter {
+  /** Records a request that counts towards the budget. */
+  succeed(key: string, now: number): void;
+  /** Whether a retry is left. */
+  has(key: string, now: number): boolean;
+  /** Takes one retry; false when none is left. */
+  take(key: string, now: number): boolean;
+}
+
 interface Saved {
   retries: number;
   at: number;
 }
 
 /** Saved retries by key, where a key names an account and a pipeline. */
-export class RetryBudget {
+export class RetryBudget implements RetryMeter {
   private readonly saved = new Map<string, Saved>();
 
   /** @param allowance - says how many retries each key may use now */
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -10,6 +10,7 @@
 import type { Deployments } from '../deployment/Deployments.js';
 import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { BackendServer } from '../deployment/Types.js';
+import type { OthersRetryUse, RetryUse } from '../limits/SharedRetryBudget.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
 import { PeerTable, type Peer } from './PeerTable.js';
 import {
@@ -33,6 +34,8 @@
   readonly isLeaving: () => boolean;
   /** Time since the store last answered this instance, in milliseconds. */
   readonly storeAgeMs: () => number;
+  /** This instance's requests and retries of the last window. */
+  readonly retryUse: () => RetryUse[];
 }
 
 /** Time between digests, in milliseconds: servers' own reports are as old. */
@@ -71,6 +74,8 @@
 
   private counted = 0;
 
+  private othersRetries: readonly RetryUse[] = [];
+
   /** When a server last changed, while that is news. */
   private readonly news = new Map<string, number>();
 
@@ -107,6 +112,13 @@
     return this.parts.clock.now() - this.table.storeHeardAt;
   }
 
+  /** Requests and retries of all other instances for a service, as far as heard. */
+  public othersRetryUse(service: string): OthersRetryUse {
+    const use = this.othersRetries.find((known) => known.service === service);
+    const { requests = 0, retries = 0 } = use ?? {};
+    return { instances: this.counted, requests, retries };
+  }
+
   public start(): void {
     this.tick();
   }
@@ -163,6 +175,7 @@
     const told = sumWork(this.told.reports());
     const fuller = told.instances > heard.instances ? told : heard;
     this.counted = fuller.instances;
+    this.othersRetries = fuller.retries;
     this.parts.load.setOthers(fuller.work);
   }
 
@@ -264,18 +277,19 @@
 
   private ownWork(): WorkReport {
     const shares = listShares(this.parts.load.listOwn());
-    return { scope: WorkScope.Instance, instances: 1, shares };
+    const retries = this.parts.retryUse();
+    return { scope: WorkScope.Instance, instances: 1, shares, retries };
   }
 
   private workForAllBut(instance: string): WorkReport {
     const home = this.home.reports(instance);
-    const { instances, work } = sumWork([this.ownWork(), ...home, ...this.away.reports()]);
-    return { scope: WorkScope.Others, instances, shares: listShares(work) };
+    const sum = sumWork([this.ownWork(), ...home, ...this.away.reports()]);
+    return { ...sum, scope: WorkScope.Others, shares: listShares(sum.work) };
   }
 
   private workOfDomain(): WorkReport {
-    const { instances, work } = sumWork([this.ownWork(), ...this.home.reports()]);
-    return { scope: WorkScope.FailureDomain, instances, shares: listShares(work) };
+    const sum = sumWork([this.ownWork(), ...this.home.reports()]);
+    return { ...sum, scope: WorkScope.FailureDomain, shares: listShares(sum.work) };
   }
 
   /** Entries that changed lately, or after a revision. */
--- a/src/core/peers/Types.ts
+++ b/src/core/peers/Types.ts
@@ -1,5 +1,6 @@
 /** What router instances tell each other. Losing any of it costs time, never correctness. */
 import type { Deployment, BackendServer } from '../deployment/Types.js';
+import type { RetryUse } from '../limits/SharedRetryBudget.js';
 
 /** Where a peer is reached. */
 export interface PeerAddress {
@@ -33,6 +34,8 @@
   readonly scope: WorkScope;
   readonly instances: number;
   readonly shares: readonly WorkShare[];
+  /** Requests and retries of the last window, by service. */
+  readonly retries: readonly RetryUse[];
 }
 
 /** One message from an instance to a peer, or the answer to it. */
--- a/src/core/peers/WorkTable.ts
+++ b/src/core/peers/WorkTable.ts
@@ -1,4 +1,5 @@
 /** Keeps the work that peers report, and adds it up. */
+import type { RetryUse } from '../limits/SharedRetryBudget.js';
 import type { Work } from '../routing/ServerLoad.js';
 import type { WorkReport, WorkShare } from './Types.js';
 
@@ -14,10 +15,11 @@
 export interface WorkSum {
   readonly instances: number;
   readonly work: ReadonlyMap<string, Work>;
+  readonly retries: readonly RetryUse[];
 }
 
 /** Adds up reports. */
-export function sumWork(reports: Iterable<WorkReport>): WorkSum {
+export function sumWork(reports: readonly WorkReport[]): WorkSum {
   const work = new Map<string, Work>();
   let instances = 0;
   for (const report of reports) {
@@ -33,7 +35,22 @@
       sum.tokenLayers += tokenLayers;
     }
   }
-  return { instances, work };
+  return { instances, work, retries: sumRetries(reports) };
+}
+
+function sumRetries(reports: readonly WorkReport[]): RetryUse[] {
+  const sums = new Map<string, RetryUse>();
+  for (const { retries } of reports) {
+    for (const use of retries) {
+      const sum = sums.get(use.service);
+      sums.set(use.service, {
+        service: use.service,
+        requests: use.requests + (sum?.requests ?? 0),
+        retries: use.retries + (sum?.retries ?? 0),
+      });
+    }
+  }
+  return [...sums.values()];
 }
 
 /** Work as a report states it. */
--- a/src/core/relay/RelayParts.ts
+++ b/src/core/relay/RelayParts.ts
@@ -4,7 +4,7 @@
 import type { ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { RequestRoute, Service } from '../deployment/Types.js';
 import type { Invariants } from '../Invariant.js';
-import type { RetryBudget } from '../limits/RetryBudget.js';
+import type { RetryMeter } from '../limits/RetryBudget.js';
 import type { RefusalReason, RetryReason } from '../Outcome.js';
 import type { EngineRoutes } from '../routing/EngineRoutes.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
@@ -56,7 +56,7 @@
   readonly routes: EngineRoutes;
   readonly port: ServerPort;
   readonly watch: StreamRegistry;
-  readonly budget: RetryBudget;
+  readonly budget: RetryMeter;
   readonly decisions: Decisions;
   readonly counters: RelayCounters;
   readonly invariants: Invariants;
--- a/src/core/relay/RequestLedger.ts
+++ b/src/core/relay/RequestLedger.ts
@@ -1,10 +1,10 @@
 /** Keeps to what one request may use: servers of its route, time, and the shared retry budget. */
-import type { RetryBudget } from '../limits/RetryBudget.js';
+import type { RetryMeter } from '../limits/RetryBudget.js';
 
 export interface LedgerTerms {
   readonly maxServers: number;
   readonly service: string;
-  readonly budget: RetryBudget;
+  readonly budget: RetryMeter;
 }
 
 export class RequestLedger {
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -8,7 +8,7 @@
 import { ServerDirectory } from '../core/deployment/ServerDirectory.js';
 import { Invariants } from '../core/Invariant.js';
 import { LeaseKeeper } from '../core/leases/LeaseKeeper.js';
-import { RetryBudget, type RetryAllowance } from '../core/limits/RetryBudget.js';
+import { SharedRetryBudget, type SharedRetryTerms } from '../core/limits/SharedRetryBudget.js';
 import { PeerSharing } from '../core/peers/PeerSharing.js';
 import { decodePeer, Roster } from '../core/peers/Roster.js';
 import { StoreDuty } from '../core/store/StoreDuty.js';
@@ -36,7 +36,7 @@
 const EXIT_MARGIN_MS = 400;
 
 /** Shared budgets are divided among at least so many instances, since peers are met one by one. */
-const FEWEST_INSTANCES = 8;
+const FEWEST_INSTANCES = 6;
 
 /** Streams leave a leaving server after this share of its drain; most end before. */
 const LEAVE_SHARE = 0.6;
@@ -56,6 +56,11 @@
 
   private readonly servers = new ServerClient(this.http);
 
+  private readonly retries = new SharedRetryBudget(
+    () => this.retryTerms,
+    (service) => this.sharing.othersRetryUse(service),
+  );
+
   private readonly watch: SilenceWatch;
 
   private readonly desk: RelayDesk;
@@ -107,7 +112,7 @@
       routes: new EngineRoutes(directory, load, failureDomain),
       port: servers,
       watch: this.watch,
-      budget: new RetryBudget(() => this.retryAllowance),
+      budget: this.retries,
       decisions: log,
       counters: this.metrics,
       invariants,
@@ -154,6 +159,7 @@
       decisions: log,
       isLeaving: () => this.leaving,
       storeAgeMs: () => this.storeWatch.ageMs,
+      retryUse: () => this.retries.use(clock.now()),
     });
     const instances = store.ownFeed('instances', (_key, _revision, value) => decodePeer(value));
     this.roster = new Roster({
@@ -250,11 +256,15 @@
     return this.deployments.current !== undefined && this.directory.revision > 0;
   }
 
-  /** This instance's part of the retries that all instances may use together. */
-  private get retryAllowance(): RetryAllowance {
-    const { retryShare, retrySlack } = this.settings.bounds;
-    const saved = retrySlack / Math.max(FEWEST_INSTANCES, this.sharing.knownInstances);
-    return { perRequest: retryShare, maxSaved: saved, initial: saved, refillPerS: 0 };
+  /** What all instances may use together. */
+  private get retryTerms(): SharedRetryTerms {
+    const { retryShare, retrySlack, retryWindowS } = this.settings.bounds;
+    return {
+      perRequest: retryShare,
+      slack: retrySlack,
+      windowMs: retryWindowS * 1000,
+      instances: Math.max(FEWEST_INSTANCES, this.sharing.knownInstances),
+    };
   }
 
   private sweep(): void {
--- a/src/router/Settings.ts
+++ b/src/router/Settings.ts
@@ -29,6 +29,8 @@
     retryShare: z.number().nonnegative(),
     /** Retries beyond the share in the users' window, over all instances. */
     retrySlack: z.number().nonnegative(),
+    /** Length of the sliding window in which retries are counted, in seconds. */
+    retryWindowS: z.number().positive(),
   }),
 });
 
