The server of the route that an answer blames is found by the route; a reused address ends the server before

Blame now goes to the stage with the address; an entry at the address of another server ends that one.

--- a/features/core/deployment/deployment.feature
+++ b/features/core/deployment/deployment.feature
@@ -35,6 +35,8 @@
       | one that came back is used                       | trouble removed ready    | 2500 | yes   |
       | a stale entry does not bring a leaving one back  | draining stale           | 0    | no    |
       | a new start of the same server is used           | draining born            | 0    | yes   |
+      | its address is another's by now: it has ended    | reused                   | 0    | no    |
+      | an older entry at its address changes nothing    | reused-before            | 0    | yes   |
       | a suspicion lapses                               | suspect                  | 800  | yes   |
       | a suspect gets none                              | suspect                  | 100  | no    |
       | a second failure in a row counts for longer      | suspect 800 suspect      | 1000 | no    |
--- a/features/core/deployment/deployment.steps.ts
+++ b/features/core/deployment/deployment.steps.ts
@@ -58,6 +58,10 @@
   removed: ({ directory }) => directory.remove('server', record('other').revision),
   trouble: ({ directory }) => directory.noteStoreTrouble(),
   suspect: ({ directory }) => directory.suspect('server'),
+  reused: ({ directory, first }) =>
+    directory.put(record('other', { address: first.address, incarnation: 2 })),
+  'reused-before': ({ directory, first }) =>
+    directory.put(record('other', { address: first.address, incarnation: 0 })),
   turned: ({ directory }) => directory.turnedAway('server'),
   took: ({ directory }) => directory.tookWork('server'),
   proof: ({ directory }) => directory.prove('server'),
--- a/features/core/relay/relays.feature
+++ b/features/core/relay/relays.feature
@@ -57,6 +57,11 @@
     When its first server says that "later-0" does not hold its layers
     Then no route passes "later-0" until its entry shows layers again
 
+  Scenario: A server whose address is another's by now is the one that is blamed
+    Given a stream over three first servers and two later ones
+    When its first server says that "later-0" does not hold its layers, whose address is now "next"
+    Then no route passes "later-0" until its entry shows layers again
+
   Scenario: The body of a rejection is no part of a later failure
     Given a stream over two servers
     When the stream gets "rejected 500"
--- a/features/core/relay/relays.steps.ts
+++ b/features/core/relay/relays.steps.ts
@@ -147,6 +147,17 @@
   },
 );
 
+When(
+  'its first server says that {string} does not hold its layers, whose address is now "next"',
+  function run(this: RelayWorld, later: string) {
+    const { directory } = this.fixture;
+    const address = directory.get(later)?.record.address;
+    // The entry of a server elsewhere that has the address says nothing of its own start.
+    directory.put(record('next', { address, service: 'plain', incarnation: 0 }));
+    turnAway(this, address, true);
+  },
+);
+
 Then(
   'no route passes {string} until its entry shows layers again',
   async function check(this: RelayWorld, later: string) {
--- a/features/soak/Fleet.ts
+++ b/features/soak/Fleet.ts
@@ -16,6 +16,8 @@
   readonly server: StandInServer;
   readonly link: FaultProxy;
   isUp: boolean;
+  /** Whether it leaves, and no other trouble may start it again. */
+  isLeaving: boolean;
 }
 
 export class Fleet {
@@ -63,7 +65,7 @@
     for (const entry of this.servers) {
       entry.link.fault = LinkFault.None;
       entry.server.style = AnswerStyle.Whole;
-      if (!entry.isUp) await this.restart(entry);
+      if (!entry.isUp && !entry.isLeaving) await this.restart(entry);
     }
     for (const router of this.routers) {
       if (router.isPaused) router.signal('SIGCONT');
@@ -95,7 +97,7 @@
     const server = new StandInServer(id, service, domain, kind, this.store);
     const link = new FaultProxy();
     await server.listen((own) => link.listen(own));
-    this.servers.push({ server, link, isUp: true });
+    this.servers.push({ server, link, isUp: true, isLeaving: false });
   }
 }
 
--- a/features/soak/Promises.ts
+++ b/features/soak/Promises.ts
@@ -25,13 +25,16 @@
   readonly drainMs: number;
 }
 
-/** A planned stop of an instance with nothing else amiss. */
-export interface Stop {
-  readonly instance: string;
+export interface Span {
   readonly at: number;
   readonly endedAt: number;
 }
 
+/** A planned stop of an instance, from the signal until its end. */
+export interface Stop extends Span {
+  readonly instance: string;
+}
+
 /** A key that the operator took away, and when the store had it. */
 export interface Revocation {
   readonly key: string;
@@ -107,9 +110,14 @@
     }
   }
 
-  /** Checks that a planned stop cut no request that a server had. */
-  public checkStops(attempts: readonly Attempt[], stops: readonly Stop[]): void {
+  /** Checks that planned stops during which no server broke off cut no answer. */
+  public checkStops(
+    attempts: readonly Attempt[],
+    stops: readonly Stop[],
+    breaks: readonly Span[],
+  ): void {
     for (const { instance, at, endedAt } of stops) {
+      if (breaks.some((broken) => broken.at < endedAt && broken.endedAt > at - 1000)) continue;
       for (const attempt of attempts) {
         const isThen = attempt.instance === instance && attempt.sentAt < endedAt;
         if (!isThen || attempt.endedAt < at || attempt.endedAt > endedAt + 50) continue;
--- a/features/soak/RouterProcess.ts
+++ b/features/soak/RouterProcess.ts
@@ -93,15 +93,21 @@
     await gone;
   }
 
-  /** Waits until the process has ended by itself. @returns whether it did in time */
-  public async ended(limitMs: number): Promise<boolean> {
+  /**
+   * Waits until the process has ended.
+   * @returns its exit code, null when a signal ended it, undefined when it still runs after the limit
+   */
+  public async ended(limitMs: number): Promise<number | null | undefined> {
     const { child } = this;
-    if (child === undefined) return true;
-    const timer = AbortSignal.timeout(limitMs);
-    return once(child, 'exit', { signal: timer }).then(
-      () => true,
-      () => false,
-    );
+    if (child === undefined) return null;
+    try {
+      const [code] = (await once(child, 'exit', { signal: AbortSignal.timeout(limitMs) })) as [
+        number | null,
+      ];
+      return code;
+    } catch {
+      return undefined;
+    }
   }
 
   public async dispose(): Promise<void> {
--- a/features/soak/Soak.ts
+++ b/features/soak/Soak.ts
@@ -81,6 +81,7 @@
     revocations: [],
     departures: [],
     stops: [],
+    breaks: [],
   };
   let troubles: string[] = [];
   try {
@@ -100,7 +101,7 @@
   promises.checkRoutes(servers);
   promises.checkKeys(attempts, scene.revocations);
   promises.checkLeaving(scene.departures);
-  promises.checkStops(attempts, scene.stops);
+  promises.checkStops(attempts, scene.stops, scene.breaks);
   return {
     attempts: attempts.length,
     served: attempts.filter(({ status, isWhole }) => status === 200 && isWhole).length,
--- a/features/soak/Troubles.ts
+++ b/features/soak/Troubles.ts
@@ -7,7 +7,7 @@
 import type { Callers } from './Callers.js';
 import { LinkFault } from './FaultProxy.js';
 import type { Fleet } from './Fleet.js';
-import { LEAVING_MS, type Departure, type Revocation, type Stop } from './Promises.js';
+import { LEAVING_MS, type Departure, type Revocation, type Span, type Stop } from './Promises.js';
 import { DRAIN_MS, STOP_GRACE_S } from './RouterProcess.js';
 
 /** Where troubles strike, and what they leave to be checked. */
@@ -18,6 +18,8 @@
   readonly revocations: Revocation[];
   readonly departures: Departure[];
   readonly stops: Stop[];
+  /** Times of faults that break answers off at the servers' side. */
+  readonly breaks: Span[];
   readonly violations: string[];
 }
 
@@ -70,18 +72,20 @@
   if (!router.isRunning || router.isPaused) return;
   const at = performance.now();
   router.signal('SIGTERM');
-  if (await router.ended(STOP_GRACE_S * 1000 + STOP_SLACK_MS)) {
-    stops.push({ instance: router.name, at, endedAt: performance.now() });
-  } else {
-    violations.push(`${router.name} did not end in its time`);
+  const code = await router.ended(STOP_GRACE_S * 1000 + STOP_SLACK_MS);
+  if (code === undefined) {
+    if (!router.isPaused) violations.push(`${router.name} did not end in its time`);
     await router.kill();
+  } else if (code === 0) {
+    stops.push({ instance: router.name, at, endedAt: performance.now() });
   }
   if (!router.isRunning) router.start();
 }
 
 async function drainServer({ fleet, random, departures }: Scene): Promise<void> {
   const entry = random.pick(fleet.servers);
-  if (!entry.isUp) return;
+  if (!entry.isUp || entry.isLeaving) return;
+  entry.isLeaving = true;
   // The bound holds for instances that can hear of it.
   const isHeard =
     fleet.store.fault === StoreFault.None &&
@@ -91,11 +95,11 @@
   await pause(LEAVING_MS);
   if (isHeard && fleet.store.fault === StoreFault.None)
     departures.push({ server: entry.server, at, drainMs: DRAIN_MS });
-  if (!entry.isUp) return;
   fleet.crash(entry);
   fleet.store.remove('servers', entry.server.id);
   await pause(200);
   await fleet.restart(entry);
+  entry.isLeaving = false;
 }
 
 const ACTS: Readonly<Record<Trouble, Act>> = {
@@ -115,7 +119,7 @@
   [Trouble.ReloadInstance]: ({ fleet, random }) => random.pick(fleet.routers).signal('SIGHUP'),
   [Trouble.CrashServer]: async ({ fleet, random }, forMs) => {
     const entry = random.pick(fleet.servers);
-    if (!entry.isUp) return;
+    if (!entry.isUp || entry.isLeaving) return;
     fleet.crash(entry);
     await pause(forMs);
     if (!entry.isUp) await fleet.restart(entry);
@@ -155,7 +159,18 @@
   },
 };
 
+const BREAKING: ReadonlySet<Trouble> = new Set([
+  Trouble.CrashServer,
+  Trouble.DrainServer,
+  Trouble.SpoilServer,
+  Trouble.HarmServerLink,
+  Trouble.ResetServerLink,
+]);
+
 /** Lets one trouble strike and end. */
 export async function strike(trouble: Trouble, scene: Scene, forMs: number): Promise<void> {
+  const span = { at: performance.now(), endedAt: Infinity };
+  if (BREAKING.has(trouble)) scene.breaks.push(span);
   await ACTS[trouble](scene, forMs);
+  span.endedAt = performance.now();
 }
--- a/features/soak/main.ts
+++ b/features/soak/main.ts
@@ -39,4 +39,4 @@
 
 const cli = new Cli({ binaryLabel: 'process soak', binaryName: 'soak:processes' });
 cli.register(SoakCommand);
-await cli.runExit(process.argv.slice(2));
+process.exit(await cli.run(process.argv.slice(2)));
--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -252,13 +252,23 @@
       missingSince: undefined,
     };
     this.known.set(record.id, server);
-    this.byAddress.set(record.address, server);
+    this.settle(server, record.address);
     this.changes.fire(server);
   }
 
   private move(server: KnownServer, address: string): void {
     if (this.byAddress.get(server.record.address) === server)
       this.byAddress.delete(server.record.address);
+    this.settle(server, address);
+  }
+
+  /** Notes where a server is reached. Addresses are used again only after their server has ended. */
+  private settle(server: KnownServer, address: string): void {
+    const before = this.byAddress.get(address);
+    if (before !== undefined && before !== server) {
+      if (before.record.incarnation > server.record.incarnation) return;
+      if (!before.leaving) this.leave(before);
+    }
     this.byAddress.set(address, server);
   }
 
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -220,11 +220,17 @@
     reply.end();
   }
 
+  /** The server of the route at an address, which may be another's by now. */
+  private serverAt(address: string | undefined): string | undefined {
+    if (address === undefined) return undefined;
+    const stage = this.stages.find((known) => known.address === address);
+    return stage?.server ?? this.parts.directory.at(address)?.record.id;
+  }
+
   /** Finds the server that an answer blames, and keeps new work from it for a moment. */
   private blame(target: Target, head: AnswerHead): string {
     const { directory, decisions } = this.parts;
-    const at = head.faultAddress === undefined ? undefined : directory.at(head.faultAddress);
-    const blamed = at?.record.id ?? target.server;
+    const blamed = this.serverAt(head.faultAddress) ?? target.server;
     if (head.misdirected) directory.disprove(blamed);
     else directory.turnedAway(blamed);
     decisions.note('turned-away', {
@@ -295,8 +301,8 @@
     }
     this.refusals += 1;
     this.nextRerouteAt = this.parts.clock.now() + REROUTE_PAUSE_MS * this.refusals;
-    const blamed = answer.faultAddress && this.parts.directory.at(answer.faultAddress);
-    if (blamed) this.avoid.add(blamed.record.id);
+    const stage = stages.find(({ address }) => address === answer.faultAddress);
+    if (stage !== undefined) this.avoid.add(stage.server);
     // A stream that still runs over a leaving server is left alone; it may end before the server does.
     if (reason === RetryReason.Leaving || answer.status === RerouteStatus.Unknown) return;
     if (answer.status === RerouteStatus.Lost || this.refusals > MAX_REFUSALS)
