--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -10,6 +10,7 @@
   type Service,
 } from '../../src/core/deployment/Types.js';
 import { Invariants } from '../../src/core/Invariant.js';
+import { ReturnAdvice } from '../../src/core/limits/ReturnAdvice.js';
 import { RetryBudget } from '../../src/core/limits/RetryBudget.js';
 import type { RelayCounters, RelayParts } from '../../src/core/relay/RelayParts.js';
 import { SilenceWatch } from '../../src/core/relay/SilenceWatch.js';
@@ -169,6 +170,7 @@
       routes: new EngineRoutes(directory, load, 'a'),
       port: this.servers,
       watch: this.watch,
+      returns: new ReturnAdvice({ next: () => 0.5, id: () => 'id' }),
       budget: new RetryBudget(() => ({
         perRequest: 0.2,
         maxSaved: retries,
--- a/features/soak/Fleet.ts
+++ b/features/soak/Fleet.ts
@@ -101,7 +101,7 @@
   }
 }
 
-/** Folder of one seed's settings and logs. */
+/** Folder of one run's settings and logs. */
 export function folderFor(seed: number): string {
-  return path.join('reports', 'soak', String(seed));
+  return path.join('reports', 'soak', `${seed}-${process.pid}`);
 }
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -22,12 +22,6 @@
 /** An answer takes at least this long; a send with less time left is pointless, in milliseconds. */
 const MIN_SEND_MS = 15;
 
-/** Retry delay for a caller when no server can take its request now, in milliseconds. */
-const NO_ROUTE_RETRY_MS = 700;
-
-/** Retry delay for a caller whose request a server turned away, in milliseconds. */
-const SHED_RETRY_MS = 250;
-
 const MESSAGES: Partial<Record<RefusalReason, string>> = {
   [RefusalReason.NoRoute]: 'No server can take the request now. Send it again after Retry-After.',
   [RefusalReason.ServerLost]: 'The server broke off. Repeat the request only if it may run twice.',
@@ -72,7 +66,7 @@
   /** Sends the request for the first time. */
   public start(): void {
     const target = this.chooseTarget();
-    if (target === undefined) this.refuseNotRun(RefusalReason.NoRoute, NO_ROUTE_RETRY_MS);
+    if (target === undefined) this.refuseNotRun(RefusalReason.NoRoute);
     else this.send(target);
   }
 
@@ -183,11 +177,16 @@
       this.refuse(reason, Outcome.Unknown, 0);
       return;
     }
-    this.refuseNotRun(RefusalReason.NoRoute, SHED_RETRY_MS);
+    this.refuseNotRun(RefusalReason.NoRoute);
   }
 
-  protected refuseNotRun(reason: RefusalReason, retryAfterMs: number): void {
-    this.refuse(reason, Outcome.NotRun, retryAfterMs);
+  protected refuseNotRun(reason: RefusalReason): void {
+    const { clock, returns } = this.parts;
+    const now = clock.now();
+    returns.note(true, now);
+    const { request } = this.assigned;
+    const msLeft = request.arrivedAt + request.deadlineMs - now;
+    this.refuse(reason, Outcome.NotRun, returns.waitMs(msLeft, now));
   }
 
   /** Drops the call and the claim of the last send. */
@@ -205,6 +204,7 @@
     this.release();
     const { counters, decisions, clock } = this.parts;
     const { request, route, service } = this.assigned;
+    if (end === RelayEnd.Complete) this.parts.returns.note(false, clock.now());
     counters.end(route.kind, end);
     decisions.note('end', {
       id: request.id,
@@ -221,7 +221,7 @@
   /** Gives the request up: its time is over. */
   protected giveUp(): void {
     if (this.ledger.mayHaveRun) this.refuse(RefusalReason.DeadlinePassed, Outcome.Unknown, 0);
-    else this.refuseNotRun(RefusalReason.DeadlineUnreachable, SHED_RETRY_MS);
+    else this.refuseNotRun(RefusalReason.DeadlineUnreachable);
   }
 
   protected refuse(reason: RefusalReason, outcome: Outcome, retryAfterMs: number): void {
@@ -237,6 +237,7 @@
       sends: this.ledger.count,
       avoided: [...this.avoid].join(','),
       servers: countUsable(directory, service.name),
+      retryAfterMs: Math.round(retryAfterMs),
       ...this.explainRoutes(),
       ticket: deployments.ticket,
     });
--- a/src/core/relay/RelayParts.ts
+++ b/src/core/relay/RelayParts.ts
@@ -5,6 +5,7 @@
 import type { RequestRoute, Service } from '../deployment/Types.js';
 import type { Invariants } from '../Invariant.js';
 import type { RetryMeter } from '../limits/RetryBudget.js';
+import type { ReturnAdvice } from '../limits/ReturnAdvice.js';
 import type { RefusalReason, RetryReason } from '../Outcome.js';
 import type { EngineRoutes } from '../routing/EngineRoutes.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
@@ -57,6 +58,7 @@
   readonly port: ServerPort;
   readonly watch: StreamRegistry;
   readonly budget: RetryMeter;
+  readonly returns: ReturnAdvice;
   readonly decisions: Decisions;
   readonly counters: RelayCounters;
   readonly invariants: Invariants;
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -8,6 +8,7 @@
 import { ServerDirectory } from '../core/deployment/ServerDirectory.js';
 import { Invariants } from '../core/Invariant.js';
 import { LeaseKeeper } from '../core/leases/LeaseKeeper.js';
+import { ReturnAdvice } from '../core/limits/ReturnAdvice.js';
 import { SharedRetryBudget, type SharedRetryTerms } from '../core/limits/SharedRetryBudget.js';
 import { PeerSharing } from '../core/peers/PeerSharing.js';
 import { decodePeer, Roster } from '../core/peers/Roster.js';
@@ -113,6 +114,7 @@
       port: servers,
       watch: this.watch,
       budget: this.retries,
+      returns: new ReturnAdvice(random),
       decisions: log,
       counters: this.metrics,
       invariants,
