--- a/features/core/peers/peer-sharing.feature
+++ b/features/core/peers/peer-sharing.feature
@@ -38,7 +38,7 @@
     Then within 3000 ms each counts 132 requests at server "s"
     And no instance begins more than 12 exchanges a second
 
-  Scenario: Work goes on being counted when the speaker of a domain is gone
+  Scenario: Work goes on being counted when the hub of a domain is gone
     Given 3 domains of 4 instances that know each other
     When each has 2 requests at server "s"
     And instance 0 is gone for 4000 ms
--- a/features/core/store/store-duty.steps.ts
+++ b/features/core/store/store-duty.steps.ts
@@ -5,15 +5,15 @@
 
 interface DutyWorld {
   clock: VirtualClock;
-  hearsay: { isSpeaker: boolean; heardStoreAgeMs: number };
+  hearsay: { isHub: boolean; heardStoreAgeMs: number };
   follows: boolean;
 }
 
 Given(
-  'an instance that speaks for its domain: {word}, and hears of store answers {int} ms old',
-  function set(this: DutyWorld, speaks: string, ageMs: number) {
+  "an instance that is its domain's hub: {word}, and hears of store answers {int} ms old",
+  function set(this: DutyWorld, hub: string, ageMs: number) {
     this.clock = new VirtualClock();
-    this.hearsay = { isSpeaker: speaks === 'yes', heardStoreAgeMs: ageMs };
+    this.hearsay = { isHub: hub === 'yes', heardStoreAgeMs: ageMs };
     this.follows = false;
     const following = {
       follow: () => {
@@ -29,9 +29,9 @@
 );
 
 When(
-  'another speaks for its domain, with answers {int} ms old',
+  "another is its domain's hub, with answers {int} ms old",
   function run(this: DutyWorld, ageMs: number) {
-    this.hearsay.isSpeaker = false;
+    this.hearsay.isHub = false;
     this.hearsay.heardStoreAgeMs = ageMs;
   },
 );
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -1,7 +1,7 @@
 /**
  * Tells peers of this instance's work at the servers, and passes on what the store said.
  *
- * One instance of each failure domain speaks for it: the others exchange digests with it alone, and it
+ * One instance of each failure domain is its hub: the others exchange digests with it alone, and it
  * with its like elsewhere. An instance thus has a few exchanges a second in a fleet of any size. When it
  * falls silent, the next one by name takes its place.
  */
@@ -66,10 +66,10 @@
   /** Work of instances at home, by instance. */
   private readonly home = new WorkTable();
 
-  /** Work of other failure domains, as their speakers count it. */
+  /** Work of other failure domains, as their hubs count it. */
   private readonly away = new WorkTable();
 
-  /** Work of all others, as the speaker of the own failure domain counts it. */
+  /** Work of all others, as the hub of the own failure domain counts it. */
   private readonly told = new WorkTable();
 
   private counted = 0;
@@ -102,8 +102,8 @@
     return this.table.size;
   }
 
-  /** Whether this instance speaks for its failure domain. */
-  public get isSpeaker(): boolean {
+  /** Whether this instance is the hub of its failure domain. */
+  public get isHub(): boolean {
     return this.table.homeHub(this.parts.clock.now()) === undefined;
   }
 
@@ -168,7 +168,7 @@
     }
   }
 
-  /** Counts the fuller of both accounts: after a change of the speaker, one of them is in the making. */
+  /** Counts the fuller of both accounts: after a change of the hub, one of them is in the making. */
   private count(now: number): void {
     for (const table of [this.home, this.away, this.told]) table.expire(now);
     const heard = sumWork([...this.home.reports(), ...this.away.reports()]);
@@ -250,8 +250,8 @@
     peer.storeHeardAt = now - (storeAgeMs ?? Infinity);
     if (leaving) this.table.distrust(peer, now);
     else if (!wasAlive) this.note('peer', peer);
-    if (work.scope === WorkScope.Others) this.told.put('speaker', work, now);
-    // The speakers of a failure domain replace each other.
+    if (work.scope === WorkScope.Others) this.told.put('hub', work, now);
+    // The hubs of a failure domain replace each other.
     else if (work.scope === WorkScope.FailureDomain) this.away.put(from.failureDomain, work, now);
     else this.home.put(from.instance, work, now);
   }
--- a/src/core/peers/PeerTable.ts
+++ b/src/core/peers/PeerTable.ts
@@ -90,7 +90,7 @@
   }
 
   /**
-   * The peer of a failure domain that speaks for it: the first by name that answers. All instances
+   * The hub of a failure domain among the peers: the first by name that answers. All instances
    * choose alike as long as they reach the same peers.
    */
   public hubOf(failureDomain: string, now: number): Peer | undefined {
@@ -104,7 +104,7 @@
     return hub;
   }
 
-  /** The peer that speaks for the own failure domain; undefined when this instance does. */
+  /** The hub of the own failure domain; undefined when it is this instance. */
   public homeHub(now: number): Peer | undefined {
     const hub = this.hubOf(this.self.failureDomain, now);
     return hub === undefined || this.self.instance < hub.address.instance ? undefined : hub;
--- a/src/core/store/StoreDuty.ts
+++ b/src/core/store/StoreDuty.ts
@@ -10,8 +10,8 @@
 
 /** What is known of how the store is followed elsewhere. */
 export interface StoreHearsay {
-  /** Whether this instance speaks for its failure domain. */
-  readonly isSpeaker: boolean;
+  /** Whether this instance is the hub of its failure domain. */
+  readonly isHub: boolean;
   /** Time since the store last answered a peer, as far as heard, in milliseconds. */
   readonly heardStoreAgeMs: number;
 }
@@ -36,10 +36,10 @@
 /** A process that starts asks its peers first, in milliseconds: their answers take a few link delays. */
 const FIRST_LOOK_MS = 120;
 
-/** Older hearsay is not relied on, in milliseconds: the speaker's own feed waits 2.5 s for a change. */
+/** Older hearsay is not relied on, in milliseconds: the hub's own feed waits 2.5 s for a change. */
 const FRESH_MS = 4000;
 
-/** Following goes on for this time after its last reason, so that a slow speaker causes no reading anew. */
+/** Following goes on for this time after its last reason, so that a slow hub causes no reading anew. */
 const KEEP_MS = 3000;
 
 export class StoreDuty {
@@ -62,18 +62,18 @@
   private look(): void {
     const { clock, hearsay } = this.parts;
     const now = clock.now();
-    const { isSpeaker, heardStoreAgeMs } = hearsay;
-    if (isSpeaker || heardStoreAgeMs > FRESH_MS) this.followsUntil = now + KEEP_MS;
-    this.set(now < this.followsUntil, isSpeaker, heardStoreAgeMs);
+    const { isHub, heardStoreAgeMs } = hearsay;
+    if (isHub || heardStoreAgeMs > FRESH_MS) this.followsUntil = now + KEEP_MS;
+    this.set(now < this.followsUntil, isHub, heardStoreAgeMs);
     this.timer = clock.schedule(LOOK_MS, () => this.look());
   }
 
-  private set(follows: boolean, isSpeaker: boolean, heardStoreAgeMs: number): void {
+  private set(follows: boolean, isHub: boolean, heardStoreAgeMs: number): void {
     if (follows === this.follows) return;
     this.follows = follows;
     const { following, decisions } = this.parts;
     if (follows) following.follow();
     else following.rest();
-    decisions.note('store-duty', { follows, isSpeaker, heardMs: Math.round(heardStoreAgeMs) });
+    decisions.note('store-duty', { follows, isHub, heardMs: Math.round(heardStoreAgeMs) });
   }
 }
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -132,7 +132,7 @@
       name: `placement/${failureDomain}`,
       holder: `${instance}/${random.id(4)}`,
       predecessor: `${instance}/`,
-      isCandidate: () => this.sharing.isSpeaker,
+      isCandidate: () => this.sharing.isHub,
       log: (message) => log.note('lease', { message }),
     });
     this.placement = new PlacementDriver({
