--- a/features/core/relay/silence.feature
+++ b/features/core/relay/silence.feature
@@ -32,3 +32,20 @@
     Given a stream over three servers that has begun
     When the process stands still for 3000 ms and events wait to be read
     Then the stream keeps its route
+
+  Scenario: A domain that is cut off is left as a whole
+    # Load pattern: a domain lost, with routes through several of its servers.
+    Given a stream over three servers that has begun
+    When 3 servers of domain "b" fall silent and are found out
+    Then its other servers get no work either, but for one that answered just now
+
+  Scenario Outline: <case>
+    Given a stream over three servers that has begun
+    When 3 servers of domain "b" fall silent and are found out
+    And after <ms> ms they answer again
+    Then they get work again within <limit> ms
+
+    Examples: a request does not have to find out
+      | case                                    | ms   | limit |
+      | suspects that still do not answer wait  | 4000 | 1500  |
+      | suspects that answer are used again     | 300  | 800   |
--- a/features/core/relay/silence.steps.ts
+++ b/features/core/relay/silence.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { SuspectProbe } from '../../../src/core/relay/SuspectProbe.js';
 import { RelayDesk } from '../../../src/core/relay/RelayDesk.js';
 import { FakeCaller } from '../FakeCaller.js';
 import { answerHead, deployment, record, RelayFixture, route } from '../FleetFixture.js';
@@ -8,6 +9,8 @@
   fixture: RelayFixture;
   silent: string;
   sentEvents: number;
+  probe: SuspectProbe;
+  lost: string[];
 }
 
 const SPANS = { s1: [0, 30], s2: [30, 60], s3: [60, 80] } as const;
@@ -118,3 +121,51 @@
   assert.equal(this.fixture.servers.reroutes.length, 0);
   assert.equal(this.fixture.servers.calls.length, 1);
 });
+
+When(
+  '{int} servers of domain {string} fall silent and are found out',
+  async function run(this: SilenceWorld, count: number, failureDomain: string) {
+    const { clock, directory, servers, parts } = this.fixture;
+    const ids = Array.from({ length: count + 2 }, (_, index) => `lost-${index}`);
+    for (const id of ids) {
+      directory.put(record(id, { failureDomain, span: { from: 0, to: 80 } }));
+      servers.silent.add(id);
+    }
+    const answered = ids.at(-1) as string;
+    servers.silent.delete(answered);
+    this.lost = ids.filter((id) => id !== answered);
+    this.probe = new SuspectProbe({ clock, directory, port: servers, decisions: parts.decisions });
+    await clock.runUntil(clock.now() + 200);
+    directory.prove(answered);
+    for (const id of ids.slice(0, count)) {
+      directory.suspect(id);
+      this.probe.add(id);
+    }
+  },
+);
+
+Then(
+  'its other servers get no work either, but for one that answered just now',
+  function check(this: SilenceWorld) {
+    const { directory } = this.fixture;
+    for (const id of this.lost) assert.ok(!directory.isUsable(id), id);
+    assert.ok(directory.isUsable('lost-4'));
+    assert.ok(directory.isUsable('s1'));
+  },
+);
+
+When('after {int} ms they answer again', async function run(this: SilenceWorld, ms: number) {
+  const { clock, directory, servers } = this.fixture;
+  const endsAt = clock.now() + ms;
+  while (clock.now() < endsAt) {
+    for (const id of this.lost) assert.ok(!directory.isUsable(id), `${id} at ${clock.now()}`);
+    await clock.runUntil(clock.now() + 50);
+  }
+  for (const id of this.lost) servers.silent.delete(id);
+});
+
+Then('they get work again within {int} ms', async function check(this: SilenceWorld, ms: number) {
+  const { clock, directory } = this.fixture;
+  await clock.runUntil(clock.now() + ms);
+  for (const id of this.lost) assert.ok(directory.isUsable(id), id);
+});
--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -172,6 +172,12 @@
     return lastsMs;
   }
 
+  /** Goes on suspecting a server, whatever it did before. */
+  public suspectFor(id: string, forMs: number): void {
+    const server = this.known.get(id);
+    if (server !== undefined) server.suspectUntil = this.clock.now() + forMs;
+  }
+
   /** Records a sign that a server works. */
   public prove(id: string): void {
     const server = this.known.get(id);
--- a/src/core/relay/SilenceWatch.ts
+++ b/src/core/relay/SilenceWatch.ts
@@ -11,6 +11,7 @@
 import { RetryReason } from '../Outcome.js';
 import type { ReportPort, ServerReport } from '../placement/Types.js';
 import type { StreamRegistry, WatchedStream } from './RelayParts.js';
+import { SuspectProbe } from './SuspectProbe.js';
 
 export interface SilenceParts {
   readonly clock: Clock;
@@ -41,11 +42,15 @@
 
   private readonly askedAt = new Map<string, number>();
 
+  private readonly probe: SuspectProbe;
+
   private lastTickAt = 0;
 
   private timer: Disposable | undefined;
 
-  public constructor(private readonly parts: SilenceParts) {}
+  public constructor(private readonly parts: SilenceParts) {
+    this.probe = new SuspectProbe(parts);
+  }
 
   public add(stream: WatchedStream): Disposable {
     this.streams.add(stream);
@@ -56,6 +61,7 @@
   public dispose(): void {
     this.timer?.dispose();
     this.timer = undefined;
+    this.probe.dispose();
   }
 
   private schedule(now: number): void {
@@ -105,6 +111,10 @@
     if (suspects.size > 0) stream.leave(suspects, RetryReason.Silence);
   }
 
+  private isSilent({ lastEventAt, silentAfterMs }: WatchedStream, since: number): boolean {
+    return this.parts.clock.now() - lastEventAt >= silentAfterMs && lastEventAt < since;
+  }
+
   /** Whether a stream has been silent for so long that a report must show what it waits for. */
   private isLong(stream: WatchedStream, now: number): boolean {
     return now - stream.lastEventAt >= stream.silentAfterMs + REPORT_LAG_MS;
@@ -129,9 +139,13 @@
       provenMsAgo: Math.round(askedAt - directory.provenAt(server)),
       forMs,
     });
+    const suspects = new Set([server, ...this.probe.add(server)]);
     for (const stream of this.streams) {
-      if (stream.stages.some((stage) => stage.server === server))
-        stream.leave(new Set([server]), RetryReason.Silence);
+      const own = stream.stages.filter((stage) => suspects.has(stage.server));
+      if (own.length === 0) continue;
+      // Streams that still get events are asked for anew when they fall silent.
+      if (own.some((stage) => stage.server === server) || this.isSilent(stream, askedAt))
+        stream.leave(new Set(own.map((stage) => stage.server)), RetryReason.Silence);
     }
   }
 
--- /dev/null
+++ b/src/core/relay/SuspectProbe.ts
@@ -0,0 +1,114 @@
+/**
+ * Asks suspects for a sign of life before they get work again, so that no request has to find out.
+ *
+ * Several suspects of one failure domain at the same time say that the domain is cut off or lost: its other
+ * servers are taken for suspects as well, unless they have answered since.
+ */
+import type { Clock, Disposable } from '../../ports/Types.js';
+import type { Decisions } from '../Decisions.js';
+import type { ServerDirectory } from '../deployment/ServerDirectory.js';
+import type { ReportPort } from '../placement/Types.js';
+
+export interface ProbeParts {
+  readonly clock: Clock;
+  readonly directory: ServerDirectory;
+  readonly port: ReportPort;
+  readonly decisions: Decisions;
+}
+
+/** Time between looks, in milliseconds. */
+const LOOK_MS = 100;
+
+/** A suspect is asked this long before its suspicion lapses, in milliseconds: more than an answer may take. */
+const AHEAD_MS = 200;
+
+/** A report takes two link delays; a suspect without an answer for this time stays one, in milliseconds. */
+const ANSWER_MS = 100;
+
+/** A suspect that does not answer stays one for this time, in milliseconds: links are mended in seconds. */
+const STAY_MS = 1200;
+
+/** Suspects of one failure domain within this time that make all of it suspect, and the time in milliseconds. */
+const DOMAIN_SUSPECTS = 3;
+const DOMAIN_MS = 500;
+
+/** A server without an entry is asked no longer than this, in milliseconds: by then it is forgotten. */
+const GIVE_UP_MS = 20_000;
+
+interface Suspect {
+  readonly since: number;
+  isAsked: boolean;
+}
+
+export class SuspectProbe {
+  private readonly suspects = new Map<string, Suspect>();
+
+  private timer: Disposable | undefined;
+
+  public constructor(private readonly parts: ProbeParts) {}
+
+  public dispose(): void {
+    this.timer?.dispose();
+    this.timer = undefined;
+  }
+
+  /**
+   * Takes in that a server has become suspect.
+   * @returns further servers of its failure domain that have become suspect with it
+   */
+  public add(id: string): string[] {
+    const { clock, directory } = this.parts;
+    const now = clock.now();
+    this.suspects.set(id, { since: now, isAsked: false });
+    this.timer ??= clock.schedule(LOOK_MS, () => this.look());
+    const domain = directory.get(id)?.record.failureDomain;
+    if (domain === undefined || this.countRecent(domain, now) < DOMAIN_SUSPECTS) return [];
+    return this.suspectDomain(domain, now);
+  }
+
+  private countRecent(domain: string, now: number): number {
+    let count = 0;
+    for (const [id, { since }] of this.suspects) {
+      if (now - since > DOMAIN_MS) continue;
+      if (this.parts.directory.get(id)?.record.failureDomain === domain) count += 1;
+    }
+    return count;
+  }
+
+  private suspectDomain(domain: string, now: number): string[] {
+    const { directory, decisions } = this.parts;
+    const more: string[] = [];
+    for (const server of directory.all()) {
+      const { id, failureDomain } = server.record;
+      if (failureDomain !== domain || server.leaving || !directory.isWorking(id)) continue;
+      if (now - server.provenAt < ANSWER_MS) continue;
+      directory.suspect(id);
+      this.suspects.set(id, { since: now, isAsked: false });
+      more.push(id);
+    }
+    if (more.length > 0) decisions.note('suspect-domain', { domain, servers: more.length });
+    return more;
+  }
+
+  private look(): void {
+    const now = this.parts.clock.now();
+    for (const [id, suspect] of this.suspects) {
+      const server = this.parts.directory.get(id);
+      const isOver = server === undefined || server.leaving || server.suspectUntil <= now;
+      if (isOver || now - suspect.since > GIVE_UP_MS) this.suspects.delete(id);
+      else if (!suspect.isAsked && server.suspectUntil - now < AHEAD_MS)
+        this.ask(id, server.record.address, suspect);
+    }
+    this.timer =
+      this.suspects.size === 0 ? undefined : this.parts.clock.schedule(LOOK_MS, () => this.look());
+  }
+
+  private async ask(id: string, address: string, suspect: Suspect): Promise<void> {
+    const { directory, port } = this.parts;
+    suspect.isAsked = true;
+    const report = await port.report(id, address, ANSWER_MS);
+    suspect.isAsked = false;
+    if (report === undefined) directory.suspectFor(id, STAY_MS);
+    else directory.prove(id);
+  }
+}
