Accounts of work get a module of their own; digests carry their sums once

Found by reading: digests held the sums of work twice, as shares and as a table. A server that a report names as waited for is found by the stream's own route, as blamed ones are.

--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -13,14 +13,8 @@
 import type { OthersRetryUse, RetryUse } from '../limits/SharedRetryBudget.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
 import { PeerTable, type Peer } from './PeerTable.js';
-import {
-  WorkScope,
-  type PeerAddress,
-  type PeerDigest,
-  type PeerPort,
-  type WorkReport,
-} from './Types.js';
-import { listShares, sumWork, WorkTable } from './WorkTable.js';
+import type { PeerAddress, PeerDigest, PeerPort, WorkReport } from './Types.js';
+import { WorkAccounts } from './WorkAccounts.js';
 
 export interface SharingParts {
   readonly clock: Clock;
@@ -63,14 +57,7 @@
 export class PeerSharing {
   private readonly table: PeerTable;
 
-  /** Work of instances at home, by instance. */
-  private readonly home = new WorkTable();
-
-  /** Work of other failure domains, as their hubs count it. */
-  private readonly away = new WorkTable();
-
-  /** Work of all others, as the hub of the own failure domain counts it. */
-  private readonly told = new WorkTable();
+  private readonly accounts: WorkAccounts;
 
   private counted = 0;
 
@@ -87,6 +74,7 @@
 
   public constructor(private readonly parts: SharingParts) {
     this.table = new PeerTable(parts.self);
+    this.accounts = new WorkAccounts(parts.load, parts.retryUse);
     this.subscription = parts.directory.onChange((server) => {
       this.news.set(server.record.id, parts.clock.now());
     });
@@ -141,8 +129,8 @@
     const { from } = digest;
     const work =
       from.failureDomain === this.parts.self.failureDomain
-        ? this.workForAllBut(from.instance)
-        : this.workOfDomain();
+        ? this.accounts.workForAllBut(from.instance)
+        : this.accounts.workOfDomain();
     return this.digestFor(peer, work);
   }
 
@@ -151,7 +139,7 @@
     this.forgetNews(now);
     this.count(now);
     const hub = this.table.homeHub(now);
-    if (hub !== undefined) this.tell(hub, this.ownWork());
+    if (hub !== undefined) this.tell(hub, this.accounts.ownWork());
     else this.tellOtherDomains(now);
     if (this.table.size === 1 && this.round % SEED_ROUNDS === 0) this.tellSeeds();
     this.round += 1;
@@ -161,22 +149,18 @@
   }
 
   private tellOtherDomains(now: number): void {
-    const work = this.workOfDomain();
+    const work = this.accounts.workOfDomain();
     for (const domain of this.table.otherDomains()) {
       const hub = this.table.hubOf(domain, now);
       if (hub !== undefined) this.tell(hub, work);
     }
   }
 
-  /** Counts the fuller of both accounts: after a change of the hub, one of them is in the making. */
   private count(now: number): void {
-    for (const table of [this.home, this.away, this.told]) table.expire(now);
-    const heard = sumWork([...this.home.reports(), ...this.away.reports()]);
-    const told = sumWork(this.told.reports());
-    const fuller = told.instances > heard.instances ? told : heard;
-    this.counted = fuller.instances;
-    this.othersRetries = fuller.retries;
-    this.parts.load.setOthers(fuller.work);
+    const { instances, work, retries } = this.accounts.count(now);
+    this.counted = instances;
+    this.othersRetries = retries;
+    this.parts.load.setOthers(work);
   }
 
   private async tell(peer: Peer, work: WorkReport): Promise<void> {
@@ -202,7 +186,9 @@
 
   private async tellSeed(seed: string): Promise<void> {
     try {
-      this.learn(await this.parts.port.send(seed, this.digestFor(undefined, this.ownWork())));
+      this.learn(
+        await this.parts.port.send(seed, this.digestFor(undefined, this.accounts.ownWork())),
+      );
     } catch (error) {
       this.parts.decisions.note('seed-lost', { seed, error: (error as Error).message });
     }
@@ -250,10 +236,7 @@
     peer.storeHeardAt = now - (storeAgeMs ?? Infinity);
     if (leaving) this.table.distrust(peer, now);
     else if (!wasAlive) this.note('peer', peer);
-    if (work.scope === WorkScope.Others) this.told.put('hub', work, now);
-    // The hubs of a failure domain replace each other.
-    else if (work.scope === WorkScope.FailureDomain) this.away.put(from.failureDomain, work, now);
-    else this.home.put(from.instance, work, now);
+    this.accounts.put(from, work, now);
   }
 
   private digestFor(peer: Peer | undefined, work: WorkReport): PeerDigest {
@@ -275,23 +258,6 @@
     };
   }
 
-  private ownWork(): WorkReport {
-    const shares = listShares(this.parts.load.listOwn());
-    const retries = this.parts.retryUse();
-    return { scope: WorkScope.Instance, instances: 1, shares, retries };
-  }
-
-  private workForAllBut(instance: string): WorkReport {
-    const home = this.home.reports(instance);
-    const sum = sumWork([this.ownWork(), ...home, ...this.away.reports()]);
-    return { ...sum, scope: WorkScope.Others, shares: listShares(sum.work) };
-  }
-
-  private workOfDomain(): WorkReport {
-    const sum = sumWork([this.ownWork(), ...this.home.reports()]);
-    return { ...sum, scope: WorkScope.FailureDomain, shares: listShares(sum.work) };
-  }
-
   /** Entries that changed lately, or after a revision. */
   private recordsSince(revision: number): BackendServer[] {
     const records: BackendServer[] = [];
--- a/src/core/relay/SilenceWatch.ts
+++ b/src/core/relay/SilenceWatch.ts
@@ -156,14 +156,14 @@
     for (const stream of this.streams) {
       if (!this.isLong(stream, now)) continue;
       const entry = blocked.find(({ id }) => id === stream.id);
-      const blocker = entry && this.parts.directory.at(entry.address);
+      const blocker = entry && stream.stages.find(({ address }) => address === entry.address);
       if (blocker === undefined) continue;
       this.parts.decisions.note('blocked', {
         id: stream.id,
-        server: blocker.record.id,
+        server: blocker.server,
         silentMs: Math.round(now - stream.lastEventAt),
       });
-      stream.leave(new Set([blocker.record.id]), RetryReason.Silence);
+      stream.leave(new Set([blocker.server]), RetryReason.Silence);
     }
   }
 }
