--- a/features/core/store/store-duty.steps.ts
+++ b/features/core/store/store-duty.steps.ts
@@ -5,7 +5,7 @@
 
 interface DutyWorld {
   clock: VirtualClock;
-  hearsay: { isHub: boolean; heardStoreAgeMs: number };
+  peers: { isHub: boolean; heardStoreAgeMs: number };
   follows: boolean;
 }
 
@@ -13,7 +13,7 @@
   "an instance that is its domain's hub: {word}, and hears of store answers {int} ms old",
   function set(this: DutyWorld, hub: string, ageMs: number) {
     this.clock = new VirtualClock();
-    this.hearsay = { isHub: hub === 'yes', heardStoreAgeMs: ageMs };
+    this.peers = { isHub: hub === 'yes', heardStoreAgeMs: ageMs };
     this.follows = false;
     const following = {
       follow: () => {
@@ -23,16 +23,16 @@
         this.follows = false;
       },
     };
-    const { clock, hearsay } = this;
-    new StoreDuty({ clock, hearsay, following, decisions: { note: () => {} } }).start();
+    const { clock, peers } = this;
+    new StoreDuty({ clock, peers, following, decisions: { note: () => {} } }).start();
   },
 );
 
 When(
   "another is its domain's hub, with answers {int} ms old",
   function run(this: DutyWorld, ageMs: number) {
-    this.hearsay.isHub = false;
-    this.hearsay.heardStoreAgeMs = ageMs;
+    this.peers.isHub = false;
+    this.peers.heardStoreAgeMs = ageMs;
   },
 );
 
--- a/src/core/store/StoreDuty.ts
+++ b/src/core/store/StoreDuty.ts
@@ -8,8 +8,8 @@
 import type { Clock, Disposable } from '../../ports/Types.js';
 import type { Decisions } from '../Decisions.js';
 
-/** What is known of how the store is followed elsewhere. */
-export interface StoreHearsay {
+/** What peers say of the store. */
+export interface StorePeers {
   /** Whether this instance is the hub of its failure domain. */
   readonly isHub: boolean;
   /** Time since the store last answered a peer, as far as heard, in milliseconds. */
@@ -25,7 +25,7 @@
 
 export interface StoreDutyParts {
   readonly clock: Clock;
-  readonly hearsay: StoreHearsay;
+  readonly peers: StorePeers;
   readonly following: StoreFollowing;
   readonly decisions: Decisions;
 }
@@ -36,7 +36,7 @@
 /** A process that starts asks its peers first, in milliseconds: their answers take a few link delays. */
 const FIRST_LOOK_MS = 120;
 
-/** Older hearsay is not relied on, in milliseconds: the hub's own feed waits 2.5 s for a change. */
+/** An older answer heard of is not relied on, in milliseconds: the hub's own feed waits 2.5 s for a change. */
 const FRESH_MS = 4000;
 
 /** Following goes on for this time after its last reason, so that a slow hub causes no reading anew. */
@@ -60,9 +60,9 @@
   }
 
   private look(): void {
-    const { clock, hearsay } = this.parts;
+    const { clock, peers } = this.parts;
     const now = clock.now();
-    const { isHub, heardStoreAgeMs } = hearsay;
+    const { isHub, heardStoreAgeMs } = peers;
     if (isHub || heardStoreAgeMs > FRESH_MS) this.followsUntil = now + KEEP_MS;
     this.set(now < this.followsUntil, isHub, heardStoreAgeMs);
     this.timer = clock.schedule(LOOK_MS, () => this.look());
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -183,7 +183,7 @@
     });
     this.storeDuty = new StoreDuty({
       clock,
-      hearsay: this.sharing,
+      peers: this.sharing,
       following: this.storeWatch,
       decisions: log,
     });
