--- a/features/platform/Ports.ts
+++ b/features/platform/Ports.ts
@@ -1,15 +1,25 @@
 import { createServer } from 'node:net';
 
-/** A port on the loopback address that nothing uses now. */
-export function freePort(): Promise<number> {
+/** Ports below those that systems give to connections, so that none is taken before it is used. */
+const FIRST_PORT = 15_000;
+const LAST_PORT = 30_000;
+
+function isFree(port: number): Promise<boolean> {
   return new Promise((resolve) => {
-    const server = createServer().listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as { port: number };
-      server.close(() => resolve(port));
-    });
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 }
 
+/** A port on the loopback address that nothing uses now. */
+export async function freePort(): Promise<number> {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    if (await isFree(port)) return port;
+  }
+}
+
 /** A free address on the loopback interface. */
 export async function freeAddress(): Promise<string> {
   return `127.0.0.1:${await freePort()}`;
--- a/features/soak/FaultProxy.ts
+++ b/features/soak/FaultProxy.ts
@@ -67,6 +67,18 @@
     this.pass(pair, pair.far, pair.near, LinkFault.OneWay);
   }
 
+  /** Passes an end on as an end, and a reset that is reported as one as a reset: writing nothing tells. */
+  private passEnd(from: Socket, to: Socket): void {
+    if (!from.writable) {
+      to.end();
+      return;
+    }
+    from.write('', (error) => {
+      if (error) to.resetAndDestroy();
+      else to.end();
+    });
+  }
+
   /** @param blocking - the fault besides silence that stops this direction */
   private pass(pair: Pair, from: Socket, to: Socket, blocking: LinkFault): void {
     const deliver = (act: () => void): void => {
@@ -75,7 +87,7 @@
       else act();
     };
     from.on('data', (chunk: Buffer) => deliver(() => to.writable && to.write(chunk)));
-    from.on('end', () => deliver(() => to.end()));
+    from.on('end', () => deliver(() => this.passEnd(from, to)));
     from.on('error', () => to.resetAndDestroy());
     from.on('close', () => {
       this.pairs.delete(pair);
