--- a/features/platform/StandInServer.ts
+++ b/features/platform/StandInServer.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { LAYERS } from './Deployments.js';
+import { breakOff } from './Sockets.js';
 import type { StandInStore } from './StandInStore.js';
 
 /** How the server answers a request. */
@@ -92,7 +93,7 @@
   /** Crashes: every connection is reset and none is taken any more. */
   public crash(): void {
     this.server.close();
-    for (const socket of this.sockets) socket.resetAndDestroy();
+    for (const socket of this.sockets) breakOff(socket);
   }
 
   /** Writes the server's entry. */
--- a/features/soak/FaultProxy.ts
+++ b/features/soak/FaultProxy.ts
@@ -1,5 +1,6 @@
 /** A loopback proxy that harms the connections through it. */
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { breakOff } from '../platform/Sockets.js';
 
 /** What the proxy does with bytes. */
 export enum LinkFault {
@@ -27,6 +28,8 @@
 
   private readonly pairs = new Set<Pair>();
 
+  private readonly sockets = new Set<Socket>();
+
   private readonly server = createServer((near) => this.accept(near));
 
   private target = '';
@@ -41,11 +44,16 @@
     });
   }
 
+  /** Sockets whose handles are open. */
+  public get openSockets(): number {
+    return this.sockets.size;
+  }
+
   /** Resets every connection. */
   public reset(): void {
     for (const { near, far } of this.pairs) {
-      near.resetAndDestroy();
-      far.resetAndDestroy();
+      breakOff(near);
+      breakOff(far);
     }
   }
 
@@ -55,18 +63,25 @@
   }
 
   private accept(near: Socket): void {
+    this.track(near);
     if (this.fault === LinkFault.Refused) {
-      near.resetAndDestroy();
+      breakOff(near);
       return;
     }
     const [host, port] = this.target.split(':');
     const pair = { near, far: connect({ host, port: Number(port), allowHalfOpen: true }) };
     near.allowHalfOpen = true;
+    this.track(pair.far);
     this.pairs.add(pair);
     this.pass(pair, pair.near, pair.far, LinkFault.Silent);
     this.pass(pair, pair.far, pair.near, LinkFault.OneWay);
   }
 
+  private track(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.once('close', () => this.sockets.delete(socket));
+  }
+
   /** Passes an end on as an end, and a reset that is reported as one as a reset: writing nothing tells. */
   private passEnd(from: Socket, to: Socket): void {
     if (!from.writable) {
@@ -74,7 +89,7 @@
       return;
     }
     from.write('', (error) => {
-      if (error) to.resetAndDestroy();
+      if (error) breakOff(to);
       else to.end();
     });
   }
@@ -88,7 +103,7 @@
     };
     from.on('data', (chunk: Buffer) => deliver(() => to.writable && to.write(chunk)));
     from.on('end', () => deliver(() => this.passEnd(from, to)));
-    from.on('error', () => to.resetAndDestroy());
+    from.on('error', () => breakOff(to));
     from.on('close', () => {
       this.pairs.delete(pair);
       to.destroy();
--- a/features/soak/Fleet.ts
+++ b/features/soak/Fleet.ts
@@ -91,6 +91,14 @@
     this.store.close();
   }
 
+  /** Sockets of all links whose handles are open. */
+  public get openSockets(): number {
+    let open = 0;
+    for (const link of [...this.storeLinks, ...this.servers.map((entry) => entry.link)])
+      open += link.openSockets;
+    return open;
+  }
+
   private async addServer(service: string, domain: string, number: number): Promise<void> {
     const kind = service === 'engine' ? 'whole' : '';
     const id = `${service}-${domain}-${number}`;
--- a/features/soak/Soak.ts
+++ b/features/soak/Soak.ts
@@ -30,6 +30,9 @@
 /** Instances serve again this long after the last fault, in milliseconds: the shorter of the users' bounds. */
 const RECOVERY_MS = 12_000;
 
+/** Time until the handles of closed sockets are gone, in milliseconds. */
+const CLOSE_MS = 500;
+
 const TROUBLES = Object.values(Trouble);
 
 /** Lengths of a trouble and of the pause until the next one, in milliseconds. */
@@ -94,6 +97,8 @@
   } finally {
     await fleet.dispose();
   }
+  await pause(CLOSE_MS);
+  if (fleet.openSockets > 0) violations.push(`${fleet.openSockets} sockets of the links stay open`);
   const promises = new Promises(EVENTS, answerTo);
   const servers = fleet.servers.map(({ server }) => server);
   const { attempts } = callers;
