No second search for a route when no server declines; a feed that can go on is stopped, not disposed of

Found on the last reading, no change of behaviour: the second search repeated the first one whenever no server was declining, just when memory is short everywhere; setting a server's known layers and taking in a suspect stood twice each; FeedFollower.dispose was followed by start.

--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -112,17 +112,13 @@
   /** Takes in the layers that a server itself has named, ahead of its entry in the store. */
   public learnSpan(id: string, span: LayerSpan): void {
     const server = this.known.get(id);
-    if (server === undefined) return;
-    server.record = { ...server.record, span };
-    this.changes.fire(server);
+    if (server !== undefined) this.setSpan(server, span);
   }
 
   /** Records that a server does not hold what its entry says: it started again, and the store is behind. */
   public disprove(id: string): void {
     const server = this.known.get(id);
-    if (server === undefined || server.record.span === undefined) return;
-    server.record = { ...server.record, span: undefined };
-    this.changes.fire(server);
+    if (server?.record.span !== undefined) this.setSpan(server, undefined);
   }
 
   /** Takes in that an entry is missing since a revision. */
@@ -243,6 +239,11 @@
     return server !== undefined && !server.leaving && server.suspectUntil <= this.clock.now();
   }
 
+  private setSpan(server: KnownServer, span: LayerSpan | undefined): void {
+    server.record = { ...server.record, span };
+    this.changes.fire(server);
+  }
+
   private add(record: BackendServer): void {
     const server: KnownServer = {
       record,
--- a/src/core/relay/SuspectProbe.ts
+++ b/src/core/relay/SuspectProbe.ts
@@ -59,13 +59,17 @@
   public add(id: string): string[] {
     const { clock, directory } = this.parts;
     const now = clock.now();
-    this.suspects.set(id, { since: now, isAsked: false });
+    this.watch(id, now);
     this.timer ??= clock.schedule(LOOK_MS, () => this.look());
     const domain = directory.get(id)?.record.failureDomain;
     if (domain === undefined || this.countRecent(domain, now) < DOMAIN_SUSPECTS) return [];
     return this.suspectDomain(domain, now);
   }
 
+  private watch(id: string, now: number): void {
+    this.suspects.set(id, { since: now, isAsked: false });
+  }
+
   private countRecent(domain: string, now: number): number {
     let count = 0;
     for (const [id, { since }] of this.suspects) {
@@ -83,7 +87,7 @@
       if (failureDomain !== domain || server.leaving || !directory.isWorking(id)) continue;
       if (now - server.provenAt < ANSWER_MS) continue;
       directory.suspect(id);
-      this.suspects.set(id, { since: now, isAsked: false });
+      this.watch(id, now);
       more.push(id);
     }
     if (more.length > 0) decisions.note('suspect-domain', { domain, servers: more.length });
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -86,6 +86,8 @@
         ? known
         : known.filter(({ server, from }) => from > 0 || firsts.has(server));
     const usable = (id: string) => !avoid.has(id) && this.hasRoom(id, engine, tokens);
+    if (!candidates.some(({ server }) => this.declines(server)))
+      return this.solve(wish, candidates, usable);
     const eager = (id: string) => usable(id) && !this.declines(id);
     return this.solve(wish, candidates, eager) ?? this.solve(wish, candidates, usable);
   }
--- a/src/core/store/FeedFollower.ts
+++ b/src/core/store/FeedFollower.ts
@@ -58,7 +58,7 @@
   }
 
   /** Makes no further calls. */
-  public dispose(): void {
+  public stop(): void {
     this.wanted = false;
   }
 
--- a/src/router/StoreWatch.ts
+++ b/src/router/StoreWatch.ts
@@ -86,9 +86,9 @@
   }
 
   public rest(): void {
-    this.deploymentFeed.dispose();
-    this.serverFeed.dispose();
-    this.instanceFeed.dispose();
+    this.deploymentFeed.stop();
+    this.serverFeed.stop();
+    this.instanceFeed.stop();
   }
 
   private takeDeployments({ entries }: Entries<Deployment>): void {
