Sharing: a peer confirms only what is held here, and its age never gets younger on the way

Cause: an instance relied on peers as long as any of them reported a recent answer of the store. The age counted from the arrival of a digest, so each exchange took off its time on the way, in circles too; and it counted although the reporting peer had a newer configuration than the receiver. A lost hub was noticed only by an age of 4 s, later than config_apply_ms. Now: only a reply confirms, from the time its digest was sent, and only if the peer's configuration is in force here. Without such an exchange for 1 s an instance follows the store itself. Measured: both scenarios and the one of the follow controller pass.

--- a/features/core/peers/peer-sharing.feature
+++ b/features/core/peers/peer-sharing.feature
@@ -54,3 +54,15 @@
     Given 3 instances that know each other
     When instance 2 is unreachable for 9000 ms, and instance 0 learns the leaving state of a server meanwhile
     Then within 4000 ms all know the leaving state of a server
+
+  # Guards against instances that rely on each other's word and never read the store themselves.
+  Scenario: The age of the store's last answer grows while it is passed round
+    Given 3 failure domains of 2 instances that know each other
+    When messages take 90 ms, and the store answers instance 0 once
+    Then after 6000 ms every other instance holds its confirmation to be at least that old
+
+  # Guards against a hub that is trusted although its members lack what it has.
+  Scenario: A peer whose configuration cannot be fetched confirms nothing
+    Given 3 instances that know each other
+    When the store answers instance 0 all the time, and its new configuration cannot be fetched
+    Then after 1500 ms the others have had no confirmation for 1200 ms
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -18,11 +18,17 @@
   readonly load: ServerLoad;
   readonly domain: string;
   isUnreachable: boolean;
+  /** Whether fetching its configuration fails. */
+  withholdsConfiguration: boolean;
+  /** Time at which the store last answered this instance itself. */
+  storeAnsweredAt: number;
   digestsSent: number;
 }
 
 interface SharingWorld {
   clock: VirtualClock;
+  /** Time that a message is on its way, in milliseconds. */
+  transitMs: number;
   instances: Instance[];
 }
 
@@ -50,10 +56,17 @@
   };
   const send = async (address: string, digest: PeerDigest): Promise<PeerDigest> => {
     world.instances[index].digestsSent += 1;
-    return copyThroughJson(reach(address).sharing.receiveDigest(copyThroughJson(digest)));
+    const copy = copyThroughJson(digest);
+    if (world.transitMs > 0) await clock.sleep(world.transitMs);
+    const reply = copyThroughJson(reach(address).sharing.receiveDigest(copy));
+    if (world.transitMs > 0) await clock.sleep(world.transitMs);
+    return reply;
   };
   const fetchUpdate = async (address: string, ticket: number) => {
-    const bytes = encodeUpdate(reach(address).deployments.updateSince(ticket));
+    const peer = reach(address);
+    if (peer.withholdsConfiguration)
+      throw new Failure(FailureKind.PeerUnavailable, 'The update was lost. Fetch it again.');
+    const bytes = encodeUpdate(peer.deployments.updateSince(ticket));
     return { update: decodeUpdate(bytes), bytes: bytes.length };
   };
   const sharing = new PeerSharing({
@@ -66,7 +79,7 @@
     self: selfOf(index, domain),
     decisions: { record: () => {} },
     isLeaving: () => false,
-    storeAgeMs: () => Infinity,
+    storeAgeMs: () => Math.max(0, clock.now() - world.instances[index].storeAnsweredAt),
     retryUse: () => [],
   });
   const instance = {
@@ -76,6 +89,8 @@
     load,
     domain,
     isUnreachable: false,
+    withholdsConfiguration: false,
+    storeAnsweredAt: -Infinity,
     digestsSent: 0,
   };
   world.instances.push(instance);
@@ -84,6 +99,7 @@
 
 Given('{int} instances that know each other', function set(this: SharingWorld, count: number) {
   this.clock = new VirtualClock();
+  this.transitMs = 0;
   this.instances = [];
   for (let index = 0; index < count; index += 1) addInstance(this, []);
   connectAll(this.instances);
@@ -100,6 +116,7 @@
   '{int} failure domains of {int} instances that know each other',
   function set(this: SharingWorld, domains: number, count: number) {
     this.clock = new VirtualClock();
+    this.transitMs = 0;
     this.instances = [];
     for (let index = 0; index < domains * count; index += 1)
       addInstance(this, [], `d${index % domains}`).deployments.applyIfNewer(deployment([route()]));
@@ -242,3 +259,46 @@
     this.instances[unreachable].isUnreachable = false;
   },
 );
+
+When(
+  'messages take {int} ms, and the store answers instance 0 once',
+  async function run(this: SharingWorld, ms: number) {
+    this.transitMs = ms;
+    await this.clock.runUntil(this.clock.now() + 1000);
+    this.instances[0].storeAnsweredAt = this.clock.now();
+  },
+);
+
+Then(
+  'after {int} ms every other instance holds its confirmation to be at least that old',
+  async function check(this: SharingWorld, ms: number) {
+    await this.clock.runUntil(this.clock.now() + ms);
+    for (const { sharing } of this.instances.slice(1)) {
+      assert.ok(Number.isFinite(sharing.peerStoreAgeMs), 'never confirmed');
+      assert.ok(sharing.peerStoreAgeMs >= ms, `${sharing.peerStoreAgeMs} ms`);
+    }
+  },
+);
+
+When(
+  'the store answers instance 0 all the time, and its new configuration cannot be fetched',
+  async function run(this: SharingWorld) {
+    await this.clock.runUntil(this.clock.now() + 1000);
+    const [first] = this.instances;
+    first.storeAnsweredAt = Infinity;
+    first.withholdsConfiguration = true;
+    await this.clock.runUntil(this.clock.now() + 1000);
+    FACTS.configuration.learn(first);
+  },
+);
+
+Then(
+  'after {int} ms the others have had no confirmation for {int} ms',
+  async function check(this: SharingWorld, ms: number, unconfirmedMs: number) {
+    await this.clock.runUntil(this.clock.now() + ms);
+    for (const { sharing } of this.instances.slice(1)) {
+      assert.ok(sharing.peerStoreAgeMs >= unconfirmedMs, `${sharing.peerStoreAgeMs} ms`);
+      assert.ok(sharing.exchangeAgeMs >= unconfirmedMs, `${sharing.exchangeAgeMs} ms`);
+    }
+  },
+);
--- a/features/core/store/store-follow-controller.feature
+++ b/features/core/store/store-follow-controller.feature
@@ -24,3 +24,10 @@
     And another instance becomes the hub, and peers report that the store answered 300 ms ago
     And 5000 ms pass
     Then it ignores the store
+
+  # Guards against an instance that waits for the age of the last confirmation to run out after its hub is lost.
+  Scenario: An instance that lost its hub follows the store within 1.3 seconds
+    Given an instance that isn't the hub of its failure domain, with peers that report that the store answered 300 ms ago
+    When 700 ms pass
+    And no exchange with a peer succeeds for 1300 ms
+    Then it follows the store
--- a/features/core/store/store-follow-controller.steps.ts
+++ b/features/core/store/store-follow-controller.steps.ts
@@ -5,7 +5,7 @@
 
 interface FollowWorld {
   clock: VirtualClock;
-  peers: { isHub: boolean; peerStoreAgeMs: number };
+  peers: { isHub: boolean; peerStoreAgeMs: number; exchangeAgeMs: number };
   follows: boolean;
 }
 
@@ -13,7 +13,7 @@
   'an instance that {word} the hub of its failure domain, with peers that report that the store answered {int} ms ago',
   function set(this: FollowWorld, hub: string, ageMs: number) {
     this.clock = new VirtualClock();
-    this.peers = { isHub: hub === 'is', peerStoreAgeMs: ageMs };
+    this.peers = { isHub: hub === 'is', peerStoreAgeMs: ageMs, exchangeAgeMs: 0 };
     this.follows = false;
     const follower = {
       start: () => {
@@ -45,6 +45,17 @@
   await this.clock.runUntil(this.clock.now() + ms);
 });
 
+When(
+  'no exchange with a peer succeeds for {int} ms',
+  async function run(this: FollowWorld, ms: number) {
+    const { clock, peers } = this;
+    for (let passed = 0; passed < ms; passed += 50) {
+      peers.exchangeAgeMs = passed;
+      await clock.runUntil(clock.now() + 50);
+    }
+  },
+);
+
 Then('it {word} the store', function check(this: FollowWorld, follows: string) {
   assert.equal(this.follows, follows === 'follows');
 });
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -77,6 +77,9 @@
   /** Time at which everything known here was the newest in the store, as confirmed by peers. */
   private confirmedAt = -Infinity;
 
+  /** Time of the last exchange with a peer that knew nothing newer. */
+  private exchangedAt = -Infinity;
+
   private isFetching = false;
 
   private round = 0;
@@ -116,6 +119,11 @@
     return this.dependencies.clock.now() - this.confirmedAt;
   }
 
+  /** Time since the last exchange with a peer that knew nothing newer, in milliseconds. */
+  public get exchangeAgeMs(): number {
+    return this.dependencies.clock.now() - this.exchangedAt;
+  }
+
   /** Returns the requests and retries of all other instances for a service, as reported by peers. */
   public peerRetryUse(service: string): PeerRetryUse {
     const use = this.peerRetries.find((known) => known.service === service);
@@ -186,9 +194,11 @@
     const { clock, port } = this.dependencies;
     peer.pendingSince = clock.now();
     const wasLive = this.table.isLive(peer, peer.pendingSince);
+    const sentAt = peer.pendingSince;
     try {
       const reply = await port.send(peer.identity.address, this.digestFor(peer, work));
       this.applyDigest(reply);
+      this.confirm(reply, sentAt);
     } catch (error) {
       this.table.avoid(peer, clock.now());
       if (wasLive) this.recordPeerEvent('peer-lost', peer, (error as Error).message);
@@ -225,6 +235,16 @@
     if (peer !== undefined && ticket > this.dependencies.deployments.ticket) this.fetchFrom(peer);
   }
 
+  /**
+   * Notes that a peer knows nothing newer. Its answer of the store is no younger than at the time when the
+   * digest was sent, less its age: a time on the way makes the result older, never younger.
+   */
+  private confirm({ ticket, storeAgeMs }: PeerDigest, sentAt: number): void {
+    if (storeAgeMs === undefined || ticket > this.dependencies.deployments.ticket) return;
+    this.confirmedAt = Math.max(this.confirmedAt, sentAt - storeAgeMs);
+    this.exchangedAt = this.dependencies.clock.now();
+  }
+
   /** Fetches a newer configuration. After a failure, the next digest of any peer that has it tries again. */
   private async fetchFrom(peer: Peer): Promise<void> {
     if (this.isFetching) return;
@@ -265,8 +285,7 @@
     });
   }
 
-  private applySender(digest: PeerDigest): void {
-    const { from, leaving, ticket, changes, applied, storeAgeMs, work } = digest;
+  private applySender({ from, leaving, ticket, changes, applied, work }: PeerDigest): void {
     const now = this.dependencies.clock.now();
     if (from.instance === this.dependencies.self.instance) return;
     const known = this.table.get(from.instance);
@@ -280,7 +299,6 @@
     peer.lastDigestAt = now;
     peer.ticket = ticket;
     peer.acknowledged = applied;
-    this.confirmedAt = Math.max(this.confirmedAt, now - (storeAgeMs ?? Infinity));
     this.advanceApplied(peer, from.incarnation, changes);
     if (leaving) this.table.avoid(peer, now);
     else if (!wasLive) this.recordPeerEvent('peer', peer);
--- a/src/core/store/StoreFollowController.ts
+++ b/src/core/store/StoreFollowController.ts
@@ -3,7 +3,7 @@
  *
  * The hub of each failure domain does, and the other instances receive the changes from it, so that the
  * number of calls to the store grows with the number of failure domains, not of instances. Any instance
- * also follows the store while no peer reports a recent answer from it.
+ * also follows the store while no peer confirms that what it knows is the newest.
  */
 import type { Clock, Disposable } from '../../ports/Types.js';
 import type { DecisionLog } from '../DecisionLog.js';
@@ -12,8 +12,10 @@
 export interface PeerStoreStatus {
   /** Whether this instance is the hub of its failure domain. */
   readonly isHub: boolean;
-  /** Time since the store last answered a peer, as reported by peers, in milliseconds. */
+  /** Time since peers last confirmed that the store has nothing newer, in milliseconds. */
   readonly peerStoreAgeMs: number;
+  /** Time since the last exchange with a peer that knew nothing newer, in milliseconds. */
+  readonly exchangeAgeMs: number;
 }
 
 /** Follows the store while started. */
@@ -36,9 +38,15 @@
 /** Delay of the first evaluation, in milliseconds: peers are asked first, and answer in a few link delays. */
 const FIRST_EVALUATION_MS = 120;
 
-/** Age up to which a reported answer is recent, in milliseconds: the hub's feed waits 2.5 s for a change. */
+/** Age up to which a confirmation is recent, in milliseconds: the hub's feed waits 2.4 s for a change. */
 const MAX_ANSWER_AGE_MS = 4000;
 
+/**
+ * Time without a confirming exchange after which peers are not relied on, in milliseconds: a lost hub is
+ * replaced sooner, and configuration must be in force in seconds.
+ */
+const MAX_EXCHANGE_AGE_MS = 1000;
+
 /**
  * Time for which following continues after it is no longer needed, in milliseconds, so that a hub that is
  * slow now and then does not cause a read each time.
@@ -65,8 +73,9 @@
   private evaluate(): void {
     const { clock, peers } = this.dependencies;
     const now = clock.now();
-    const { isHub, peerStoreAgeMs } = peers;
-    if (isHub || peerStoreAgeMs > MAX_ANSWER_AGE_MS) this.followsUntil = now + FOLLOW_HOLD_MS;
+    const { isHub, peerStoreAgeMs, exchangeAgeMs } = peers;
+    const isConfirmed = peerStoreAgeMs <= MAX_ANSWER_AGE_MS && exchangeAgeMs <= MAX_EXCHANGE_AGE_MS;
+    if (isHub || !isConfirmed) this.followsUntil = now + FOLLOW_HOLD_MS;
     this.setFollowing(now < this.followsUntil, isHub, peerStoreAgeMs);
     this.timer = clock.schedule(EVALUATION_INTERVAL_MS, () => this.evaluate());
   }
