Store: silent connections cost one time-out, and large answers are read to their end

Cause: a call that got no answer on a silent connection was followed by the next idle one, which may be as silent, for up to 3.2 s each, past config_apply_ms (3 s, on the sites 2 s) and contact_ms; a large answer had to arrive whole within the time limit of the call, and was otherwise read again from its start; only the configuration's feed counted for the age of what a hub confirms, not the servers'; a version that could not be decoded left no line. Now: a failed call closes the idle connections to the store; a feed call waits 1.8 s + 0.5 s, and after a failure not at all; the time limit counts for the head of an answer and then for each part; a line configuration-unreadable.

--- a/features/platform/FakeStore.ts
+++ b/features/platform/FakeStore.ts
@@ -1,6 +1,6 @@
 /** A fake of the platform's store that follows its published protocol. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 
 interface StoredRow {
   readonly table: string;
@@ -54,6 +54,11 @@
 
   private readonly waitingFeeds = new Set<() => void>();
 
+  private readonly openSockets = new Set<Socket>();
+
+  /** Open connections on which nothing is answered any more. */
+  private readonly silentSockets = new WeakSet<Socket>();
+
   private readonly handlers: Readonly<Record<string, Handler>> = {
     '/-/rows-get': (query, response) => this.get(query, response),
     '/-/rows-feed': (query, response) => this.feed(query, response),
@@ -65,6 +70,10 @@
   });
 
   public listen(): Promise<string> {
+    this.server.on('connection', (socket: Socket) => {
+      this.openSockets.add(socket);
+      socket.once('close', () => this.openSockets.delete(socket));
+    });
     return new Promise((resolve) => {
       this.server.listen(0, '127.0.0.1', () => {
         resolve(`127.0.0.1:${(this.server.address() as AddressInfo).port}`);
@@ -72,6 +81,11 @@
     });
   }
 
+  /** From now on, the connections that are open stay open, but bring no answer; new ones work. */
+  public silenceConnections(): void {
+    for (const socket of this.openSockets) this.silentSockets.add(socket);
+  }
+
   public close(): void {
     this.server.closeAllConnections();
     this.server.close();
@@ -102,7 +116,7 @@
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readAll(request);
-    if (this.fault === StoreFault.Silent) return;
+    if (this.fault === StoreFault.Silent || this.silentSockets.has(request.socket)) return;
     if (this.fault === StoreFault.Busy) {
       answer(response, 503);
       return;
@@ -136,6 +150,7 @@
     let timer: NodeJS.Timeout | undefined;
     const send = () => {
       clearTimeout(timer);
+      if (response.socket !== null && this.silentSockets.has(response.socket)) return;
       answer(response, 200, { rows: changed(), row_version: this.version, now_ms: 0 });
     };
     const wake = () => {
--- a/features/platform/router.feature
+++ b/features/platform/router.feature
@@ -52,6 +52,11 @@
     When the operator replaces key "key-1" with "key-2" in version 9, and version 5 is written afterwards
     Then within 2 seconds a caller with "key-2" is served and one with "key-1" gets status 401
 
+  Scenario: The open connections to the store fall silent, and a new configuration takes effect in time
+    When the open connections to the store fall silent
+    And the operator replaces key "key-1" with "key-2" in version 9, and version 5 is written afterwards
+    Then within 3 seconds a caller with "key-2" is served and one with "key-1" gets status 401
+
   Scenario: Invalid entries in the servers table are ignored; valid ones stay in use
     # Other writers may store values in the table that are not entries of servers.
     When invalid entries are written to the servers table
--- a/features/platform/router.steps.ts
+++ b/features/platform/router.steps.ts
@@ -230,6 +230,10 @@
   this.store.fault = fault;
 });
 
+When('the open connections to the store fall silent', function set(this: RouterWorld) {
+  this.store.silenceConnections();
+});
+
 When(
   'a caller requests {string} with key {string}',
   async function run(this: RouterWorld, path: string, key: string) {
--- a/src/adapters/http/HttpClient.ts
+++ b/src/adapters/http/HttpClient.ts
@@ -14,8 +14,15 @@
   readonly path: string;
   readonly headers?: OutgoingHttpHeaders;
   readonly body?: string | Buffer;
-  /** Time limit for the whole call, in milliseconds. */
+  /** Time limit for the whole call, in milliseconds; with `idleTimeoutMs`, for the answer's head. */
   readonly timeoutMs: number;
+  /**
+   * Time limit for each part of the answer's body, in milliseconds. Large bodies that take long over a narrow
+   * link are then read to their end.
+   */
+  readonly idleTimeoutMs?: number;
+  /** Maximum size of the answer's body, in bytes. */
+  readonly maxAnswerBytes?: number;
 }
 
 /** An answer whose body is in memory. */
@@ -26,6 +33,7 @@
 }
 
 const MAX_SOCKETS = 2048;
+/** Maximum size of an answer's body for calls that state none, in bytes. */
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 
 /** Splits `host:port` for Node's `http`, which expects an IPv6 host without brackets. */
@@ -36,11 +44,16 @@
 }
 
 /**
- * Reads a whole body.
+ * Reads a whole body. If it exceeds the limit, the connection is closed.
+ * @param onPart - called for each part
  * @throws Failure of kind `ConnectionLost` if the body exceeds `maxBytes` bytes
  * @throws the stream's error if the body ends early
  */
-export async function readBody(message: IncomingMessage, maxBytes: number): Promise<Buffer> {
+export async function readBody(
+  message: IncomingMessage,
+  maxBytes: number,
+  onPart?: () => void,
+): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let size = 0;
   for await (const chunk of message) {
@@ -51,6 +64,7 @@
         `The body exceeds the limit of ${maxBytes} bytes. Only a smaller one can be read.`,
       );
     chunks.push(chunk as Buffer);
+    onPart?.();
   }
   return Buffer.concat(chunks, size);
 }
@@ -84,10 +98,14 @@
           ...(call.body !== undefined && { 'content-length': Buffer.byteLength(call.body) }),
         },
       });
-      const timer = setTimeout(
-        () => outgoing.destroy(new Error(`no response within ${call.timeoutMs} ms`)),
-        call.timeoutMs,
-      );
+      const limit = (ms: number): NodeJS.Timeout =>
+        setTimeout(() => outgoing.destroy(new Error(`no response within ${ms} ms`)), ms);
+      let timer = limit(call.timeoutMs);
+      const restartTimer = (): void => {
+        if (call.idleTimeoutMs === undefined) return;
+        clearTimeout(timer);
+        timer = limit(call.idleTimeoutMs);
+      };
       const fail = (error: Error) => {
         clearTimeout(timer);
         const kind = connected ? FailureKind.ConnectionLost : FailureKind.NotConnected;
@@ -107,7 +125,8 @@
       });
       outgoing.on('error', fail);
       outgoing.on('response', (message) => {
-        readBody(message, MAX_ANSWER_BYTES)
+        restartTimer();
+        readBody(message, call.maxAnswerBytes ?? MAX_ANSWER_BYTES, restartTimer)
           .then((body) => {
             clearTimeout(timer);
             resolve({
@@ -122,6 +141,18 @@
     });
   }
 
+  /**
+   * Closes the idle connections to an address. If a call on one connection has failed, the others may be dead
+   * as well, and each would cost the next call another time-out.
+   */
+  public closeIdleConnections(address: string): void {
+    const { host, port } = hostAndPort(address);
+    for (const [name, sockets] of Object.entries(this.agent.freeSockets)) {
+      if (!name.startsWith(`${host}:${port}:`)) continue;
+      for (const socket of [...(sockets ?? [])]) socket.destroy();
+    }
+  }
+
   /**
    * Sends `body` as JSON and parses the answer as JSON; the value of an empty answer is undefined.
    * @throws Failure as `call` does
--- a/src/core/store/FeedFollower.ts
+++ b/src/core/store/FeedFollower.ts
@@ -89,7 +89,9 @@
       listener.onSnapshot(all);
       return;
     }
-    const changes = await feed.changesSince(this.revision, this.dependencies.waitMs);
+    // After a failure, a call that is answered at once shows soonest whether the store is back.
+    const waitMs = this.failures > 0 ? 0 : this.dependencies.waitMs;
+    const changes = await feed.changesSince(this.revision, waitMs);
     if (!this.isActive) return;
     if (changes === undefined) {
       this.dependencies.decisions.record('history-lost', {
--- a/src/core/store/StoreFollowController.ts
+++ b/src/core/store/StoreFollowController.ts
@@ -38,8 +38,11 @@
 /** Delay of the first evaluation, in milliseconds: peers are asked first, and answer in a few link delays. */
 const FIRST_EVALUATION_MS = 120;
 
-/** Age up to which a confirmation is recent, in milliseconds: the hub's feed waits 2.4 s for a change. */
-const MAX_ANSWER_AGE_MS = 4000;
+/**
+ * Age up to which a confirmation is recent, in milliseconds: the hub's feed waits 1.8 s for a change, and
+ * configuration must be in force in 3 s.
+ */
+const MAX_ANSWER_AGE_MS = 2600;
 
 /**
  * Time without a confirming exchange after which peers are not relied on, in milliseconds: a lost hub is
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -14,11 +14,17 @@
 /** Prefix of the router's own tables. The part of a key before its first slash completes the table's name. */
 const OWN_TABLE_PREFIX = 'acaciadrum-';
 
-/** Call timeout, in milliseconds; 250 times as long as a call usually takes. */
+/** Time limit for the head of an answer, in milliseconds; 250 times as long as a call usually takes. */
 const CALL_TIMEOUT_MS = 1000;
 
-/** Time added to the wait of a feed call to form its timeout, in milliseconds. */
-const FEED_MARGIN_MS = 700;
+/** Time limit for each part of an answer's body, in milliseconds. */
+const IDLE_TIMEOUT_MS = 1000;
+
+/** Time added to the wait of a feed call to form the time limit for the head of its answer, in milliseconds. */
+const FEED_MARGIN_MS = 500;
+
+/** Maximum size of an answer, in bytes; a page of rows has at most one megabyte besides its last row. */
+const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
 
 /** Appended to a key, gives the next key in sort order. */
 const KEY_SUCCESSOR_SUFFIX = '\u0000';
@@ -164,8 +170,19 @@
     body?: unknown,
   ): Promise<{ status: number; value: T | undefined }> {
     try {
-      return await this.http.json<T>({ address: this.address, method, path, timeoutMs }, body);
+      return await this.http.json<T>(
+        {
+          address: this.address,
+          method,
+          path,
+          timeoutMs,
+          idleTimeoutMs: IDLE_TIMEOUT_MS,
+          maxAnswerBytes: MAX_ANSWER_BYTES,
+        },
+        body,
+      );
     } catch (error) {
+      this.http.closeIdleConnections(this.address);
       throw new Failure(
         FailureKind.PlatformUnavailable,
         `The store did not answer: ${(error as Error).message} Check the store if this persists.`,
--- a/src/router/StoreTablesFollower.ts
+++ b/src/router/StoreTablesFollower.ts
@@ -13,8 +13,11 @@
 import type { ChangeFeed, StoreEntries } from '../ports/ChangeFeed.js';
 import type { Clock } from '../ports/Types.js';
 
-/** Longest wait of one call to a feed whose changes must take effect within seconds, in milliseconds. */
-const FEED_WAIT_MS = 2500;
+/**
+ * Longest wait of one call to a feed whose changes must take effect within seconds, in milliseconds. A silent
+ * connection is noticed only after it.
+ */
+const FEED_WAIT_MS = 1800;
 
 /** Longest wait of one call to the feed of instances, in milliseconds; peers also announce themselves. */
 const INSTANCE_FEED_WAIT_MS = 15_000;
@@ -75,11 +78,11 @@
   }
 
   /**
-   * Time since the store last answered a read of the configuration, in milliseconds; infinite if it never
-   * did.
+   * Time since the store last answered a read of the configuration and one of the servers, in milliseconds;
+   * infinite if it never did.
    */
   public get ageMs(): number {
-    return this.deploymentFollower.ageMs;
+    return Math.max(this.deploymentFollower.ageMs, this.serverFollower.ageMs);
   }
 
   public start(): void {
@@ -95,9 +98,11 @@
   }
 
   private applyDeployments({ entries }: StoreEntries<Deployment>): void {
-    for (const { value, revision } of entries) {
-      if (value === undefined || !this.dependencies.deployments.applyIfNewer(value)) continue;
-      this.dependencies.decisions.record('configuration', {
+    const { deployments, decisions } = this.dependencies;
+    for (const { key, value, revision } of entries) {
+      if (value === undefined) decisions.record('configuration-unreadable', { key, revision });
+      if (value === undefined || !deployments.applyIfNewer(value)) continue;
+      decisions.record('configuration', {
         ticket: value.ticket,
         revision,
         routes: value.routes.length,
