Routes: a search prices each server once

Cause: the price of a server was worked out for each pair of layer boundaries in its span. The prices cannot change during a search, so the result is the same.

--- a/src/core/routing/RoutePlanner.ts
+++ b/src/core/routing/RoutePlanner.ts
@@ -71,11 +71,15 @@
 }
 
 function toPricedSearch({ costs, ...query }: PricedRouteQuery): Search {
+  // A search prices each server once for every pair of boundaries in its span.
+  const serverMs = new Map<string, number>();
+  for (const { server } of query.candidates) serverMs.set(server, costs.serverMs(server));
   return {
     ...query,
     crossDomainMs: costs.crossDomainMs,
     remoteEntryMs: costs.remoteEntryMs,
-    stageMs: (candidate, layers) => layers * candidate.layerMs + costs.serverMs(candidate.server),
+    stageMs: (candidate, layers) =>
+      layers * candidate.layerMs + (serverMs.get(candidate.server) as number),
   };
 }
 
