--- a/src/router/RouterMetrics.ts
+++ b/src/router/RouterMetrics.ts
@@ -1,6 +1,8 @@
 /** Metrics of a router instance, served in the Prometheus text format. */
 import { createServer, type Server } from 'node:http';
-import { build, type Histogram } from 'hdr-histogram-js';
+// The package's index also loads its log writer, which sets up number formats of the locale.
+import { build } from 'hdr-histogram-js/dist/HistogramBuilder.js';
+import type { Histogram } from 'hdr-histogram-js';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
 import type { RefusalReason, RetryReason } from '../core/Outcome.js';
 import type { RelayCounters, RelayEnd } from '../core/relay/RelayDependencies.js';
