Relay: bytes without end that are no answer are cut off

Now: at most 2 MiB of a buffered answer, 256 KiB of one event, 256 KiB of a report or the answer to an order, and 64 KiB besides the body; past that the connection is closed, the server is avoided, and the request is repeated where it may be, otherwise refused as answer-too-long (502) with a remedy.

--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -5,7 +5,7 @@
 import { resetConnection } from './Sockets.js';
 import type { FakeStore } from './FakeStore.js';
 
-/** How the server answers requests. Streams are complete in every style but `Rejected`. */
+/** How the server answers requests. Streams are complete in every style but `Rejected` and the endless ones. */
 export enum AnswerStyle {
   Whole = 'whole',
   /** Without a length; the end of the connection ends the answer. */
@@ -18,6 +18,41 @@
   Rejected = 'rejected',
   /** The connection ends before the announced length. */
   Truncated = 'truncated',
+  EndlessLineEnds = 'endless line ends',
+  EndlessInterimAnswers = 'endless interim answers',
+  EndlessHeaders = 'endless headers',
+  EndlessBody = 'endless body',
+  EndlessChunkSize = 'endless chunk size',
+  EndlessEvent = 'endless event',
+}
+
+/** What a server sends in an endless answer: the beginning, and the part that it repeats. */
+const ENDLESS_ANSWERS: Partial<Record<AnswerStyle, { begin: string; repeat: string }>> = {
+  [AnswerStyle.EndlessLineEnds]: { begin: '', repeat: '\r\n'.repeat(1000) },
+  [AnswerStyle.EndlessInterimAnswers]: { begin: '', repeat: 'HTTP/1.1 103 Early Hints\r\n\r\n' },
+  [AnswerStyle.EndlessHeaders]: { begin: 'HTTP/1.1 200 OK\r\n', repeat: 'x-more: and more\r\n' },
+  [AnswerStyle.EndlessBody]: {
+    begin: 'HTTP/1.1 200 OK\r\nx-server-seal: seal\r\n\r\n',
+    repeat: 'x'.repeat(4096),
+  },
+  [AnswerStyle.EndlessChunkSize]: {
+    begin: 'HTTP/1.1 200 OK\r\nx-server-seal: seal\r\ntransfer-encoding: chunked\r\n\r\n',
+    repeat: '0'.repeat(4096),
+  },
+  [AnswerStyle.EndlessEvent]: {
+    begin: 'HTTP/1.1 200 OK\r\nx-server-seal: seal\r\n\r\nid: 1\ndata: ',
+    repeat: 'x'.repeat(4096),
+  },
+};
+
+/** Writes text again and again until the socket is closed. */
+function repeatUntilClosed(socket: Socket, text: string): void {
+  const write = (): void => {
+    if (socket.destroyed) return;
+    if (socket.write(text)) setImmediate(write);
+    else socket.once('drain', write);
+  };
+  write();
 }
 
 /** Number of events in a complete stream. */
@@ -51,6 +86,9 @@
 
   private ordersAccepted = 0;
 
+  /** Endless answers whose connections are open. */
+  private floods = 0;
+
   private address = '';
 
   private readonly sockets = new Set<Socket>();
@@ -100,6 +138,11 @@
     for (const socket of this.sockets) resetConnection(socket);
   }
 
+  /** Whether an endless answer is being sent. */
+  public get isFlooding(): boolean {
+    return this.floods > 0;
+  }
+
   /** Writes the server's entry to the store. */
   public announce(state: string): void {
     this.store.put('servers', this.id, {
@@ -162,6 +205,16 @@
       return;
     }
     this.runs.push({ id: String(headers['x-attempt-id']), at: performance.now(), headers });
+    const endless = ENDLESS_ANSWERS[this.style];
+    if (endless !== undefined) {
+      this.floods += 1;
+      request.socket.once('close', () => {
+        this.floods -= 1;
+      });
+      request.socket.write(endless.begin);
+      repeatUntilClosed(request.socket, endless.repeat);
+      return;
+    }
     if (headers['x-hop-count'] === undefined) this.answer(request, response);
     else this.stream(request, response);
   }
--- a/features/platform/router.feature
+++ b/features/platform/router.feature
@@ -22,6 +22,25 @@
       | rejected           | 503    |
       | truncated          | 502    |
 
+  # Guards against bytes that are no answer, without end: their memory, and requests that wait for them.
+  Scenario Outline: The servers send <style>
+    When the <servers> servers answer "<style>"
+    And a caller requests "<path>" with key "key-1"
+    Then the caller receives status 502 within 2000 ms, with reason "<reason>"
+    And within 1000 ms no <servers> server has a connection that is still busy
+    And the process has taken less than 64 MB more
+
+    Examples:
+      | style                   | servers | path      | reason          |
+      | endless line ends       | plain   | /book/1   | answer-too-long |
+      | endless interim answers | plain   | /book/1   | answer-too-long |
+      | endless headers         | plain   | /book/1   | server-lost     |
+      | endless body            | plain   | /book/1   | answer-too-long |
+      | endless chunk size      | plain   | /book/1   | answer-too-long |
+      | endless line ends       | engine  | /stream/1 | answer-too-long |
+      | endless headers         | engine  | /stream/1 | server-lost     |
+      | endless event           | engine  | /stream/1 | answer-too-long |
+
   Scenario: A server crashes in the middle of a stream
     When a caller requests a stream and its first server crashes after 4 events
     Then the caller receives 12 events and a complete answer with the server's signature
--- a/features/platform/router.steps.ts
+++ b/features/platform/router.steps.ts
@@ -28,6 +28,9 @@
   peerAddress: string;
   answer: ReceivedAnswer;
   stopped: Promise<void> | undefined;
+  /** Resident memory before an endless answer, in bytes. */
+  memoryBefore: number;
+  askedAt: number;
 }
 
 /** Time within which a new instance is ready and its servers hold their layers, in milliseconds. */
@@ -195,9 +198,45 @@
   },
 );
 
-When('the plain servers answer {string}', function set(this: RouterWorld, style: AnswerStyle) {
-  for (const server of this.plainServers) server.style = style;
-});
+const ENDLESS_SERVERS: Readonly<Record<string, (world: RouterWorld) => FakeBackendServer[]>> = {
+  plain: (world) => world.plainServers,
+  engine: (world) => world.engineServers,
+};
+
+When(
+  'the {word} servers answer {string}',
+  function set(this: RouterWorld, servers: string, style: AnswerStyle) {
+    for (const server of ENDLESS_SERVERS[servers](this)) server.style = style;
+    this.memoryBefore = process.memoryUsage().rss;
+    this.askedAt = performance.now();
+  },
+);
+
+Then(
+  'the caller receives status {int} within {int} ms, with reason {string}',
+  function check(this: RouterWorld, status: number, ms: number, reason: string) {
+    assert.equal(this.answer.status, status);
+    assert.ok(performance.now() - this.askedAt < ms, `${performance.now() - this.askedAt} ms`);
+    const { error } = JSON.parse(this.answer.body) as { error: { reason: string } };
+    assert.equal(error.reason, reason);
+  },
+);
+
+Then(
+  'within {int} ms no {word} server has a connection that is still busy',
+  async function check(this: RouterWorld, ms: number, servers: string) {
+    const list = ENDLESS_SERVERS[servers](this);
+    await waitUntil(ms, () => Promise.resolve(list.every(({ isFlooding }) => !isFlooding)));
+  },
+);
+
+Then(
+  'the process has taken less than {int} MB more',
+  function check(this: RouterWorld, mb: number) {
+    const taken = (process.memoryUsage().rss - this.memoryBefore) / 1e6;
+    assert.ok(taken < mb, `${taken} MB`);
+  },
+);
 
 When('a caller sends one non-idempotent request', async function run(this: RouterWorld) {
   this.answer = await sendRequest(this, { path: '/book/1' });
--- a/src/core/Outcome.ts
+++ b/src/core/Outcome.ts
@@ -26,6 +26,7 @@
   ClaimMismatch = 'claim-mismatch',
   ClaimHolderGone = 'claim-holder-gone',
   ServerLost = 'server-lost',
+  AnswerTooLong = 'answer-too-long',
   CallerGone = 'caller-gone',
   DeadlinePassed = 'deadline-passed',
 }
@@ -87,6 +88,7 @@
   [RefusalReason.ClaimMismatch]: { status: 422, retryAfterMs: 0 },
   [RefusalReason.ClaimHolderGone]: { status: 409, retryAfterMs: 0 },
   [RefusalReason.ServerLost]: { status: 502, retryAfterMs: 1000 },
+  [RefusalReason.AnswerTooLong]: { status: 502, retryAfterMs: 1000 },
   [RefusalReason.CallerGone]: { status: 499, retryAfterMs: 0 },
   [RefusalReason.DeadlinePassed]: { status: 504, retryAfterMs: 0 },
 };
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -11,7 +11,7 @@
 import { WorkReservation } from '../routing/WorkReservation.js';
 import { RelayEnd, type AssignedRequest, type RelayDependencies } from './RelayDependencies.js';
 import { SendTracker } from './SendTracker.js';
-import type { Relay, ServerCallListener } from './Types.js';
+import { CallFailure, type Relay, type ServerCallListener } from './Types.js';
 
 /** The first server of a route and the stages of the route; no stages for plain services. */
 export interface SendTarget {
@@ -19,6 +19,12 @@
   readonly stages: readonly Stage[];
 }
 
+/**
+ * Maximum size of an answer that is buffered, in bytes. Each request in progress may take this much of a
+ * process that has 250 MB.
+ */
+export const MAX_BUFFERED_BYTES = 2 * 1024 * 1024;
+
 /** Minimum time that an answer takes, in milliseconds; with less time left a request is not resent. */
 const MIN_SEND_MS = 15;
 
@@ -27,6 +33,8 @@
     'No server can accept the request now. Retry after the delay given in Retry-After.',
   [RefusalReason.ServerLost]:
     'The server failed before its answer was complete. Retry only if the request may run twice.',
+  [RefusalReason.AnswerTooLong]:
+    'The server sent more than the maximum size of an answer or of an event, and it was discarded. Retry only if the request may run twice; check the server if this repeats.',
   [RefusalReason.DeadlinePassed]:
     'The time limit of the request (route timeout or caller deadline) passed, and it may have run. Retry only if it may run twice.',
   [RefusalReason.DeadlineUnreachable]:
@@ -298,6 +306,11 @@
   }
 }
 
+/** Returns the reason that is reported for a failed call. */
+export function lossReason(failure: CallFailure): RefusalReason {
+  return failure === CallFailure.TooLong ? RefusalReason.AnswerTooLong : RefusalReason.ServerLost;
+}
+
 function countUsable(directory: ServerDirectory, service: string): number {
   let count = 0;
   for (const server of directory.all()) {
--- a/src/core/relay/CallRelay.ts
+++ b/src/core/relay/CallRelay.ts
@@ -1,7 +1,7 @@
 /** Relays a request whose answer is buffered and forwarded once it is complete. */
 import { RefusalReason, RetryReason } from '../Outcome.js';
 import { RouteKind } from '../deployment/Types.js';
-import { BaseRelay, type SendTarget } from './BaseRelay.js';
+import { BaseRelay, lossReason, MAX_BUFFERED_BYTES, type SendTarget } from './BaseRelay.js';
 import { RelayEnd } from './RelayDependencies.js';
 import { CallFailure, type AnswerHead, type ServerCallListener } from './Types.js';
 
@@ -13,17 +13,20 @@
 
   private chunks: Buffer[] = [];
 
+  private bufferedBytes = 0;
+
   /** Failure answer of a server, forwarded if a later send is lost or its answer cannot be trusted. */
   private failedAnswer: { head: AnswerHead; body: Buffer } | undefined;
 
   protected listener({ server }: SendTarget): ServerCallListener {
     this.head = undefined;
     this.chunks = [];
+    this.bufferedBytes = 0;
     return {
       onHead: (head) => {
         this.head = head;
       },
-      onData: (chunk) => this.chunks.push(chunk),
+      onData: (chunk) => this.handleChunk(server, chunk),
       onEnd: () => this.handleAnswer(server),
       onFailure: (failure) => this.handleFailure(server, failure),
     };
@@ -34,6 +37,12 @@
     return this.assigned.route.kind === RouteKind.Idempotent;
   }
 
+  private handleChunk(server: string, chunk: Buffer): void {
+    this.bufferedBytes += chunk.length;
+    if (this.bufferedBytes > MAX_BUFFERED_BYTES) this.handleFailure(server, CallFailure.TooLong);
+    else this.chunks.push(chunk);
+  }
+
   private handleAnswer(server: string): void {
     const head = this.head as AnswerHead;
     this.sendTracker.recordResult(!head.notExecuted);
@@ -68,7 +77,7 @@
       this.deliver(this.failedAnswer.head, this.failedAnswer.body);
       return;
     }
-    this.failWith(RefusalReason.ServerLost);
+    this.failWith(lossReason(failure));
   }
 
   private deliver(head: AnswerHead, body: Buffer): void {
--- a/src/core/relay/EventSplitter.ts
+++ b/src/core/relay/EventSplitter.ts
@@ -43,6 +43,11 @@
     return this.incompleteEvent !== undefined;
   }
 
+  /** Size of the buffered incomplete event, in bytes. */
+  public get incompleteBytes(): number {
+    return this.incompleteEvent?.length ?? 0;
+  }
+
   /** Discards the incomplete event of a lost server; the next server sends it again. */
   public restart(): void {
     this.incompleteEvent = undefined;
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -13,7 +13,7 @@
 import { WorkReservation } from '../routing/WorkReservation.js';
 import { describeStages } from '../routing/StageText.js';
 import type { Stage } from '../routing/Types.js';
-import { BaseRelay, type SendTarget } from './BaseRelay.js';
+import { BaseRelay, lossReason, MAX_BUFFERED_BYTES, type SendTarget } from './BaseRelay.js';
 import { retryReason } from './CallRelay.js';
 import { EventSplitter } from './EventSplitter.js';
 import { RelayEnd, type WatchedStream } from './RelayDependencies.js';
@@ -55,6 +55,9 @@
 /** After more than this many failed reroutes in a row, a stalled stream resumes at another first server. */
 const MAX_FAILED_REROUTES = 2;
 
+/** Maximum size of one event, in bytes; each open stream may hold this much. */
+const MAX_EVENT_BYTES = 256 * 1024;
+
 /** Stages of a new route on servers that are not on the old one. */
 function addedStages(before: readonly Stage[], after: readonly Stage[]): Stage[] {
   return after.filter(({ server }) => !before.some((stage) => stage.server === server));
@@ -88,6 +91,8 @@
   /** Body of an answer that is not an event stream. */
   private readonly chunks: Buffer[] = [];
 
+  private bufferedBytes = 0;
+
   private readonly registration: Disposable = this.dependencies.streamRegistry.add(this);
 
   public get id(): string {
@@ -116,6 +121,7 @@
   protected listener(target: SendTarget): ServerCallListener {
     this.splitter.restart();
     this.chunks.length = 0;
+    this.bufferedBytes = 0;
     this.head = undefined;
     this.averageGapMs = 0;
     this.epoch += 1;
@@ -125,7 +131,7 @@
       onHead: (head) => {
         this.head = head;
       },
-      onData: (chunk) => this.handleChunk(chunk),
+      onData: (chunk) => this.handleChunk(target, chunk),
       onEnd: () => this.handleAnswer(target),
       onFailure: (failure) => this.handleFailure(target, failure),
     };
@@ -155,12 +161,18 @@
     return head !== undefined && head.status === 200 && head.signed && head.identityEncoded;
   }
 
-  private handleChunk(chunk: Buffer): void {
+  private handleChunk(target: SendTarget, chunk: Buffer): void {
     if (!this.isStream) {
-      this.chunks.push(chunk);
+      this.bufferedBytes += chunk.length;
+      if (this.bufferedBytes > MAX_BUFFERED_BYTES) this.handleFailure(target, CallFailure.TooLong);
+      else this.chunks.push(chunk);
       return;
     }
     const batch = this.splitter.push(chunk);
+    if (this.splitter.incompleteBytes > MAX_EVENT_BYTES) {
+      this.handleFailure(target, CallFailure.TooLong);
+      return;
+    }
     if (batch.bytes === undefined) return;
     this.dependencies.invariants.check(
       InvariantKind.TokenOrder,
@@ -265,7 +277,7 @@
     if (failure !== CallFailure.MismatchedAnswer) this.dependencies.directory.suspect(server);
     const mayResend = notSent || this.assigned.route.resumable;
     if (mayResend && this.retry(retryReason(failure), server)) return;
-    this.failWith(RefusalReason.ServerLost);
+    this.failWith(lossReason(failure));
   }
 
   /** Resumes the stream at another first server. */
--- a/src/core/relay/Types.ts
+++ b/src/core/relay/Types.ts
@@ -76,6 +76,8 @@
   ConnectionLost = 'lost',
   /** The answer belongs to another request, or cannot be verified as the server's own. */
   MismatchedAnswer = 'foreign',
+  /** The answer, or an event of it, exceeds its maximum size, or bytes arrive that belong to no answer. */
+  TooLong = 'too-long',
   /** No connection was established in time. */
   ConnectTimeout = 'connect-timeout',
 }
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -35,6 +35,15 @@
   HEADER.lastEvent,
 ]);
 
+/**
+ * Bytes that may arrive besides the body, in bytes: the head, and line ends and interim answers before it.
+ * Node bounds a head but not those.
+ */
+const MAX_FRAMING_BYTES = 64 * 1024;
+
+/** Framing bytes allowed for each byte of the body: chunks of one byte have five. */
+const FRAMING_PER_BODY_BYTE = 8;
+
 const NO_EXCLUDED_HEADERS: ReadonlySet<string> = new Set();
 
 /** Formats a route for the platform's servers: `address=from-to` for each stage, separated by commas. */
@@ -86,10 +95,16 @@
 
   private connected = false;
 
+  /** Bytes that had been read on the connection before this call. */
+  private bytesBefore = 0;
+
+  private bodyBytes = 0;
+
   public constructor(
     private readonly call: ServerCall,
     private readonly listener: ServerCallListener,
     agent: ServerAgent,
+    private readonly onFinish: (call: OpenCall) => void,
   ) {
     const { message } = call.request;
     const options: ClientRequestArgs & { allowHalfOpen: boolean } = {
@@ -116,8 +131,18 @@
     this.outgoing.destroy();
   }
 
+  /** Closes the connection if the server sends bytes without end that are no part of an answer. */
+  public checkFraming(): void {
+    if (this.socket === undefined) return;
+    const framing = this.socket.bytesRead - this.bytesBefore - this.bodyBytes;
+    if (framing <= MAX_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * this.bodyBytes) return;
+    this.fail(CallFailure.TooLong);
+    this.outgoing.destroy();
+  }
+
   private finish(): void {
     this.isFinished = true;
+    this.onFinish(this);
     clearTimeout(this.connectTimer);
     this.socket?.removeListener('end', this.checkForReset);
   }
@@ -128,6 +153,7 @@
 
   private watchSocket(socket: Socket): void {
     this.socket = socket;
+    this.bytesBefore = socket.bytesRead;
     socket.prependListener('end', this.checkForReset);
     if (!socket.connecting) {
       this.connected = true;
@@ -165,6 +191,7 @@
     }
     this.listener.onHead(head);
     answer.on('data', (chunk: Buffer) => {
+      this.bodyBytes += chunk.length;
       if (!this.isFinished) this.listener.onData(chunk);
     });
     answer.on('end', () => {
--- a/src/platform/ServerClient.ts
+++ b/src/platform/ServerClient.ts
@@ -30,17 +30,32 @@
   blocked: z.array(z.object({ id: z.string(), address: z.string() })).default([]),
 });
 
+/** Interval at which open calls are checked for bytes that belong to no answer, in milliseconds. */
+const FRAMING_CHECK_MS = 250;
+
+/** Maximum size of the answer to an order or a request for a report, in bytes. */
+const MAX_CONTROL_BYTES = 256 * 1024;
+
 export class ServerClient implements ServerPort, OrderPort, ReportPort {
   private readonly agent = new ServerAgent();
 
+  private readonly openCalls = new Set<OpenCall>();
+
+  private readonly framingTimer = setInterval(() => {
+    for (const call of this.openCalls) call.checkFraming();
+  }, FRAMING_CHECK_MS).unref();
+
   public constructor(private readonly http: HttpClient) {}
 
   public dispose(): void {
+    clearInterval(this.framingTimer);
     this.agent.destroy();
   }
 
   public call(call: ServerCall, listener: ServerCallListener): Disposable {
-    return new OpenCall(call, listener, this.agent);
+    const open = new OpenCall(call, listener, this.agent, (ended) => this.openCalls.delete(ended));
+    this.openCalls.add(open);
+    return open;
   }
 
   public async order(order: PlacementOrder, timeoutMs: number): Promise<OrderAnswer> {
@@ -53,6 +68,7 @@
           path: PATH.order,
           headers: { [HEADER.expectedServer]: id },
           timeoutMs,
+          maxAnswerBytes: MAX_CONTROL_BYTES,
         },
         {
           operation: 'place',
@@ -85,6 +101,7 @@
           path: PATH.order,
           headers: { [HEADER.expectedServer]: id },
           timeoutMs,
+          maxAnswerBytes: MAX_CONTROL_BYTES,
         },
         { operation: 'repath', id: requestId, path: formatStages(stages) },
       );
@@ -109,6 +126,7 @@
         path: PATH.report,
         headers: { [HEADER.expectedServer]: id },
         timeoutMs,
+        maxAnswerBytes: MAX_CONTROL_BYTES,
       });
       const parsed = REPORT.safeParse(value);
       if (status !== 200 || !parsed.success) return undefined;
