Tickets: a peer's head confirms the configuration only where its tickets are applied

What operators would see: a ticket accepted elsewhere is not in force on an instance, for as long as its peers go on confirming it. The age of a reply counted from its arrival. Now: a head confirms only if its tickets are applied here, and a reply's age counts from when the exchange was sent.

--- a/src/core/gossip/Gossip.ts
+++ b/src/core/gossip/Gossip.ts
@@ -143,7 +143,7 @@
 
   /** Applies a peer's exchange and returns the reply. */
   public handleExchange(message: PeerExchange): PeerExchange {
-    this.applyExchange(message);
+    this.applyExchange(message, this.dependencies.clock.now());
     return {
       state: this.state(message.state.instance),
       tickets: this.dependencies.ticketFollower.ticketsAfter(message.state.applied, MAX_TICKETS),
@@ -164,7 +164,8 @@
         state: this.state(peer.name),
         tickets,
       });
-      this.applyExchange(reply);
+      // The reply was written after the exchange was sent, so its ages are not understated.
+      this.applyExchange(reply, now);
       if (reply.state.applied - this.dependencies.configuration.ticketNumber > SNAPSHOT_LAG) {
         this.dependencies.ticketFollower.applySnapshot(
           await this.dependencies.link.snapshot(peer.address),
@@ -222,14 +223,15 @@
     return view;
   }
 
-  private applyExchange(message: PeerExchange): void {
+  /** @param asOf - time from which the ages in the message count */
+  private applyExchange(message: PeerExchange, asOf: number): void {
     const now = this.dependencies.clock.now();
     const { state } = message;
     if (state.instance === this.dependencies.identity.instance) return;
     this.dependencies.peers.applyState(state, now);
     this.dependencies.ticketFollower.applyTickets(message.tickets);
     if (state.ready)
-      this.dependencies.ticketFollower.receivePeerHead(state.applied, state.headAgeMs);
+      this.dependencies.ticketFollower.receivePeerHead(state.applied, state.headAgeMs, asOf);
     const view = this.viewOf(state.instance);
     view.apply(state, this.dependencies.identity.incarnation);
     this.dependencies.load.applyPeerLoad(state.instance, view.busy, now);
--- a/src/core/tickets/TicketFollower.ts
+++ b/src/core/tickets/TicketFollower.ts
@@ -85,12 +85,15 @@
   }
 
   /**
-   * Receives the head of a live, ready peer.
+   * Receives the head of a live, ready peer. It confirms the head here only if all its tickets are applied:
+   * otherwise this instance reads them itself unless a peer soon sends them.
    * @param head - number of the last ticket that the peer applied
    * @param ageMs - time since the table service confirmed it, in milliseconds
+   * @param asOf - time from which the age counts, in milliseconds of the monotonic clock
    */
-  public receivePeerHead(head: number, ageMs: number): void {
-    this.headConfirmedAt = Math.max(this.headConfirmedAt, this.dependencies.clock.now() - ageMs);
+  public receivePeerHead(head: number, ageMs: number, asOf: number): void {
+    if (this.dependencies.configuration.ticketNumber >= head)
+      this.headConfirmedAt = Math.max(this.headConfirmedAt, asOf - ageMs);
     this.setReadyHead(head);
   }
 
