--- a/features/core/peers/peer-sharing.feature
+++ b/features/core/peers/peer-sharing.feature
@@ -66,3 +66,16 @@
     Given 3 instances that know each other
     When the store answers instance 0 all the time, and its new configuration cannot be fetched
     Then after 1500 ms the others have had no confirmation for 1200 ms
+
+  # Guards against a restarted instance that is taken to know what only its earlier process knew.
+  Scenario: An instance that starts again learns the servers that its earlier process knew
+    Given 3 instances that know each other
+    When instance 0 learns the server entries from the store
+    And instance 1 starts again without any state
+    Then within 1000 ms all know the server entries
+
+  Scenario: A server's entry is sent to each peer once
+    Given 3 instances that know each other
+    When instance 0 learns the server entries from the store
+    Then within 4000 ms all know the server entries
+    And the entry has been sent 2 times
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -23,6 +23,8 @@
   /** Time at which the store last answered this instance itself. */
   storeAnsweredAt: number;
   digestsSent: number;
+  /** Server entries in the digests and replies of this instance. */
+  entriesSent: number;
 }
 
 interface SharingWorld {
@@ -40,7 +42,12 @@
   return { instance: `i${index}`, address: String(index), failureDomain, incarnation: 1 };
 }
 
-function addInstance(world: SharingWorld, seeds: readonly string[], domain = 'a'): Instance {
+function addInstance(
+  world: SharingWorld,
+  seeds: readonly string[],
+  domain = 'a',
+  incarnation = 1,
+): Instance {
   const index = world.instances.length;
   const { clock } = world;
   const deployments = new Deployments();
@@ -58,7 +65,10 @@
     world.instances[index].digestsSent += 1;
     const copy = copyThroughJson(digest);
     if (world.transitMs > 0) await clock.sleep(world.transitMs);
-    const reply = copyThroughJson(reach(address).sharing.receiveDigest(copy));
+    const peer = reach(address);
+    const reply = copyThroughJson(peer.sharing.receiveDigest(copy));
+    world.instances[index].entriesSent += copy.records.length;
+    peer.entriesSent += reply.records.length;
     if (world.transitMs > 0) await clock.sleep(world.transitMs);
     return reply;
   };
@@ -76,7 +86,7 @@
     load,
     seeds,
     port: { send, fetchUpdate },
-    self: selfOf(index, domain),
+    self: { ...selfOf(index, domain), incarnation },
     decisions: { record: () => {} },
     isLeaving: () => false,
     storeAgeMs: () => Math.max(0, clock.now() - world.instances[index].storeAnsweredAt),
@@ -92,6 +102,7 @@
     withholdsConfiguration: false,
     storeAnsweredAt: -Infinity,
     digestsSent: 0,
+    entriesSent: 0,
   };
   world.instances.push(instance);
   return instance;
@@ -229,6 +240,24 @@
   },
 );
 
+When('instance 1 starts again without any state', async function run(this: SharingWorld) {
+  await this.clock.runUntil(this.clock.now() + 2000);
+  const [, before] = this.instances;
+  before.sharing.dispose();
+  const others = [...this.instances];
+  this.instances = [this.instances[0]];
+  const restarted = addInstance(this, [], before.domain, 2);
+  this.instances = [others[0], restarted, others[2]];
+  for (const index of [0, 2]) restarted.sharing.addPeer(selfOf(index, before.domain));
+  restarted.sharing.start();
+});
+
+Then('the entry has been sent {int} times', function check(this: SharingWorld, times: number) {
+  let sent = 0;
+  for (const { entriesSent } of this.instances) sent += entriesSent;
+  assert.equal(sent, times);
+});
+
 When('a third starts with the first as its seed', function run(this: SharingWorld) {
   addInstance(this, ['0']).sharing.start();
 });
--- a/src/core/deployment/DeploymentUpdate.ts
+++ b/src/core/deployment/DeploymentUpdate.ts
@@ -1,5 +1,4 @@
 /** Differences between deployments, so that a small change of a large deployment is a small message. */
-import { isDeepStrictEqual } from 'node:util';
 import type { CallerLimits, ClientAccount, Deployment, RequestRoute, Service } from './Types.js';
 
 /** An item that its name identifies. */
@@ -27,6 +26,11 @@
   readonly limits: CallerLimits;
 }
 
+/** Whether two items are equal. Both come from the same decoder, so their properties have one order. */
+function isEqual(a: unknown, b: unknown): boolean {
+  return a === b || JSON.stringify(a) === JSON.stringify(b);
+}
+
 function byName<T extends Named>(items: readonly T[]): Map<string, T> {
   return new Map(items.map((item) => [item.name, item]));
 }
@@ -41,7 +45,7 @@
   for (const item of after) {
     const old = known.get(item.name);
     known.delete(item.name);
-    if (old !== item && !isDeepStrictEqual(old, item)) changed.push(item);
+    if (!isEqual(old, item)) changed.push(item);
   }
   return { changed, removed: [...known.keys()] };
 }
@@ -62,7 +66,7 @@
   const old = byName(known);
   return items.map((item) => {
     const candidate = old.get(item.name);
-    return candidate !== undefined && isDeepStrictEqual(candidate, item) ? candidate : item;
+    return candidate !== undefined && isEqual(candidate, item) ? candidate : item;
   });
 }
 
