Orders: every server of a failure domain is reached

What operators would see: layers that a ticket assigns are never loaded on the fifth server of a failure domain and later ones. Cause: each round began with the first server and ended at four in progress, probes of servers without work included. Now: servers wait in a queue of four at a time, and the state in force is read when a server's turn comes.

--- a/src/core/placement/OrderDriver.ts
+++ b/src/core/placement/OrderDriver.ts
@@ -2,6 +2,7 @@
  * Orders backend servers to load the layer ranges that the change tickets specify. Used by entry
  * instances; router instances use `PlacementDriver`, which orders the layers that the planner assigns.
  */
+import PQueue from 'p-queue';
 import type { Clock, Disposable } from '../../ports/Types.js';
 import { InvariantKind, type Invariants } from '../Invariant.js';
 import { LEASE_MS } from '../leases/LeaseKeeper.js';
@@ -75,7 +76,10 @@
 }
 
 export class OrderDriver {
-  private readonly inProgress = new Set<string>();
+  /** Servers that are probed or ordered, or wait for it. */
+  private readonly queued = new Set<string>();
+
+  private readonly queue = new PQueue({ concurrency: MAX_SERVERS_IN_PROGRESS });
 
   private timer: Disposable | undefined;
 
@@ -89,6 +93,7 @@
 
   public dispose(): void {
     this.disposed = true;
+    this.queue.clear();
     this.timer?.dispose();
   }
 
@@ -102,15 +107,17 @@
     for (const { name, state } of this.dependencies.configuration.list(ObjectKind.BackendServer)) {
       if (state.failureDomain !== this.dependencies.failureDomain || state.layerRanges.length === 0)
         continue;
-      if (this.inProgress.size >= MAX_SERVERS_IN_PROGRESS) return;
-      if (!this.inProgress.has(name)) this.reconcile(name, state);
+      if (this.queued.has(name)) continue;
+      this.queued.add(name);
+      this.queue.add(() => this.reconcile(name));
     }
   }
 
   /** Probes a server, and sends it an order if it has not loaded all of its wanted ranges. */
-  private async reconcile(name: string, state: BackendServer): Promise<void> {
-    this.inProgress.add(name);
+  private async reconcile(name: string): Promise<void> {
     try {
+      const state = this.dependencies.configuration.state(ObjectKind.BackendServer, name);
+      if (state === undefined || this.disposed) return;
       const report = await this.dependencies.engine.probe(state.address, ORDER_TIMEOUT_MS);
       if (report.loaded === undefined || holdsAllRanges(report.loaded, state.layerRanges)) return;
       await this.send(name, state);
@@ -119,7 +126,7 @@
         `Server ${name} could not be probed or ordered to load its layers; retrying in the next round.`,
       );
     } finally {
-      this.inProgress.delete(name);
+      this.queued.delete(name);
     }
   }
 
