Claims: a claim that could not be read back is released

What callers saw: a keyed request was refused as not run, which was true, but each repeat with its key got 409 unknown. Cause: an insert that had committed counted as not made when the read after it failed, so that nobody released the row. Now: such a claim has an unknown verdict, and is settled in the background like one whose insert got no answer: read, and released, since its request was never dispatched.

--- a/src/core/claims/ClaimStore.ts
+++ b/src/core/claims/ClaimStore.ts
@@ -61,11 +61,17 @@
 
   /** Claims a key. The request may be dispatched only when the verdict is `Held`. */
   public async claim(request: ClaimRequest): Promise<ClaimResult> {
+    let isInserted = false;
     for (let round = 0; round < MAX_CLAIM_ROUNDS; round += 1) {
       const result = await this.tryClaim(request);
-      if (result !== undefined) return result;
+      if (result === SettleOutcome.Committed) isInserted = true;
+      else if (result === SettleOutcome.Conflict) isInserted = false;
+      // A claim that was made and cannot be read back still has to be released.
+      else if (result.verdict === ClaimVerdict.NotMade && isInserted) break;
+      else return result;
     }
-    return { verdict: ClaimVerdict.NotMade, version: 0 };
+    const verdict = isInserted ? ClaimVerdict.Unknown : ClaimVerdict.NotMade;
+    return { verdict, version: 0 };
   }
 
   /** Reads the row of a key; rejects while the table service is unavailable. */
@@ -90,7 +96,13 @@
     return this.finish(claim, ClaimState.Released);
   }
 
-  private async tryClaim(request: ClaimRequest): Promise<ClaimResult | undefined> {
+  /**
+   * Evaluates the row, or inserts it.
+   * @returns `Committed` after the insert: the next round reads the version; `Conflict` if another row won
+   */
+  private async tryClaim(
+    request: ClaimRequest,
+  ): Promise<ClaimResult | SettleOutcome.Committed | SettleOutcome.Conflict> {
     let row: Row | undefined;
     try {
       [row] = await this.dependencies.table.read([claimKey(request.account, request.key)]);
@@ -110,8 +122,7 @@
       return { verdict: ClaimVerdict.NotMade, version: 0 };
     if (settled.outcome === SettleOutcome.Unknown)
       return { verdict: ClaimVerdict.Unknown, version: 0 };
-    // Committed: the next round reads the version. Conflict: it reads the row that won.
-    return undefined;
+    return settled.outcome;
   }
 
   private claimWrite(request: ClaimRequest, row: Row | undefined): SettleableWrite {
--- a/src/core/claims/Types.ts
+++ b/src/core/claims/Types.ts
@@ -42,14 +42,11 @@
   Running = 'running',
   /** The key was used for a different request. */
   Mismatch = 'mismatch',
-  /**
-   * No claim was made and none will be, or a claim was made and could not be read back. This attempt
-   * dispatches nothing.
-   */
+  /** No claim was made and none will be. This attempt dispatches nothing. */
   NotMade = 'not-made',
   /**
-   * The table service did not answer; the claim may still take effect, but this attempt dispatches
-   * nothing.
+   * The table service did not answer; the claim may have taken effect or still do so, but this attempt
+   * dispatches nothing.
    */
   Unknown = 'silent',
 }
