Tests: a drained server's requests are counted at the servers

It now counts the streams of which any part was requested at each server: none at the drained one, all at the others.

--- a/features/entry/Caller.ts
+++ b/features/entry/Caller.ts
@@ -23,6 +23,11 @@
   readonly onChunk?: (count: number) => void;
 }
 
+/** Describes an answer in the message of a failed check. */
+export function describeAnswer({ status, headers, body }: CallerAnswer): string {
+  return `${status} ${headers['acaciadrum-outcome']} ${headers['acaciadrum-reason']} ${body}`;
+}
+
 const NO_ANSWER: CallerAnswer = { status: 0, headers: {}, trailers: {}, body: '', ended: false };
 
 /** Sends a request with the key of a demo account; a failed connection resolves to status 0. */
--- a/features/entry/fleet.steps.ts
+++ b/features/entry/fleet.steps.ts
@@ -13,7 +13,7 @@
   type FleetServer,
 } from '../../src/fakes/DemoFleet.js';
 import { answerText } from '../../src/fakes/TokenText.js';
-import { sendRequest, parseStream, type CallerAnswer } from './Caller.js';
+import { describeAnswer, sendRequest, parseStream, type CallerAnswer } from './Caller.js';
 
 setDefaultTimeout(60_000);
 
@@ -275,7 +275,7 @@
 
 Then('every answer is the same and the booking ran once', function check(this: FleetWorld) {
   for (const answer of this.answers) {
-    assert.equal(answer.headers['acaciadrum-outcome'], 'complete');
+    assert.equal(answer.headers['acaciadrum-outcome'], 'complete', describeAnswer(answer));
     assert.equal(answer.body, this.answers[0].body);
   }
   assert.equal(countRuns(this, this.key), 1);
@@ -439,6 +439,7 @@
       ),
     3000,
   );
+  const before = this.fleet.servers.map(({ daemon }) => daemon.requestedStreams.size);
   const sent = Array.from({ length: 12 }, (_, index) =>
     sendRequest({
       address: callersAddress(this, index),
@@ -449,8 +450,12 @@
   );
   const answers = await Promise.all(sent);
   for (const answer of answers) assert.equal(answer.headers['acaciadrum-outcome'], 'complete');
-  for (const { entry } of this.fleet.entries)
-    assert.equal(entry.core.load.listOwnBusyMs().get(this.affectedServer.name), undefined);
+  const requested = this.fleet.servers.map(
+    ({ daemon }, index) => daemon.requestedStreams.size - before[index],
+  );
+  assert.equal(requested[this.fleet.servers.indexOf(this.affectedServer)], 0);
+  // Every stream begins at some server, so the others have counted all of them.
+  assert.ok(requested.reduce((sum, count) => sum + count, 0) >= sent.length);
   await this.fleet.file(serverTicket(this, this.affectedServer, false, 'Back in service.'));
 });
 
--- a/features/entry/processes.steps.ts
+++ b/features/entry/processes.steps.ts
@@ -11,7 +11,7 @@
 import { ObjectKind } from '../../src/core/tickets/Types.js';
 import { DEMO_KEYS } from '../../src/fakes/DemoFleet.js';
 import { answerText } from '../../src/fakes/TokenText.js';
-import { sendRequest, parseStream, type CallerAnswer } from './Caller.js';
+import { describeAnswer, sendRequest, parseStream, type CallerAnswer } from './Caller.js';
 
 const MAIN = 'dist/src/cli/main.js';
 const TOKEN = 'process-operator-token';
@@ -218,7 +218,7 @@
       });
       assert.ok(whole.body.includes(answerText('user: x', 4)));
       const read = await sendRequest({ address, method: 'GET', path: '/services/orders/stock/1' });
-      assert.equal(read.headers['acaciadrum-outcome'], 'complete');
+      assert.equal(read.headers['acaciadrum-outcome'], 'complete', describeAnswer(read));
       const booked = await sendRequest({
         address,
         method: 'POST',
@@ -226,7 +226,7 @@
         body: '{}',
         headers: keyed,
       });
-      assert.equal(booked.headers['acaciadrum-outcome'], 'complete');
+      assert.equal(booked.headers['acaciadrum-outcome'], 'complete', describeAnswer(booked));
       bookings.push(booked.body);
     }
     assert.equal(bookings[0], bookings[1]);
--- a/src/fakes/BackendDaemon.ts
+++ b/src/fakes/BackendDaemon.ts
@@ -61,6 +61,9 @@
   /** Number of times that each plain call ran, by its `x-call-id`; tests assert at most one. */
   public readonly plainRunsByCall = new Map<string, number>();
 
+  /** Streams of which some part was requested here, whether it ran or not. */
+  public readonly requestedStreams = new Set<string>();
+
   public readonly sequences = new StageSequences();
 
   /** Highest fencing number of the accepted orders; 0 before the first. */
@@ -189,6 +192,7 @@
   }
 
   private async serveStream(opening: StreamOpening, response: ServerResponse): Promise<void> {
+    this.requestedStreams.add(opening.request);
     if (this.sequences.leaving && !this.sequences.has(opening.request))
       return this.reply(response, 410, {});
     response.writeHead(200, { 'content-type': 'application/octet-stream' });
@@ -248,6 +252,7 @@
   private async runStage(call: StageCall): Promise<StageAnswer> {
     const { opening } = call;
     const stage = opening.stages[call.stage];
+    this.requestedStreams.add(opening.request);
     const failed = (kind: EngineFailureKind): StageAnswer => ({
       failure: { kind, server: stage.server },
     });
