Tests: the server that is blamed is told from the one that has its address now

In the set-up the address stayed with the first server, so that a lookup in the directory alone passed. Now the directory assigns the address to the later server, and the step checks whose layers are cleared.

--- a/features/core/relay/relays.feature
+++ b/features/core/relay/relays.feature
@@ -55,12 +55,14 @@
   Scenario: A server that restarted without layers gets no request for its old layers, even if the store does not know of the restart
     Given a stream of an engine with three servers of the first layers and two of the later ones
     When its first server reports that "later-0" does not hold its layers
-    Then no route passes "later-0" until its entry shows layers again
+    Then "later-0" counts as a server without layers
+    And no route passes "later-0" until its entry shows layers again
 
   Scenario: The server on the route is blamed even if another server's entry has its address
     Given a stream of an engine with three servers of the first layers and two of the later ones
     When its first server reports that "later-0", whose address is also in the entry of "next", does not hold its layers
-    Then no route passes "later-0" until its entry shows layers again
+    Then "later-0" counts as a server without layers
+    And no route passes "later-0" until its entry shows layers again
 
   Scenario: The body of a rejection is not part of a later failure
     Given a stream over two servers
--- a/features/core/relay/relays.steps.ts
+++ b/features/core/relay/relays.steps.ts
@@ -164,13 +164,17 @@
   function run(this: RelayWorld, later: string) {
     const { directory } = this.fixture;
     const address = directory.get(later)?.record.address;
-    // The entry of another server with this address. It does not state when that server started, so the
-    // directory does not conclude that the earlier server at the address has ended.
-    directory.put(backendServer('next', { address, service: 'plain', incarnation: 0 }));
+    // The entry of a server that started later: for the directory, the address is now that server's.
+    directory.put(backendServer('next', { address, service: 'plain', incarnation: 2 }));
+    assert.equal(directory.findByAddress(address ?? '')?.record.id, 'next');
     reject(this, address, true);
   },
 );
 
+Then('{string} counts as a server without layers', function check(this: RelayWorld, later: string) {
+  assert.equal(this.fixture.directory.get(later)?.record.span, undefined);
+});
+
 Then(
   'no route passes {string} until its entry shows layers again',
   async function check(this: RelayWorld, later: string) {
