Sharing: a restarted instance is told what its earlier process had reported

Evidence: the new case for instance 0 fails on a trial build that compares instances only. Now the process is compared, by its incarnation. Besides, a digest that cannot be applied, for example of another build, ends its stream and not the process.

--- a/features/core/peers/peer-sharing.feature
+++ b/features/core/peers/peer-sharing.feature
@@ -68,12 +68,17 @@
     Then after 1500 ms the others have had no confirmation for 1200 ms
 
   # Guards against a restarted instance that is taken to know what only its earlier process knew.
-  Scenario: An instance that starts again learns the servers that its earlier process knew
+  Scenario Outline: Instance <instance> starts again and learns the servers that its earlier process knew
     Given 3 instances that know each other
     When instance 0 learns the server entries from the store
-    And instance 1 starts again without any state
+    And instance <instance> starts again without any state
     Then within 1000 ms all know the server entries
 
+    Examples: instance 0 had told the others
+      | instance |
+      | 0        |
+      | 1        |
+
   Scenario: A server's entry is sent to each peer once
     Given 3 instances that know each other
     When instance 0 learns the server entries from the store
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -240,17 +240,21 @@
   },
 );
 
-When('instance 1 starts again without any state', async function run(this: SharingWorld) {
-  await this.clock.runUntil(this.clock.now() + 2000);
-  const [, before] = this.instances;
-  before.sharing.dispose();
-  const others = [...this.instances];
-  this.instances = [this.instances[0]];
-  const restarted = addInstance(this, [], before.domain, 2);
-  this.instances = [others[0], restarted, others[2]];
-  for (const index of [0, 2]) restarted.sharing.addPeer(selfOf(index, before.domain));
-  restarted.sharing.start();
-});
+When(
+  'instance {int} starts again without any state',
+  async function run(this: SharingWorld, index: number) {
+    await this.clock.runUntil(this.clock.now() + 2000);
+    const before = this.instances[index];
+    before.sharing.dispose();
+    const others = this.instances.slice(index + 1);
+    this.instances.length = index;
+    const restarted = addInstance(this, [], before.domain, 2);
+    this.instances.push(...others);
+    for (let peer = 0; peer < this.instances.length; peer += 1)
+      if (peer !== index) restarted.sharing.addPeer(selfOf(peer, before.domain));
+    restarted.sharing.start();
+  },
+);
 
 Then('the entry has been sent {int} times', function check(this: SharingWorld, times: number) {
   let sent = 0;
--- a/src/adapters/grpc/SharingService.ts
+++ b/src/adapters/grpc/SharingService.ts
@@ -103,9 +103,14 @@
   public constructor(handler: SharingHandler) {
     this.server.addService(SHARING_SERVICE, {
       Exchange: (stream: ServerDuplexStream<NumberedDigest, NumberedDigest>) => {
-        stream.on('data', ({ number, digest }: NumberedDigest) =>
-          stream.write({ number, digest: handler.receiveDigest(digest) }),
-        );
+        stream.on('data', ({ number, digest }: NumberedDigest) => {
+          try {
+            stream.write({ number, digest: handler.receiveDigest(digest) });
+          } catch (error) {
+            // A digest of another build; its sender logs the reason and follows the store by itself.
+            stream.destroy(error as Error);
+          }
+        });
         stream.on('end', () => stream.end());
         // The peer has closed its connection and opens a new one for its next digest.
         stream.on('error', () => {});
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -15,7 +15,7 @@
 import type { BackendServer } from '../deployment/Types.js';
 import type { PeerRetryUse, RetryUse } from '../limits/SharedRetryBudget.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
-import { ChangeSequence } from './ChangeSequence.js';
+import { ChangeSequence, type PeerProcess } from './ChangeSequence.js';
 import { PeerTable, type Peer } from './PeerTable.js';
 import type { PeerIdentity, PeerDigest, PeerPort, WorkReport } from './Types.js';
 import { WorkAggregator } from './WorkAggregator.js';
@@ -71,8 +71,8 @@
 
   private readonly serverChanges = new ChangeSequence();
 
-  /** Peer whose server entries are being applied. */
-  private changeSource: string | undefined;
+  /** Process of the peer whose server entries are being applied. */
+  private changeSource: PeerProcess | undefined;
 
   /** Time at which everything known here was the newest in the store, as confirmed by peers. */
   private confirmedAt = -Infinity;
@@ -228,7 +228,7 @@
     const { from, peers, records, ticket } = digest;
     this.applySender(digest);
     for (const identity of peers) this.table.add(identity, false);
-    this.changeSource = from.instance;
+    this.changeSource = from;
     for (const entry of records) this.applyServer(entry, from);
     this.changeSource = undefined;
     const peer = this.table.get(from.instance);
@@ -339,7 +339,7 @@
     const { acknowledged, identity } = peer;
     const from = acknowledged?.incarnation === self.incarnation ? acknowledged.position : 0;
     const records: BackendServer[] = [];
-    for (const id of this.serverChanges.changedAfter(from, identity.instance)) {
+    for (const id of this.serverChanges.changedAfter(from, identity)) {
       const server = directory.get(id);
       if (server === undefined) this.serverChanges.delete(id);
       // It is not yet known whether a missing server is gone or will return.
