--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -236,8 +236,8 @@
   }
 
   /**
-   * Notes that a peer knows nothing newer. Its answer of the store is no younger than at the time when the
-   * digest was sent, less its age: a time on the way makes the result older, never younger.
+   * Notes that a peer knows nothing newer. The age counts from when the digest was sent, although the peer
+   * stated it later: time on the way can make the confirmation look older, but never more recent.
    */
   private confirm({ ticket, storeAgeMs }: PeerDigest, sentAt: number): void {
     if (storeAgeMs === undefined || ticket > this.dependencies.deployments.ticket) return;
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -23,7 +23,7 @@
  * Maximum size of an answer that is buffered, in bytes. Each request in progress may take this much of a
  * process that has 250 MB.
  */
-export const MAX_BUFFERED_BYTES = 2 * 1024 * 1024;
+export const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 
 /** Minimum time that an answer takes, in milliseconds; with less time left a request is not resent. */
 const MIN_SEND_MS = 15;
