--- a/src/adapters/grpc/SharingService.ts
+++ b/src/adapters/grpc/SharingService.ts
@@ -44,6 +44,8 @@
   receiveDigest(digest: PeerDigest): PeerDigest;
   /** Returns the update from a version to the one in force here; undefined if none is. */
   updateSince(ticket: number): DeploymentUpdate | undefined;
+  /** Called when a peer's digest could not be applied, for example that of another build. */
+  handleFailure(error: Error): void;
 }
 
 function serialize(value: unknown): Buffer {
@@ -107,7 +109,7 @@
           try {
             stream.write({ number, digest: handler.receiveDigest(digest) });
           } catch (error) {
-            // A digest of another build; its sender logs the reason and follows the store by itself.
+            handler.handleFailure(error as Error);
             stream.destroy(error as Error);
           }
         });
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -89,6 +89,7 @@
   private readonly peers = new SharingService({
     receiveDigest: (digest) => this.sharing.receiveDigest(digest),
     updateSince: (ticket) => this.deployments.updateSince(ticket),
+    handleFailure: ({ message }) => this.log.record('digest-rejected', { error: message }),
   });
 
   private readonly sharing: PeerSharing;
