Logs: a lost call names the parts of its prompt and whether its answer had begun

On the users' platform, the lines of a request did not tell a server that ended because of a request from one that failed by itself: no type held the parts of a prompt and no line named them. No decision changes.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -196,6 +196,7 @@
       arrivedAt: this.clock.now(),
       deadlineMs: 20_000,
       prompt: { promptTokens: 800, maxAnswerTokens: 200 },
+      sharedPromptParts: [],
       resumeAfter: undefined,
       message: { method: 'POST', target: '/x/', headers: [], body: Buffer.from('body') },
       ...values,
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -144,6 +144,7 @@
       server: target.server,
       revision: server.revision,
       route: describeStages(stages),
+      parts: request.sharedPromptParts.join(','),
       msLeft: Math.round(this.msLeft),
     });
     this.call = port.call(
@@ -185,6 +186,22 @@
     return true;
   }
 
+  /**
+   * Logs the loss of a call.
+   * @param hasBegun - whether the server had begun the answer
+   */
+  protected recordLoss(server: string, failure: CallFailure, hasBegun: boolean): void {
+    const { request } = this.assigned;
+    this.dependencies.decisions.record('lost', {
+      id: request.id,
+      server,
+      failure,
+      hasBegun,
+      sends: this.sendTracker.sendCount,
+      parts: request.sharedPromptParts.join(','),
+    });
+  }
+
   protected moveReservation(stages: readonly Stage[]): void {
     this.reservation?.reroute(stages);
   }
--- a/src/core/relay/CallRelay.ts
+++ b/src/core/relay/CallRelay.ts
@@ -69,6 +69,7 @@
 
   private handleFailure(server: string, failure: CallFailure): void {
     const notSent = failure === CallFailure.NotSent || failure === CallFailure.ConnectTimeout;
+    this.recordLoss(server, failure, this.head !== undefined);
     this.sendTracker.recordResult(!notSent);
     if (notSent) this.sendTracker.releaseServer(server);
     if (failure !== CallFailure.MismatchedAnswer) this.dependencies.directory.suspect(server);
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -76,6 +76,9 @@
 
   private answerBegun = false;
 
+  /** Events of the last send. */
+  private eventsOfSend = 0;
+
   private averageGapMs = 0;
 
   private rerouting = false;
@@ -124,6 +127,7 @@
     this.bufferedBytes = 0;
     this.head = undefined;
     this.averageGapMs = 0;
+    this.eventsOfSend = 0;
     this.epoch += 1;
     this.stages = target.stages;
     this.lastEventAt = this.dependencies.clock.now();
@@ -179,6 +183,7 @@
       !batch.gap,
       () => `an event of request ${this.id} is missing`,
     );
+    this.eventsOfSend += batch.events;
     this.recordEvent();
     if (!this.answerBegun) this.beginAnswer();
     this.assigned.reply.write(batch.bytes);
@@ -272,6 +277,7 @@
   private handleFailure(target: SendTarget, failure: CallFailure): void {
     const { server } = target;
     const notSent = failure === CallFailure.NotSent || failure === CallFailure.ConnectTimeout;
+    this.recordLoss(server, failure, this.eventsOfSend > 0);
     this.sendTracker.recordResult(!notSent || this.answerBegun);
     if (notSent) this.sendTracker.releaseServer(server);
     if (failure !== CallFailure.MismatchedAnswer) this.dependencies.directory.suspect(server);
--- a/src/core/relay/Types.ts
+++ b/src/core/relay/Types.ts
@@ -34,6 +34,8 @@
   /** Time from `arrivedAt` for which the caller waits, in milliseconds; infinite if it states none. */
   readonly deadlineMs: number;
   readonly prompt: PromptSize | undefined;
+  /** Ids of the parts of the prompt that other requests may have as well, in order. */
+  readonly sharedPromptParts: readonly string[];
   /** Id of the last event that the caller received of an interrupted stream. */
   readonly resumeAfter: string | undefined;
   readonly message: ForwardedMessage;
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -51,6 +51,17 @@
   return { promptTokens: prompt, maxAnswerTokens: answer };
 }
 
+/** Maximum number of prompt parts that are read from a request. */
+const MAX_PROMPT_PARTS = 32;
+
+/** Returns the ids of the prompt's parts, except the last one, which no other caller's request has. */
+function readSharedPromptParts(request: IncomingMessage): string[] {
+  const value = header(request, HEADER.promptParts);
+  if (value === undefined) return [];
+  const ids = value.split(',', MAX_PROMPT_PARTS).map((part) => part.split(':', 1)[0].trim());
+  return ids.slice(0, -1).filter((id) => id !== '');
+}
+
 export class Ingress {
   private readonly server: Server;
 
@@ -160,6 +171,7 @@
       arrivedAt: this.dependencies.clock.now(),
       deadlineMs: deadline > 0 ? deadline : Infinity,
       prompt: readPrompt(request),
+      sharedPromptParts: readSharedPromptParts(request),
       resumeAfter: header(request, HEADER.lastEvent),
       message: {
         method: request.method ?? 'GET',
--- a/src/platform/WireNames.ts
+++ b/src/platform/WireNames.ts
@@ -13,6 +13,11 @@
   notExecuted: 'x-not-executed',
   /** Number of prompt tokens and maximum number of answer tokens, separated by a comma. */
   tokens: 'x-token-count',
+  /**
+   * Parts of the prompt in order, as `ID:TOKENS` separated by commas. Despite its name, it lists the whole
+   * prompt; the last part belongs to the request or its session alone.
+   */
+  promptParts: 'x-prompt-prefix',
   /** Servers of the route with their layers. Despite its name, the header is not a count. */
   stages: 'x-hop-count',
   /** Address of the server on the route that caused a rejection. */
