Tests: a prompt part that crashes servers reaches them on and on (known red)

Three router instances, eight engine servers that end when they begin to answer a request with one part; sound requests share caller and first part; one instance is restarted. The router's start moves into a fixture that both features use.

--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { LAYERS } from './SampleConfiguration.js';
+import { pause } from './Ports.js';
 import { resetConnection } from './Sockets.js';
 import type { FakeStore } from './FakeStore.js';
 
@@ -60,11 +61,24 @@
 
 const EVENT_INTERVAL_MS = 10;
 
+/** Time from the start of a run until a crashing part ends the server, in milliseconds. */
+const CRASH_DELAY_MS = 30;
+
+/** Time from a crash because of a crashing part until the server has restarted, in milliseconds. */
+const RESTART_MS = 1500;
+
 /** Returns the complete body of the answer to a call. */
 export function answerTo(id: string): string {
   return `the whole answer of the server to ${id}`;
 }
 
+/** Returns the ids of the parts of a request's prompt. */
+export function promptParts(headers: IncomingMessage['headers']): string[] {
+  return String(headers['x-prompt-prefix'] ?? '')
+    .split(',')
+    .map((part) => part.split(':')[0]);
+}
+
 /** One execution of a request. */
 export interface Run {
   readonly id: string;
@@ -79,6 +93,12 @@
   /** Requests that the server ran, in order. */
   public readonly runs: Run[] = [];
 
+  /** Part of a prompt that makes the server crash when it begins to answer; it restarts without layers. */
+  public crashingPart: string | undefined;
+
+  /** Times of the crashes because of `crashingPart` on the monotonic clock, in milliseconds. */
+  public readonly crashes: number[] = [];
+
   /** Start time that the server's entry announces. */
   private startedAt = 1;
 
@@ -91,6 +111,8 @@
 
   private address = '';
 
+  private isStopped = false;
+
   private readonly sockets = new Set<Socket>();
 
   private readonly server: Server = createServer((request, response) => {
@@ -132,6 +154,12 @@
     await this.listen(mapAddress);
   }
 
+  /** Ends the server for good. */
+  public stop(): void {
+    this.isStopped = true;
+    this.crash();
+  }
+
   /** Simulates a crash: resets every connection and accepts no more. */
   public crash(): void {
     this.server.close();
@@ -167,6 +195,14 @@
     else this.run(request, response);
   }
 
+  private async crashAndRestart(): Promise<void> {
+    if (!this.server.listening) return;
+    this.crashes.push(performance.now());
+    this.crash();
+    await pause(RESTART_MS);
+    if (!this.isStopped) await this.restart();
+  }
+
   private report(response: ServerResponse): void {
     response.end(
       JSON.stringify({
@@ -215,7 +251,9 @@
       repeatUntilClosed(request.socket, endless.repeat);
       return;
     }
-    if (headers['x-hop-count'] === undefined) this.answer(request, response);
+    if (this.crashingPart !== undefined && promptParts(headers).includes(this.crashingPart))
+      setTimeout(() => this.crashAndRestart(), CRASH_DELAY_MS);
+    else if (headers['x-hop-count'] === undefined) this.answer(request, response);
     else this.stream(request, response);
   }
 
--- a/features/platform/router.steps.ts
+++ b/features/platform/router.steps.ts
@@ -2,11 +2,10 @@
 import { request as httpRequest, type IncomingHttpHeaders } from 'node:http';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
-import { StructuredLog } from '../../src/adapters/logs/StructuredLog.js';
-import { RouterInstance } from '../../src/router/RouterInstance.js';
-import { ROUTER_SETTINGS } from '../../src/router/Settings.js';
+import type { RouterInstance } from '../../src/router/RouterInstance.js';
 import { configuration } from './SampleConfiguration.js';
-import { freeAddress, pause } from './Ports.js';
+import { pause } from './Ports.js';
+import { startRouter as startRouterInstance } from './RouterFixture.js';
 import { AnswerStyle, coversLayers, FakeBackendServer } from './FakeBackendServer.js';
 import { FakeStore, StoreFault } from './FakeStore.js';
 
@@ -44,30 +43,12 @@
   name: string,
   seeds: string[],
 ): Promise<RouterInstance> {
-  world.callerAddress = await freeAddress();
-  world.readinessAddress = await freeAddress();
-  const peers = await freeAddress();
-  const settings = ROUTER_SETTINGS.parse({
-    instance: name,
-    failureDomain: 'a',
-    callers: { address: world.callerAddress },
-    readiness: { address: world.readinessAddress },
-    peers: { address: peers, seeds },
-    metrics: { address: await freeAddress() },
-    store: { address: world.storeAddress },
-    bounds: {
-      drainMs: 2000,
-      stopGraceS: 8,
-      retryShare: 0.2,
-      retrySlack: 196,
-      retryWindowS: 10,
-    },
-  });
-  const router = new RouterInstance(settings, new StructuredLog(name, '/dev/null'));
-  await router.start();
-  world.routers.push(router);
-  if (world.peerAddress === '') world.peerAddress = peers;
-  return router;
+  const started = await startRouterInstance(name, world.storeAddress, seeds);
+  world.callerAddress = started.callers;
+  world.readinessAddress = started.readiness;
+  world.routers.push(started.router);
+  if (world.peerAddress === '') world.peerAddress = started.peers;
+  return started.router;
 }
 
 interface RequestOptions {
