Relay: a part of a prompt under which servers crash is held back from all servers

Cause: a lost connection was blamed on the server alone. The relay suspected the server and sent the same request to the next, and no instance remembered the input; the class is blame that goes to the place and never to the input.

PartQuarantine keeps crashes with the inputs that were at their beginning there; start, retry, resume and reroute ask it. A crash is blamed on parts that no server ever answered, else on the one with the oldest answer, so that parts shared with sound requests stay in use. Evidence travels in digests, at once after a crash, and merges in any order; an instance that restarts gets it with its first digest. After the hold time instances take turns to try the part with one request.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -16,6 +16,8 @@
 import { RetryAfterEstimator } from '../../src/core/limits/RetryAfterEstimator.js';
 import { RetryBudget } from '../../src/core/limits/RetryBudget.js';
 import type { RelayCounters, RelayDependencies } from '../../src/core/relay/RelayDependencies.js';
+import { CrashWitness } from '../../src/core/quarantine/CrashWitness.js';
+import { PartQuarantine } from '../../src/core/quarantine/PartQuarantine.js';
 import { SilenceDetector } from '../../src/core/relay/SilenceDetector.js';
 import { CallFailure, type AnswerHead, type CallerRequest } from '../../src/core/relay/Types.js';
 import { EngineRoutes } from '../../src/core/routing/EngineRoutes.js';
@@ -145,6 +147,8 @@
 
   public readonly load = new ServerLoad();
 
+  public readonly quarantine = new PartQuarantine(this.clock, () => ({ rank: 0, instances: 1 }));
+
   public readonly loggedDecisions: { event: string; fields: object }[] = [];
 
   public readonly dependencies: RelayDependencies;
@@ -153,7 +157,7 @@
 
   /** @param retries - number of retries that the retry budget starts with */
   public constructor(retries = 50) {
-    const { clock, directory, load } = this;
+    const { clock, directory, load, quarantine } = this;
     const decisions = {
       record: (event: string, fields: object) => this.loggedDecisions.push({ event, fields }),
     };
@@ -181,6 +185,8 @@
         initial: retries,
         refillPerS: 0,
       })),
+      quarantine,
+      crashWitness: new CrashWitness({ directory, port: this.servers, quarantine, decisions }),
       counters: NO_OP_COUNTERS,
       invariants: new Invariants(true),
       localDomain: 'a',
--- a/features/core/peers/configuration-transfer.steps.ts
+++ b/features/core/peers/configuration-transfer.steps.ts
@@ -7,6 +7,7 @@
 import { Failure, FailureKind } from '../../../src/core/Failure.js';
 import { PeerSharing } from '../../../src/core/peers/PeerSharing.js';
 import type { PeerDigest, PeerIdentity } from '../../../src/core/peers/Types.js';
+import { PartQuarantine } from '../../../src/core/quarantine/PartQuarantine.js';
 import { ServerLoad } from '../../../src/core/routing/ServerLoad.js';
 import { StoreFollowController } from '../../../src/core/store/StoreFollowController.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
@@ -132,6 +133,7 @@
     deployments,
     directory,
     load: new ServerLoad(),
+    quarantine: new PartQuarantine(clock, () => ({ rank: 0, instances: 1 })),
     seeds: [],
     port: {
       send: (address, digest) =>
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -7,6 +7,8 @@
 import { Failure, FailureKind } from '../../../src/core/Failure.js';
 import { PeerSharing } from '../../../src/core/peers/PeerSharing.js';
 import { WorkScope, type PeerIdentity, type PeerDigest } from '../../../src/core/peers/Types.js';
+import { PartQuarantine } from '../../../src/core/quarantine/PartQuarantine.js';
+import type { ProbationTurn } from '../../../src/core/quarantine/Types.js';
 import { ServerLoad } from '../../../src/core/routing/ServerLoad.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
 import { deployment, backendServer, route } from '../FleetFixture.js';
@@ -79,11 +81,12 @@
     const bytes = encodeUpdate(peer.deployments.updateSince(ticket));
     return { update: decodeUpdate(bytes), bytes: bytes.length };
   };
-  const sharing = new PeerSharing({
+  const sharing: PeerSharing = new PeerSharing({
     clock,
     deployments,
     directory,
     load,
+    quarantine: new PartQuarantine(clock, (): ProbationTurn => sharing.probationTurn),
     seeds,
     port: { send, fetchUpdate },
     self: { ...selfOf(index, domain), incarnation },
--- a/features/platform/crashing-part.feature
+++ b/features/platform/crashing-part.feature
@@ -3,7 +3,6 @@
   the same caller share their first part.
 
   # Guards against blaming only the server for a crash: each such request then ended one server after the other.
-  @known-red
   Scenario Outline: The part is the <place> of three, with one instance restarted after the fifth crash
     Given a store, 8 engine servers that crash on prompt part "bad" and restart, and 3 router instances
     When for 11 seconds requests with the parts "<parts>" and sound requests with the parts "<sound>" arrive at every instance
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -14,6 +14,8 @@
 import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { BackendServer } from '../deployment/Types.js';
 import type { PeerRetryUse, RetryUse } from '../limits/SharedRetryBudget.js';
+import type { PartQuarantine } from '../quarantine/PartQuarantine.js';
+import type { ProbationTurn } from '../quarantine/Types.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
 import { ChangeSequence, type PeerProcess } from './ChangeSequence.js';
 import { PeerTable, type Peer } from './PeerTable.js';
@@ -28,6 +30,7 @@
   readonly deployments: Deployments;
   readonly directory: ServerDirectory;
   readonly load: ServerLoad;
+  readonly quarantine: PartQuarantine;
   readonly decisions: DecisionLog;
   readonly isLeaving: () => boolean;
   /** Time since the store last confirmed what this instance read from it, in milliseconds. */
@@ -42,6 +45,9 @@
  */
 const ROUND_MS = 250;
 
+/** Delay of a digest that does not wait for the next round, in milliseconds; it collects further crashes. */
+const EARLY_DIGEST_MS = 20;
+
 /** Interval between digests until the first configuration is known, in milliseconds. */
 const INITIAL_ROUND_MS = 40;
 
@@ -86,14 +92,19 @@
 
   private timer: Disposable | undefined;
 
-  private readonly subscription: Disposable;
+  private earlyTimer: Disposable | undefined;
+
+  private readonly subscriptions: readonly Disposable[];
 
   public constructor(private readonly dependencies: PeerSharingDependencies) {
     this.table = new PeerTable(dependencies.self);
     this.work = new WorkAggregator(dependencies.load, dependencies.retryUse);
-    this.subscription = dependencies.directory.onChange((server) =>
-      this.serverChanges.record(server, this.changeSource),
-    );
+    this.subscriptions = [
+      dependencies.directory.onChange((server) =>
+        this.serverChanges.record(server, this.changeSource),
+      ),
+      dependencies.quarantine.onCrash(() => this.scheduleEarlyDigest()),
+    ];
   }
 
   /** Number of instances whose work is counted, including this one. */
@@ -106,6 +117,14 @@
     return this.table.size;
   }
 
+  /** Place of this instance by name among all known instances. */
+  public get probationTurn(): ProbationTurn {
+    const { instance } = this.dependencies.self;
+    let rank = 0;
+    for (const identity of this.table.identities()) if (identity.instance < instance) rank += 1;
+    return { rank, instances: this.table.size };
+  }
+
   /** Whether this instance is the hub of its failure domain. */
   public get isHub(): boolean {
     return this.table.localHub(this.dependencies.clock.now()) === undefined;
@@ -138,7 +157,8 @@
   public dispose(): void {
     this.timer?.dispose();
     this.timer = undefined;
-    this.subscription.dispose();
+    this.earlyTimer?.dispose();
+    for (const subscription of this.subscriptions) subscription.dispose();
   }
 
   /** Adds a peer from the store; the address in the store is the newest one. */
@@ -164,9 +184,7 @@
   private runRound(): void {
     const now = this.dependencies.clock.now();
     this.updateTotals(now);
-    const hub = this.table.localHub(now);
-    if (hub !== undefined) this.sendDigest(hub, this.work.ownWork());
-    else this.sendToRemoteHubs(now);
+    this.sendDigests(now);
     if (this.table.size === 1 && this.round % ROUNDS_PER_SEED_DIGEST === 0) this.sendToSeeds();
     this.round += 1;
     const hasNoConfiguration = this.dependencies.deployments.currentTable === undefined;
@@ -174,6 +192,20 @@
     this.timer = this.dependencies.clock.schedule(waitMs, () => this.runRound());
   }
 
+  private sendDigests(now: number): void {
+    const hub = this.table.localHub(now);
+    if (hub !== undefined) this.sendDigest(hub, this.work.ownWork());
+    else this.sendToRemoteHubs(now);
+  }
+
+  /** Sends digests before the next round is due, since more servers may crash until peers know of a crash. */
+  private scheduleEarlyDigest(): void {
+    this.earlyTimer ??= this.dependencies.clock.schedule(EARLY_DIGEST_MS, () => {
+      this.earlyTimer = undefined;
+      this.sendDigests(this.dependencies.clock.now());
+    });
+  }
+
   private sendToRemoteHubs(now: number): void {
     const work = this.work.domainWork();
     for (const domain of this.table.remoteDomains()) {
@@ -231,6 +263,8 @@
     this.changeSource = from;
     for (const entry of records) this.applyServer(entry, from);
     this.changeSource = undefined;
+    if (digest.evidence !== undefined)
+      this.dependencies.quarantine.merge(digest.evidence, from.instance);
     const peer = this.table.get(from.instance);
     if (peer !== undefined && ticket > this.dependencies.deployments.ticket) this.fetchFrom(peer);
   }
@@ -320,6 +354,7 @@
     const { deployments, self, isLeaving } = this.dependencies;
     const isNew = peer !== undefined && peer.acknowledged === undefined;
     const storeAgeMs = Math.ceil(Math.min(this.dependencies.storeAgeMs(), this.peerStoreAgeMs));
+    const evidence = this.dependencies.quarantine.evidence();
     return {
       from: self,
       leaving: isLeaving(),
@@ -329,6 +364,7 @@
       peers: isNew || this.round % ROUNDS_PER_PEER_LIST === 0 ? this.table.identities() : [],
       ...(peer?.applied !== undefined && { applied: peer.applied }),
       ...(Number.isFinite(storeAgeMs) && { storeAgeMs }),
+      ...(evidence !== undefined && { evidence }),
     };
   }
 
--- a/src/core/peers/Types.ts
+++ b/src/core/peers/Types.ts
@@ -6,6 +6,7 @@
  */
 import type { DeploymentUpdate } from '../deployment/DeploymentUpdate.js';
 import type { BackendServer } from '../deployment/Types.js';
+import type { CrashEvidence } from '../quarantine/Types.js';
 import type { RetryUse } from '../limits/SharedRetryBudget.js';
 
 /** The address and identity of a router instance. */
@@ -72,6 +73,8 @@
   readonly applied?: ChangePosition;
   readonly records: readonly BackendServer[];
   readonly peers: readonly PeerIdentity[];
+  /** Evidence of parts of requests under which servers crash; absent if there is none. */
+  readonly evidence?: CrashEvidence;
 }
 
 /** An update of the configuration as received from a peer. */
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -1,5 +1,6 @@
 /** Base class of relays: one final answer, one timer for the time limit and one log line at the end. */
 import type { Disposable } from '../../ports/Types.js';
+import type { DecisionFields } from '../DecisionLog.js';
 import { InvariantKind } from '../Invariant.js';
 import { Outcome, refusal, RefusalReason, type RetryReason } from '../Outcome.js';
 import type { ServerDirectory } from '../deployment/ServerDirectory.js';
@@ -28,11 +29,21 @@
 /** Minimum time that an answer takes, in milliseconds; with less time left a request is not resent. */
 const MIN_SEND_MS = 15;
 
+/**
+ * Minimum retry-after delay of a request with a quarantined part, in milliseconds, once instances take turns
+ * to try the part again.
+ */
+const MIN_QUARANTINE_DELAY_MS = 2000;
+
 const MESSAGES: Partial<Record<RefusalReason, string>> = {
   [RefusalReason.NoRoute]:
     'No server can accept the request now. Retry after the delay given in Retry-After.',
   [RefusalReason.ServerLost]:
     'The server failed before its answer was complete. Retry only if the request may run twice.',
+  [RefusalReason.Quarantined]:
+    'Servers crashed under requests with a part of this prompt. Change the prompt, or retry after the delay given in Retry-After.',
+  [RefusalReason.Withdrawn]:
+    'Servers crashed under requests with a part of this prompt, so the request was taken back from its server; it may have run. Change the prompt before retrying it.',
   [RefusalReason.AnswerTooLong]:
     'The server sent more than the maximum size of an answer or of an event, and it was discarded. Retry only if the request may run twice; check the server if this repeats.',
   [RefusalReason.DeadlinePassed]:
@@ -49,6 +60,9 @@
 
   protected ended = false;
 
+  /** Whether a server has answered the request, so that it is not what crashes servers. */
+  private isProven = false;
+
   private readonly timer: Disposable;
 
   private call: Disposable | undefined;
@@ -81,7 +95,16 @@
   public start(): void {
     const target = this.chooseTarget();
     if (target === undefined) this.refuseNotRun(RefusalReason.NoRoute);
-    else this.send(target);
+    else if (this.mayBeSent()) this.send(target);
+    else this.refuseQuarantined();
+  }
+
+  /** Takes the request back from its server if a part of it has been quarantined since it was sent. */
+  public withdrawIfQuarantined(): void {
+    const { quarantine } = this.dependencies;
+    if (this.ended || this.isProven) return;
+    if (quarantine.find(this.assigned.request.sharedPromptParts).length > 0)
+      this.refuse(RefusalReason.Withdrawn, Outcome.Unknown, 0);
   }
 
   public cancel(): void {
@@ -173,6 +196,7 @@
     if (!this.sendTracker.hasRetryBudget(clock.now())) return false;
     const target = this.chooseTarget();
     if (target === undefined || !this.sendTracker.allowsServer(target.server)) return false;
+    if (!this.mayBeSent()) return false;
     counters.countRetry(reason);
     decisions.record('retry', {
       id: this.assigned.request.id,
@@ -186,12 +210,28 @@
     return true;
   }
 
+  /** Whether the request may be sent, resumed or rerouted to further servers, as far as its parts go. */
+  protected mayBeSent(): boolean {
+    const { quarantine } = this.dependencies;
+    const { sharedPromptParts } = this.assigned.request;
+    return this.isProven || quarantine.refuse(sharedPromptParts) === undefined;
+  }
+
+  /** Records that a server has answered the request, so that its parts are sound. */
+  protected recordAnswer(): void {
+    if (this.isProven) return;
+    this.isProven = true;
+    this.dependencies.quarantine.recordAnswer(this.assigned.request.sharedPromptParts);
+  }
+
   /**
-   * Logs the loss of a call.
+   * Logs the loss of a call, and has it examined whether the request crashed the server.
    * @param hasBegun - whether the server had begun the answer
    */
   protected recordLoss(server: string, failure: CallFailure, hasBegun: boolean): void {
     const { request } = this.assigned;
+    if (failure === CallFailure.ConnectionLost && !this.isProven)
+      this.dependencies.crashWitness.examineLoss(server, request.sharedPromptParts);
     this.dependencies.decisions.record('lost', {
       id: request.id,
       server,
@@ -219,7 +259,21 @@
       this.refuse(reason, Outcome.Unknown, 0);
       return;
     }
-    this.refuseNotRun(RefusalReason.NoRoute);
+    const { quarantine } = this.dependencies;
+    if (quarantine.find(this.assigned.request.sharedPromptParts).length > 0)
+      this.refuseQuarantined();
+    else this.refuseNotRun(RefusalReason.NoRoute);
+  }
+
+  /** Refuses a request that no server has run, because of a quarantined part. */
+  private refuseQuarantined(): void {
+    const { clock, quarantine } = this.dependencies;
+    const now = clock.now();
+    let heldUntil = now;
+    for (const found of quarantine.find(this.assigned.request.sharedPromptParts))
+      heldUntil = Math.max(heldUntil, found.heldUntil);
+    const retryAfterMs = Math.max(MIN_QUARANTINE_DELAY_MS, heldUntil - now);
+    this.refuse(RefusalReason.Quarantined, Outcome.NotRun, retryAfterMs);
   }
 
   protected refuseNotRun(reason: RefusalReason): void {
@@ -280,7 +334,7 @@
       avoided: [...this.avoidedServers].join(','),
       servers: countUsable(directory, service.name),
       retryAfterMs: Math.round(retryAfterMs),
-      ...this.explainNoRoute(),
+      ...(isQuarantine(reason) ? this.explainQuarantine() : this.explainNoRoute()),
       ticket: deployments.ticket,
     });
     this.finishRefused(() =>
@@ -294,6 +348,14 @@
     sendRefusal();
   }
 
+  private explainQuarantine(): DecisionFields {
+    const { quarantine, clock } = this.dependencies;
+    const [found] = quarantine.find(this.assigned.request.sharedPromptParts);
+    if (found === undefined) return {};
+    const { part, crashes, lastCrashAt } = found;
+    return { part, crashes, lastCrashMsAgo: Math.round(clock.now() - lastCrashAt) };
+  }
+
   private explainNoRoute(): { missing?: string; full?: string } {
     const { service } = this.assigned;
     return service.engine === undefined
@@ -328,6 +390,10 @@
   return failure === CallFailure.TooLong ? RefusalReason.AnswerTooLong : RefusalReason.ServerLost;
 }
 
+function isQuarantine(reason: RefusalReason): boolean {
+  return reason === RefusalReason.Quarantined || reason === RefusalReason.Withdrawn;
+}
+
 function countUsable(directory: ServerDirectory, service: string): number {
   let count = 0;
   for (const server of directory.all()) {
--- a/src/core/relay/CallRelay.ts
+++ b/src/core/relay/CallRelay.ts
@@ -57,6 +57,7 @@
       this.handleFailure(server, CallFailure.MismatchedAnswer);
       return;
     }
+    this.recordAnswer();
     const body = Buffer.concat(this.chunks);
     if (head.status >= FIRST_FAILURE_STATUS && this.isIdempotent) {
       this.failedAnswer = { head, body };
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -7,6 +7,8 @@
 import type { RetryLimiter } from '../limits/RetryBudget.js';
 import type { RetryAfterEstimator } from '../limits/RetryAfterEstimator.js';
 import type { RefusalReason, RetryReason } from '../Outcome.js';
+import type { CrashWitness } from '../quarantine/CrashWitness.js';
+import type { PartQuarantine } from '../quarantine/PartQuarantine.js';
 import type { EngineRoutes } from '../routing/EngineRoutes.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
 import type { Stage } from '../routing/Types.js';
@@ -58,6 +60,8 @@
   readonly streamRegistry: StreamRegistry;
   readonly retryBudget: RetryLimiter;
   readonly retryAfterEstimator: RetryAfterEstimator;
+  readonly quarantine: PartQuarantine;
+  readonly crashWitness: CrashWitness;
   readonly decisions: DecisionLog;
   readonly counters: RelayCounters;
   readonly invariants: Invariants;
--- a/src/core/relay/RelayDispatcher.ts
+++ b/src/core/relay/RelayDispatcher.ts
@@ -1,4 +1,5 @@
 /** Accepts callers' requests: resolves route, account and service, and starts a relay. */
+import type { Disposable } from '../../ports/Types.js';
 import type { Refusal } from '../Outcome.js';
 import { Outcome, refusal, RefusalReason } from '../Outcome.js';
 import type { RouteTable } from '../deployment/RouteTable.js';
@@ -28,7 +29,17 @@
 
   private isClosed = false;
 
-  public constructor(private readonly dependencies: RelayDependencies) {}
+  private readonly subscription: Disposable;
+
+  public constructor(private readonly dependencies: RelayDependencies) {
+    this.subscription = dependencies.quarantine.onChange(({ isHeld }) => {
+      if (isHeld) for (const relay of [...this.running]) relay.withdrawIfQuarantined();
+    });
+  }
+
+  public dispose(): void {
+    this.subscription.dispose();
+  }
 
   /** Refuses all further requests. */
   public close(): void {
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -55,6 +55,9 @@
 /** After more than this many failed reroutes in a row, a stalled stream resumes at another first server. */
 const MAX_FAILED_REROUTES = 2;
 
+/** Events after which a request is not what crashes its server: a crash may follow the first one. */
+const PROVING_EVENTS = 2;
+
 /** Maximum size of one event, in bytes; each open stream may hold this much. */
 const MAX_EVENT_BYTES = 256 * 1024;
 
@@ -184,6 +187,7 @@
       () => `an event of request ${this.id} is missing`,
     );
     this.eventsOfSend += batch.events;
+    if (this.eventsOfSend >= PROVING_EVENTS) this.recordAnswer();
     this.recordEvent();
     if (!this.answerBegun) this.beginAnswer();
     this.assigned.reply.write(batch.bytes);
@@ -220,6 +224,7 @@
       return;
     }
     if (!this.answerBegun) this.beginAnswer();
+    this.recordAnswer();
     this.finish(RelayEnd.Complete);
     this.assigned.reply.end();
   }
@@ -305,7 +310,7 @@
     if (service.engine === undefined || server === undefined) return;
     const requirements = { ...this.routeRequirements(service.engine), kept: this.stages };
     const stages = this.dependencies.routes.planReroute(requirements, first);
-    if (stages === undefined) return;
+    if (stages === undefined || !this.mayBeSent()) return;
     this.rerouting = true;
     const { epoch } = this;
     // Reserved from now on, so that streams rerouted together do not all choose the same servers.
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -13,6 +13,8 @@
 import { PeerSharing } from '../core/peers/PeerSharing.js';
 import { decodePeerIdentity, InstanceRegistration } from '../core/peers/InstanceRegistration.js';
 import { StoreFollowController } from '../core/store/StoreFollowController.js';
+import { CrashWitness } from '../core/quarantine/CrashWitness.js';
+import { PartQuarantine } from '../core/quarantine/PartQuarantine.js';
 import { PlacementDriver } from '../core/placement/PlacementDriver.js';
 import { SilenceDetector } from '../core/relay/SilenceDetector.js';
 import { RelayDispatcher } from '../core/relay/RelayDispatcher.js';
@@ -22,6 +24,7 @@
 import { Readiness } from '../platform/Readiness.js';
 import { ServerClient } from '../platform/ServerClient.js';
 import { StoreClient } from '../platform/StoreClient.js';
+import type { QuarantineChange } from '../core/quarantine/Types.js';
 import type { Disposable } from '../ports/Types.js';
 import { RouterMetrics } from './RouterMetrics.js';
 import type { RouterSettings } from './Settings.js';
@@ -74,6 +77,8 @@
     (service) => this.sharing.peerRetryUse(service),
   );
 
+  private readonly quarantine = new PartQuarantine(this.clock, () => this.sharing.probationTurn);
+
   private readonly silenceDetector: SilenceDetector;
 
   private readonly dispatcher: RelayDispatcher;
@@ -132,6 +137,13 @@
       streamRegistry: this.silenceDetector,
       retryBudget: this.retryBudget,
       retryAfterEstimator: new RetryAfterEstimator(random),
+      quarantine: this.quarantine,
+      crashWitness: new CrashWitness({
+        directory,
+        port: servers,
+        quarantine: this.quarantine,
+        decisions: log,
+      }),
       decisions: log,
       counters: this.metrics,
       invariants,
@@ -173,6 +185,7 @@
       deployments,
       directory,
       load,
+      quarantine: this.quarantine,
       port: this.peers,
       seeds: settings.peers.seeds,
       decisions: log,
@@ -207,6 +220,7 @@
       decisions: log,
     });
     deployments.onChange(() => this.ingress.applyLimits());
+    this.quarantine.onChange((change) => this.recordQuarantine(change));
     this.addGauges();
   }
 
@@ -263,6 +277,7 @@
   /** Closes everything immediately; requests in progress are aborted. */
   public dispose(): void {
     this.sweepTimer?.dispose();
+    this.dispatcher.dispose();
     this.silenceDetector.dispose();
     this.placement.dispose();
     this.lease.dispose();
@@ -299,6 +314,19 @@
     this.sweepTimer = this.clock.schedule(SWEEP_MS, () => this.sweep());
   }
 
+  private recordQuarantine({ quarantined, isHeld, source }: QuarantineChange): void {
+    const { part, crashes, lastCrashAt, heldUntil } = quarantined;
+    const now = this.clock.now();
+    this.log.record('quarantine', {
+      part,
+      outcome: isHeld ? 'held' : 'released',
+      crashes,
+      lastCrashMsAgo: Math.round(now - lastCrashAt),
+      heldForMs: Math.round(heldUntil - now),
+      heardFrom: source,
+    });
+  }
+
   private waitUntil(isDone: () => boolean, endsAt: number): Promise<void> {
     return new Promise((resolve) => {
       const check = (): void => {
@@ -312,6 +340,7 @@
   private addGauges(): void {
     const { metrics } = this;
     metrics.addGauge('acaciadrum_live_instances', () => this.sharing.liveInstances);
+    metrics.addGauge('acaciadrum_quarantined_parts', () => this.quarantine.size);
     metrics.addGauge('acaciadrum_ticket', () => this.deployments.ticket);
     metrics.addGauge('acaciadrum_open_requests', () => this.dispatcher.active);
     metrics.addGauge('acaciadrum_lease_fence', () => this.lease.heldFence);
