Streams: a prompt under which servers crash is held back, in our own interface too

The same cause as in the relay: a stream session blamed the server alone and resent an idempotent request until its deadline, with no limit on the number of servers; a caller's repeat began anew at every instance.

Each send of a session, and each new request before it is queued, asks the same PartQuarantine with the hash of its prompt as the only part; entry instances exchange the evidence in their gossip.

--- a/bench/Simulation.ts
+++ b/bench/Simulation.ts
@@ -6,6 +6,8 @@
 import { AccountLimiter } from '../src/core/limits/AccountLimiter.js';
 import { RetryBudget } from '../src/core/limits/RetryBudget.js';
 import { Prober } from '../src/core/membership/Prober.js';
+import { PartQuarantine } from '../src/core/quarantine/PartQuarantine.js';
+import { PromptQuarantine } from '../src/core/streams/PromptQuarantine.js';
 import { ServerHealth } from '../src/core/membership/ServerHealth.js';
 import { Outcome } from '../src/core/Outcome.js';
 import {
@@ -194,7 +196,19 @@
       countToken: () => {},
     };
     const dispatcher = new CompletionDispatcher({
-      sessionDependencies: { clock, engine, routing, counters, invariants },
+      sessionDependencies: {
+        clock,
+        engine,
+        routing,
+        counters,
+        quarantine: new PromptQuarantine({
+          clock,
+          engine,
+          configuration,
+          quarantine: new PartQuarantine(clock, () => ({ rank: 0, instances: 1 })),
+        }),
+        invariants,
+      },
       clock,
       configuration,
       topology,
--- a/features/core/requests/completion-dispatcher.steps.ts
+++ b/features/core/requests/completion-dispatcher.steps.ts
@@ -26,7 +26,7 @@
   this.reasons = [];
   this.dispatcher = new CompletionDispatcher({
     // Nothing of a refused request reaches a session.
-    sessionDependencies: {} as never,
+    sessionDependencies: { quarantine: { refuseNew: () => undefined } } as never,
     clock,
     configuration,
     topology: new Topology(configuration),
--- a/src/adapters/grpc/PeerProtocol.ts
+++ b/src/adapters/grpc/PeerProtocol.ts
@@ -7,6 +7,7 @@
 import { fileURLToPath } from 'node:url';
 import { loadPackageDefinition, type ServiceClientConstructor } from '@grpc/grpc-js';
 import { loadSync } from '@grpc/proto-loader';
+import type { CrashEvidence } from '../../core/quarantine/Types.js';
 import type { CommittedTicket } from '../../core/tickets/Types.js';
 import type { PeerExchange, PeerState } from '../../ports/Peer.js';
 
@@ -15,6 +16,8 @@
   readonly state: PeerState;
   /** Tickets, each as JSON. */
   readonly tickets: string[];
+  /** Evidence of crashes as JSON; empty if there is none. */
+  readonly evidence: string;
 }
 
 /** Maximum size of a received message, in bytes. */
@@ -52,6 +55,7 @@
 export const encodeExchange = (message: PeerExchange): ExchangeMessage => ({
   state: message.state,
   tickets: message.tickets.map((ticket) => JSON.stringify(ticket)),
+  evidence: message.evidence === undefined ? '' : JSON.stringify(message.evidence),
 });
 
 /**
@@ -61,4 +65,5 @@
 export const decodeExchange = (message: ExchangeMessage): PeerExchange => ({
   state: message.state,
   tickets: message.tickets.map((ticket) => JSON.parse(ticket) as CommittedTicket),
+  ...(message.evidence !== '' && { evidence: JSON.parse(message.evidence) as CrashEvidence }),
 });
--- a/src/core/EntryCore.ts
+++ b/src/core/EntryCore.ts
@@ -11,9 +11,11 @@
 import { RetryBudget } from './limits/RetryBudget.js';
 import { Prober } from './membership/Prober.js';
 import { ranksAmong } from './membership/Rendezvous.js';
+import type { ProbationTurn } from './quarantine/Types.js';
 import { ServerHealth } from './membership/ServerHealth.js';
 import { REROUTE_REASONS, CompletionDispatcher } from './requests/CompletionDispatcher.js';
 import { OrderDriver } from './placement/OrderDriver.js';
+import { PartQuarantine } from './quarantine/PartQuarantine.js';
 import { PlainDispatcher } from './requests/PlainDispatcher.js';
 import type { PlainTransport } from './requests/PlainTransport.js';
 import { LoadTable } from './routing/LoadTable.js';
@@ -21,6 +23,7 @@
 import { Topology } from './routing/Topology.js';
 import { pause } from './settle/SettleableWrite.js';
 import type { StreamCounters } from './streams/StreamSession.js';
+import { PromptQuarantine } from './streams/PromptQuarantine.js';
 import type { Engine } from './streams/Types.js';
 import { Configuration } from './tickets/Configuration.js';
 import { TicketCommitter } from './tickets/TicketCommitter.js';
@@ -105,6 +108,8 @@
 
   public readonly lease: LeaseKeeper;
 
+  public readonly quarantine: PartQuarantine;
+
   private readonly limiter = new AccountLimiter({ domains: 1, localInstances: 1 });
 
   private readonly prober: Prober;
@@ -131,6 +136,7 @@
     const retryBudget = new RetryBudget();
     this.configuration = configuration;
     this.peers = new Peers(instance);
+    this.quarantine = new PartQuarantine(clock, () => this.probationTurn());
     this.origin = { instance, incarnation: random.id(INCARNATION_BYTES) };
     this.ticketFollower = new TicketFollower({
       clock,
@@ -162,7 +168,19 @@
       localDomain,
     });
     this.completions = new CompletionDispatcher({
-      sessionDependencies: { clock, engine, routing, counters: dependencies.counters, invariants },
+      sessionDependencies: {
+        clock,
+        engine,
+        routing,
+        counters: dependencies.counters,
+        quarantine: new PromptQuarantine({
+          clock,
+          engine,
+          configuration,
+          quarantine: this.quarantine,
+        }),
+        invariants,
+      },
       clock,
       configuration,
       topology,
@@ -225,6 +243,13 @@
       invariants,
       log: logFor('orders'),
     });
+    this.quarantine.onChange(({ quarantined: { part, crashes }, isHeld }) =>
+      logFor('quarantine')(
+        isHeld
+          ? `Prompt ${part} is held back: ${crashes} servers ended before they began to answer it. Find its sender by the requests refused as quarantined.`
+          : `Prompt ${part} is released.`,
+      ),
+    );
     health.onMark((server, mark) => {
       logFor('servers')(
         `Server ${server} is marked ${mark}; it is avoided for new work until the mark expires or is cleared.`,
@@ -258,6 +283,7 @@
       ticketFollower: this.ticketFollower,
       load: this.load,
       health: this.health,
+      quarantine: this.quarantine,
       limiter: this.limiter,
       identity: { ...this.origin, failureDomain: options.failureDomain, address },
       isLeaving: () => this.phase !== ServicePhase.Serving,
@@ -333,6 +359,12 @@
     this.peers.recordKeyHandOver(keys.incarnations, this.origin.instance, now);
   }
 
+  private probationTurn(): ProbationTurn {
+    const others = this.peers.livePeers(this.dependencies.clock.now());
+    const rank = others.filter(({ name }) => name < this.options.instance).length;
+    return { rank, instances: others.length + 1 };
+  }
+
   private localInstances(): string[] {
     const live = this.peers.livePeers(this.dependencies.clock.now());
     const localPeers = live.filter((peer) => peer.failureDomain === this.options.failureDomain);
--- a/src/core/gossip/Gossip.ts
+++ b/src/core/gossip/Gossip.ts
@@ -8,6 +8,7 @@
 import type { PeerExchange, PeerLink, PeerState } from '../../ports/Peer.js';
 import type { AccountLimiter } from '../limits/AccountLimiter.js';
 import type { ServerHealth } from '../membership/ServerHealth.js';
+import type { PartQuarantine } from '../quarantine/PartQuarantine.js';
 import type { LoadTable } from '../routing/LoadTable.js';
 import type { Configuration } from '../tickets/Configuration.js';
 import type { TicketFollower } from '../tickets/TicketFollower.js';
@@ -24,6 +25,7 @@
   readonly ticketFollower: TicketFollower;
   readonly load: LoadTable;
   readonly health: ServerHealth;
+  readonly quarantine: PartQuarantine;
   readonly limiter: AccountLimiter;
   readonly identity: Pick<PeerState, 'instance' | 'incarnation' | 'failureDomain'> & {
     address: string;
@@ -147,6 +149,7 @@
     return {
       state: this.state(message.state.instance),
       tickets: this.dependencies.ticketFollower.ticketsAfter(message.state.applied, MAX_TICKETS),
+      evidence: this.dependencies.quarantine.evidence(),
     };
   }
 
@@ -163,6 +166,7 @@
       const reply = await this.dependencies.link.exchange(peer.address, {
         state: this.state(peer.name),
         tickets,
+        evidence: this.dependencies.quarantine.evidence(),
       });
       // The reply was written after the exchange was sent, so its ages are not understated.
       this.applyExchange(reply, now);
@@ -230,6 +234,8 @@
     if (state.instance === this.dependencies.identity.instance) return;
     this.dependencies.peers.applyState(state, now);
     this.dependencies.ticketFollower.applyTickets(message.tickets);
+    if (message.evidence !== undefined)
+      this.dependencies.quarantine.merge(message.evidence, state.instance);
     if (state.ready)
       this.dependencies.ticketFollower.receivePeerHead(state.applied, state.headAgeMs, asOf);
     const view = this.viewOf(state.instance);
--- a/src/core/requests/CompletionDispatcher.ts
+++ b/src/core/requests/CompletionDispatcher.ts
@@ -138,6 +138,12 @@
       if (refused !== undefined) listener.onRefusal(refused);
       return { dispose: () => {} };
     }
+    const held = this.dependencies.sessionDependencies.quarantine.refuseNew(request);
+    if (held !== undefined) {
+      this.dependencies.limiter.release(request.account);
+      listener.onRefusal(held);
+      return { dispose: () => {} };
+    }
     return this.enqueue(request, pipeline, account.weight, listener);
   }
 
--- a/src/core/streams/StreamSession.ts
+++ b/src/core/streams/StreamSession.ts
@@ -4,6 +4,7 @@
 import { Outcome, refusal, RefusalReason, RetryReason, type Refusal } from '../Outcome.js';
 import { coversOnce } from '../routing/RoutePlanner.js';
 import type { Route, Stage } from '../routing/Types.js';
+import type { PromptQuarantine } from './PromptQuarantine.js';
 import { PaceTracker } from './PaceTracker.js';
 import { ranEachLayerOnce, TokenAssembler, TokenVerdict } from './TokenAssembler.js';
 import {
@@ -71,9 +72,13 @@
   readonly engine: Engine;
   readonly routing: StreamRouting;
   readonly counters: StreamCounters;
+  readonly quarantine: PromptQuarantine;
   readonly invariants: Invariants;
 }
 
+/** Tokens after which a request is not what crashes its server: a crash may follow the first one. */
+const PROVING_TOKENS = 2;
+
 /** Delay before the next search for a route, in milliseconds. */
 const NO_ROUTE_RETRY_MS = 200;
 
@@ -95,6 +100,12 @@
 /** Failures after which nothing of the attempt ran. */
 const NOTHING_RAN: ReadonlySet<EngineFailureKind> = new Set([EngineFailureKind.NotConnected]);
 
+/** Failures that a crash of the named server shows as. */
+const CRASH_LIKE: ReadonlySet<EngineFailureKind> = new Set([
+  EngineFailureKind.ConnectionLost,
+  EngineFailureKind.StageFailed,
+]);
+
 /** Failures that say nothing about load, so the next attempt consumes no retry from the budget. */
 const BUDGET_FREE: ReadonlySet<EngineFailureKind> = new Set([
   EngineFailureKind.Leaving,
@@ -159,9 +170,21 @@
     this.retry(reason, [server], reason !== RetryReason.Leaving);
   }
 
+  /** Whether a server has answered the request. */
+  private get isProven(): boolean {
+    return this.assembler.next >= PROVING_TOKENS;
+  }
+
   private attempt(kept: readonly Stage[]): void {
     if (this.ended || this.refuseIfPastDeadline()) return;
-    const { clock, routing } = this.dependencies;
+    const { clock, routing, quarantine } = this.dependencies;
+    const refused = this.isProven
+      ? undefined
+      : quarantine.refuseSend(this.request, this.outcomeSoFar());
+    if (refused !== undefined) {
+      this.refuse(refused);
+      return;
+    }
     const route = routing.plan(this.request, kept);
     if (route === undefined) {
       this.waitForRoute(kept);
@@ -221,6 +244,7 @@
 
   private deliver(text: string, index: number): void {
     this.answerText += text;
+    if (index === PROVING_TOKENS - 1) this.dependencies.quarantine.recordAnswer(this.request);
     this.listener.onToken(text, index);
   }
 
@@ -234,6 +258,7 @@
       return;
     }
     this.close();
+    if (!this.isProven) this.dependencies.quarantine.recordAnswer(this.request);
     this.listener.onEnd(finish, tokens);
   }
 
@@ -241,6 +266,8 @@
     if (this.ended || epoch !== this.assembler.epoch) return;
     if (NOTHING_RAN.has(failure.kind) && this.assembler.epoch === 1) this.mayHaveRun = false;
     this.markFailedServer(failure);
+    if (CRASH_LIKE.has(failure.kind) && !this.isProven)
+      this.dependencies.quarantine.examineLoss(this.request, failure.server);
     this.retry(RETRY_REASON[failure.kind], [failure.server], !BUDGET_FREE.has(failure.kind));
   }
 
--- a/src/ports/Peer.ts
+++ b/src/ports/Peer.ts
@@ -3,6 +3,7 @@
  * forwarded requests and handed-over keys.
  */
 import type { ServerMark } from '../core/membership/ServerHealth.js';
+import type { CrashEvidence } from '../core/quarantine/Types.js';
 import type { CommittedTicket, Snapshot } from '../core/tickets/Types.js';
 import type { StoredAnswer } from '../core/claims/Types.js';
 import type { Refusal } from '../core/Outcome.js';
@@ -92,6 +93,8 @@
   readonly state: PeerState;
   /** Tickets that the other side has not applied, oldest first. */
   readonly tickets: readonly CommittedTicket[];
+  /** Evidence of prompts under which servers crash; undefined if there is none. */
+  readonly evidence?: CrashEvidence;
 }
 
 /** A keyed request forwarded to the instance that minted its key, or to which the key was handed over. */
