--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -96,6 +96,9 @@
   /** Part of a prompt that makes the server crash when it begins to answer; it restarts without layers. */
   public crashingPart: string | undefined;
 
+  /** Requests a second that the server's answers name as its limit; none if undefined. */
+  public requestLimit: number | undefined;
+
   /** Times of the crashes because of `crashingPart` on the monotonic clock, in milliseconds. */
   public readonly crashes: number[] = [];
 
@@ -240,6 +243,8 @@
       response.writeHead(503, { 'x-not-executed': '1' }).end();
       return;
     }
+    if (this.requestLimit !== undefined)
+      response.setHeader('server-limit', String(this.requestLimit));
     this.runs.push({ id: String(headers['x-attempt-id']), at: performance.now(), headers });
     const endless = ENDLESS_ANSWERS[this.style];
     if (endless !== undefined) {
--- a/features/platform/RouterFixture.ts
+++ b/features/platform/RouterFixture.ts
@@ -1,3 +1,5 @@
+import { request as httpRequest } from 'node:http';
+import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
 import { StructuredLog } from '../../src/adapters/logs/StructuredLog.js';
 import { RouterInstance } from '../../src/router/RouterInstance.js';
 import { ROUTER_SETTINGS } from '../../src/router/Settings.js';
@@ -43,3 +45,50 @@
   await router.start();
   return { router, callers, readiness, peers };
 }
+
+/** The answer to a request; status 0 if there was none. */
+export interface ReceivedStatus {
+  readonly status: number;
+  readonly isComplete: boolean;
+  readonly retryAfter: string | undefined;
+  readonly ms: number;
+}
+
+/** Sends one request over a connection of its own. */
+export function sendRequest(
+  address: string,
+  id: string,
+  path: string,
+  headers: Readonly<Record<string, string>>,
+): Promise<ReceivedStatus> {
+  const sentAt = performance.now();
+  return new Promise((resolve) => {
+    const finish = (status: number, isComplete: boolean, retryAfter?: string): void =>
+      resolve({ status, isComplete, retryAfter, ms: performance.now() - sentAt });
+    const outgoing = httpRequest(
+      {
+        ...hostAndPort(address),
+        method: 'POST',
+        path: `${path}1`,
+        agent: false,
+        headers: {
+          host: 'host',
+          authorization: 'Token key-1',
+          'x-attempt-id': id,
+          'x-deadline-ms': '4000',
+          ...headers,
+        },
+      },
+      (message) => {
+        const { statusCode = 0 } = message;
+        message.resume();
+        message.on('end', () =>
+          finish(statusCode, message.complete, message.headers['retry-after']),
+        );
+        message.on('error', () => finish(statusCode, false));
+      },
+    );
+    outgoing.on('error', () => finish(0, false));
+    outgoing.end('body');
+  });
+}
--- a/features/platform/crashing-part.steps.ts
+++ b/features/platform/crashing-part.steps.ts
@@ -1,12 +1,10 @@
 import assert from 'node:assert/strict';
-import { request as httpRequest } from 'node:http';
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
 import { FakeBackendServer, promptParts } from './FakeBackendServer.js';
 import { FakeStore } from './FakeStore.js';
 import { pause } from './Ports.js';
-import { startRouter, type StartedRouter } from './RouterFixture.js';
-import { configuration } from './SampleConfiguration.js';
+import { sendRequest, startRouter, type StartedRouter } from './RouterFixture.js';
+import { configuration, RoutePath } from './SampleConfiguration.js';
 
 interface SoundRequest {
   readonly sentAt: number;
@@ -32,36 +30,15 @@
 
 let lastRequest = 0;
 
-/** Sends a stream request once; resolves to whether the whole answer arrived. */
-function sendOnce(address: string, sharedParts: readonly string[]): Promise<boolean> {
+/** Sends a stream request with a part of its own; resolves to whether the whole answer arrived. */
+async function sendOnce(address: string, sharedParts: readonly string[]): Promise<boolean> {
   lastRequest += 1;
-  const id = `r${lastRequest}`;
   const parts = [...sharedParts, `own${lastRequest}`].map((part) => `${part}:40`);
-  return new Promise((resolve) => {
-    const outgoing = httpRequest(
-      {
-        ...hostAndPort(address),
-        method: 'POST',
-        path: '/stream/1',
-        agent: false,
-        headers: {
-          host: 'host',
-          authorization: 'Token key-1',
-          'x-attempt-id': id,
-          'x-deadline-ms': '4000',
-          'x-token-count': '120,24',
-          'x-prompt-prefix': parts.join(','),
-        },
-      },
-      (message) => {
-        message.resume();
-        message.on('end', () => resolve(message.statusCode === 200 && message.complete));
-        message.on('error', () => resolve(false));
-      },
-    );
-    outgoing.on('error', () => resolve(false));
-    outgoing.end('body');
+  const answer = await sendRequest(address, `r${lastRequest}`, RoutePath.Stream, {
+    'x-token-count': '120,24',
+    'x-prompt-prefix': parts.join(','),
   });
+  return answer.status === 200 && answer.isComplete;
 }
 
 async function waitForAnswers({ fleet }: CrashWorld): Promise<void> {
