Relay: the limit that a server names is kept by all instances together

Cause: the header was passed on to callers, and no type held it; routes and the choice of plain servers went on as before. The class is a signal of back pressure that is relayed and not observed.

Each instance has an even share. Allowances arise at its rate, at different times at different instances, and lapse after 2 s, so that 4 s hold at most 6 x the limit with no word between instances; the rule allows 6 x the limit + 5. Digests carry limits and their ends.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -15,6 +15,8 @@
 import { Invariants } from '../../src/core/Invariant.js';
 import { RetryAfterEstimator } from '../../src/core/limits/RetryAfterEstimator.js';
 import { RetryBudget } from '../../src/core/limits/RetryBudget.js';
+import { ServerLimits } from '../../src/core/limits/ServerLimits.js';
+import type { Clock, Random } from '../../src/ports/Types.js';
 import type { RelayCounters, RelayDependencies } from '../../src/core/relay/RelayDependencies.js';
 import { CrashWitness } from '../../src/core/quarantine/CrashWitness.js';
 import { PartQuarantine } from '../../src/core/quarantine/PartQuarantine.js';
@@ -115,6 +117,13 @@
   };
 }
 
+const NO_RANDOM: Random = { next: () => 0.5, id: () => 'id' };
+
+/** Limits of servers, of which none is known yet, for a fleet of one instance. */
+export function unlimitedServers(clock: Clock): ServerLimits {
+  return new ServerLimits(clock, NO_RANDOM, () => 1);
+}
+
 const NO_OP_COUNTERS: RelayCounters = {
   countEnd: () => {},
   countRefusal: () => {},
@@ -130,6 +139,7 @@
     notExecuted: false,
     misdirected: false,
     identityEncoded: true,
+    requestsPerSecond: undefined,
     blamedAddress: undefined,
     ...values,
   };
@@ -147,6 +157,8 @@
 
   public readonly load = new ServerLoad();
 
+  public readonly serverLimits = unlimitedServers(this.clock);
+
   public readonly quarantine = new PartQuarantine(this.clock, () => ({ rank: 0, instances: 1 }));
 
   public readonly loggedDecisions: { event: string; fields: object }[] = [];
@@ -173,18 +185,19 @@
       directory,
       load,
       decisions,
-      random: { next: () => 0.5, id: () => 'id' },
+      random: NO_RANDOM,
       deployments: this.deployments,
-      routes: new EngineRoutes(directory, load, 'a'),
+      routes: new EngineRoutes(directory, load, 'a', this.serverLimits),
       port: this.servers,
       streamRegistry: this.silenceDetector,
-      retryAfterEstimator: new RetryAfterEstimator({ next: () => 0.5, id: () => 'id' }),
+      retryAfterEstimator: new RetryAfterEstimator(NO_RANDOM),
       retryBudget: new RetryBudget(() => ({
         perRequest: 0.2,
         maxSaved: retries,
         initial: retries,
         refillPerS: 0,
       })),
+      serverLimits: this.serverLimits,
       quarantine,
       crashWitness: new CrashWitness({ directory, port: this.servers, quarantine, decisions }),
       counters: NO_OP_COUNTERS,
--- a/features/core/peers/configuration-transfer.steps.ts
+++ b/features/core/peers/configuration-transfer.steps.ts
@@ -11,7 +11,7 @@
 import { ServerLoad } from '../../../src/core/routing/ServerLoad.js';
 import { StoreFollowController } from '../../../src/core/store/StoreFollowController.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
-import { deployment, route } from '../FleetFixture.js';
+import { deployment, route, unlimitedServers } from '../FleetFixture.js';
 
 /** Time limit of a digest in the gRPC adapter, in milliseconds. */
 const DIGEST_LIMIT_MS = 500;
@@ -133,6 +133,7 @@
     deployments,
     directory,
     load: new ServerLoad(),
+    serverLimits: unlimitedServers(clock),
     quarantine: new PartQuarantine(clock, () => ({ rank: 0, instances: 1 })),
     seeds: [],
     port: {
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -11,7 +11,7 @@
 import type { ProbationTurn } from '../../../src/core/quarantine/Types.js';
 import { ServerLoad } from '../../../src/core/routing/ServerLoad.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
-import { deployment, backendServer, route } from '../FleetFixture.js';
+import { deployment, backendServer, route, unlimitedServers } from '../FleetFixture.js';
 
 interface Instance {
   readonly sharing: PeerSharing;
@@ -86,6 +86,7 @@
     deployments,
     directory,
     load,
+    serverLimits: unlimitedServers(clock),
     quarantine: new PartQuarantine(clock, (): ProbationTurn => sharing.probationTurn),
     seeds,
     port: { send, fetchUpdate },
--- a/features/core/quarantine/fleet.steps.ts
+++ b/features/core/quarantine/fleet.steps.ts
@@ -10,6 +10,7 @@
 import { ServerLoad } from '../../../src/core/routing/ServerLoad.js';
 import { SeededRandom } from '../../../src/fakes/SeededRandom.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
+import { unlimitedServers } from '../FleetFixture.js';
 
 interface Member {
   readonly domain: number;
@@ -72,6 +73,7 @@
   const sharing: PeerSharing = new PeerSharing({
     clock,
     quarantine,
+    serverLimits: unlimitedServers(clock),
     deployments: new Deployments(),
     directory: new ServerDirectory(clock),
     load: new ServerLoad(),
--- a/features/platform/server-limit.feature
+++ b/features/platform/server-limit.feature
@@ -1,7 +1,6 @@
 Feature: A server that names a limit gets no more requests than that, from all instances together
 
   # Guards against a limit that is passed on to callers but observed by nobody.
-  @known-red
   Scenario Outline: <case>
     Given a store, 3 <service> servers of which <limited> name a limit of <limit> requests a second, and 3 router instances
     When for 10 seconds <rate> requests a second to the <service> service arrive at every instance in turn
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -13,6 +13,7 @@
 import { applyUpdate } from '../deployment/DeploymentUpdate.js';
 import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { BackendServer } from '../deployment/Types.js';
+import type { ServerLimits } from '../limits/ServerLimits.js';
 import type { PeerRetryUse, RetryUse } from '../limits/SharedRetryBudget.js';
 import type { PartQuarantine } from '../quarantine/PartQuarantine.js';
 import type { ProbationTurn } from '../quarantine/Types.js';
@@ -30,6 +31,7 @@
   readonly deployments: Deployments;
   readonly directory: ServerDirectory;
   readonly load: ServerLoad;
+  readonly serverLimits: ServerLimits;
   readonly quarantine: PartQuarantine;
   readonly decisions: DecisionLog;
   readonly isLeaving: () => boolean;
@@ -263,6 +265,8 @@
     this.changeSource = from;
     for (const entry of records) this.applyServer(entry, from);
     this.changeSource = undefined;
+    if (digest.serverLimits !== undefined)
+      this.dependencies.serverLimits.merge(digest.serverLimits, from.instance);
     if (digest.evidence !== undefined)
       this.dependencies.quarantine.merge(digest.evidence, from.instance);
     const peer = this.table.get(from.instance);
@@ -354,6 +358,7 @@
     const { deployments, self, isLeaving } = this.dependencies;
     const isNew = peer !== undefined && peer.acknowledged === undefined;
     const storeAgeMs = Math.ceil(Math.min(this.dependencies.storeAgeMs(), this.peerStoreAgeMs));
+    const serverLimits = this.dependencies.serverLimits.list();
     const evidence = this.dependencies.quarantine.evidence();
     return {
       from: self,
@@ -364,6 +369,7 @@
       peers: isNew || this.round % ROUNDS_PER_PEER_LIST === 0 ? this.table.identities() : [],
       ...(peer?.applied !== undefined && { applied: peer.applied }),
       ...(Number.isFinite(storeAgeMs) && { storeAgeMs }),
+      ...(serverLimits.length > 0 && { serverLimits }),
       ...(evidence !== undefined && { evidence }),
     };
   }
--- a/src/core/peers/Types.ts
+++ b/src/core/peers/Types.ts
@@ -7,6 +7,7 @@
 import type { DeploymentUpdate } from '../deployment/DeploymentUpdate.js';
 import type { BackendServer } from '../deployment/Types.js';
 import type { CrashEvidence } from '../quarantine/Types.js';
+import type { SharedServerLimit } from '../limits/ServerLimits.js';
 import type { RetryUse } from '../limits/SharedRetryBudget.js';
 
 /** The address and identity of a router instance. */
@@ -73,6 +74,8 @@
   readonly applied?: ChangePosition;
   readonly records: readonly BackendServer[];
   readonly peers: readonly PeerIdentity[];
+  /** Limits that servers have named, and their ends; absent if there are none. */
+  readonly serverLimits?: readonly SharedServerLimit[];
   /** Evidence of parts of requests under which servers crash; absent if there is none. */
   readonly evidence?: CrashEvidence;
 }
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -4,7 +4,7 @@
 import { InvariantKind } from '../Invariant.js';
 import { Outcome, refusal, RefusalReason, type RetryReason } from '../Outcome.js';
 import type { ServerDirectory } from '../deployment/ServerDirectory.js';
-import type { EngineProfile } from '../deployment/Types.js';
+import type { BackendServer, EngineProfile } from '../deployment/Types.js';
 import type { RouteRequirements } from '../routing/EngineRoutes.js';
 import { describeStages } from '../routing/StageText.js';
 import type { Stage } from '../routing/Types.js';
@@ -12,7 +12,7 @@
 import { WorkReservation } from '../routing/WorkReservation.js';
 import { RelayEnd, type AssignedRequest, type RelayDependencies } from './RelayDependencies.js';
 import { SendTracker } from './SendTracker.js';
-import { CallFailure, type Relay, type ServerCallListener } from './Types.js';
+import { CallFailure, type AnswerHead, type Relay, type ServerCallListener } from './Types.js';
 
 /** The first server of a route and the stages of the route; no stages for plain services. */
 export interface SendTarget {
@@ -63,6 +63,9 @@
   /** Whether a server has answered the request, so that it is not what crashes servers. */
   private isProven = false;
 
+  /** The server of the last send, as it was then. */
+  private sentTo: BackendServer | undefined;
+
   private readonly timer: Disposable;
 
   private call: Disposable | undefined;
@@ -138,7 +141,7 @@
   }
 
   protected send(target: SendTarget): void {
-    const { clock, directory, port, load, invariants } = this.dependencies;
+    const { clock, directory, port, load, invariants, serverLimits } = this.dependencies;
     const server = directory.get(target.server);
     if (server === undefined || !this.sendTracker.recordSend(target.server, clock.now())) {
       this.failWith(RefusalReason.ServerLost);
@@ -150,6 +153,8 @@
       () => `request ${this.assigned.request.id} was sent to leaving server ${target.server}`,
     );
     this.release();
+    this.sentTo = server.record;
+    serverLimits.recordSend(server.record);
     this.sendTracker.markInFlight();
     const { request, account } = this.assigned;
     const { stages } = target;
@@ -210,6 +215,13 @@
     return true;
   }
 
+  /** Records what the head of an answer says about its server. */
+  protected recordHead({ signed, notExecuted, misdirected, requestsPerSecond }: AnswerHead): void {
+    // Other heads may not be the server's own.
+    if (this.sentTo === undefined || misdirected || !(signed || notExecuted)) return;
+    this.dependencies.serverLimits.recordAnswer(this.sentTo, requestsPerSecond);
+  }
+
   /** Whether the request may be sent, resumed or rerouted to further servers, as far as its parts go. */
   protected mayBeSent(): boolean {
     const { quarantine } = this.dependencies;
@@ -378,9 +390,16 @@
   }
 
   private choosePlainTarget(): SendTarget | undefined {
-    const { directory, load, localDomain } = this.dependencies;
+    const { directory, load, localDomain, serverLimits } = this.dependencies;
     const { name } = this.assigned.service;
-    const server = choosePlainServer(directory, load, name, localDomain, this.avoidedServers);
+    const server = choosePlainServer({
+      directory,
+      load,
+      serverLimits,
+      service: name,
+      localDomain,
+      avoid: this.avoidedServers,
+    });
     return server && { server: server.record.id, stages: [] };
   }
 }
--- a/src/core/relay/CallRelay.ts
+++ b/src/core/relay/CallRelay.ts
@@ -24,6 +24,7 @@
     this.bufferedBytes = 0;
     return {
       onHead: (head) => {
+        this.recordHead(head);
         this.head = head;
       },
       onData: (chunk) => this.handleChunk(server, chunk),
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -5,6 +5,7 @@
 import type { RequestRoute, Service } from '../deployment/Types.js';
 import type { Invariants } from '../Invariant.js';
 import type { RetryLimiter } from '../limits/RetryBudget.js';
+import type { ServerLimits } from '../limits/ServerLimits.js';
 import type { RetryAfterEstimator } from '../limits/RetryAfterEstimator.js';
 import type { RefusalReason, RetryReason } from '../Outcome.js';
 import type { CrashWitness } from '../quarantine/CrashWitness.js';
@@ -60,6 +61,7 @@
   readonly streamRegistry: StreamRegistry;
   readonly retryBudget: RetryLimiter;
   readonly retryAfterEstimator: RetryAfterEstimator;
+  readonly serverLimits: ServerLimits;
   readonly quarantine: PartQuarantine;
   readonly crashWitness: CrashWitness;
   readonly decisions: DecisionLog;
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -136,6 +136,7 @@
     this.lastEventAt = this.dependencies.clock.now();
     return {
       onHead: (head) => {
+        this.recordHead(head);
         this.head = head;
       },
       onData: (chunk) => this.handleChunk(target, chunk),
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -6,6 +6,7 @@
 } from '../deployment/ServerDirectory.js';
 import type { Accelerator, EngineProfile, Service } from '../deployment/Types.js';
 import { coversOnce, planCheapestRoute } from './RoutePlanner.js';
+import type { ServerLimits } from '../limits/ServerLimits.js';
 import type { ServerLoad } from './ServerLoad.js';
 import type { Candidate, Stage } from './Types.js';
 
@@ -82,6 +83,7 @@
     private readonly directory: ServerDirectory,
     private readonly load: ServerLoad,
     private readonly localDomain: string,
+    private readonly serverLimits: ServerLimits,
   ) {
     directory.onChange(() => this.candidates.clear());
   }
@@ -93,7 +95,7 @@
    */
   public plan(requirements: RouteRequirements): readonly Stage[] | undefined {
     const { service, engine, avoid, tokens, firstServers } = requirements;
-    const all = this.candidatesOf(service, engine);
+    const all = this.firstStagesWithinLimits(this.candidatesOf(service, engine));
     const candidates =
       firstServers === undefined
         ? all
@@ -108,6 +110,20 @@
     );
   }
 
+  /**
+   * Keeps servers whose limit allows no further request from being the first of a route. A limit counts the
+   * requests that a server receives, not those that pass through it later.
+   */
+  private firstStagesWithinLimits(candidates: readonly Candidate[]): readonly Candidate[] {
+    if (this.serverLimits.size === 0) return candidates;
+    return candidates.flatMap((candidate) => {
+      const record = this.directory.get(candidate.server)?.record;
+      if (candidate.from > 0 || record === undefined || this.serverLimits.allows(record))
+        return [candidate];
+      return candidate.to > 1 ? [{ ...candidate, from: 1 }] : [];
+    });
+  }
+
   private findRoute(
     requirements: RouteRequirements,
     candidates: readonly Candidate[],
--- a/src/core/routing/PlainServerChoice.ts
+++ b/src/core/routing/PlainServerChoice.ts
@@ -1,5 +1,6 @@
 /** Chooses the server of a plain service. */
 import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
+import type { ServerLimits } from '../limits/ServerLimits.js';
 import type { ServerLoad } from './ServerLoad.js';
 
 /** A remote server is used if the local servers are this much fuller, as a share of slots. */
@@ -11,24 +12,37 @@
  */
 const DECLINING_COST = 4;
 
+/** What the choice of a plain service's server depends on. */
+export interface PlainServerQuery {
+  readonly directory: ServerDirectory;
+  readonly load: ServerLoad;
+  readonly serverLimits: ServerLimits;
+  readonly service: string;
+  readonly localDomain: string;
+  /** Servers that must not be used. */
+  readonly avoid: ReadonlySet<string>;
+}
+
 /**
- * Chooses the least filled server of a service that is neither leaving nor suspect, with a preference
- * for the local failure domain and for servers that have not rejected requests lately.
+ * Chooses the least filled server of a service that is neither leaving nor suspect and whose limit allows a
+ * request, with a preference for the local failure domain and for servers that have not rejected requests
+ * lately.
  * @returns undefined if there is no such server
  */
-export function choosePlainServer(
-  directory: ServerDirectory,
-  load: ServerLoad,
-  service: string,
-  localDomain: string,
-  avoid: ReadonlySet<string>,
-): KnownServer | undefined {
+export function choosePlainServer({
+  directory,
+  load,
+  serverLimits,
+  service,
+  localDomain,
+  avoid,
+}: PlainServerQuery): KnownServer | undefined {
   let best: KnownServer | undefined;
   let bestCost = Infinity;
   for (const server of directory.all()) {
     const { record } = server;
     if (record.service !== service || avoid.has(record.id)) continue;
-    if (!directory.isWorking(record.id)) continue;
+    if (!directory.isWorking(record.id) || !serverLimits.allows(record)) continue;
     const remoteCost = record.failureDomain === localDomain ? 0 : LOCAL_ADVANTAGE;
     const decliningCost = directory.avoidReason(server) === undefined ? 0 : DECLINING_COST;
     const cost = load.requests(record.id) / Math.max(1, record.slots) + remoteCost + decliningCost;
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -64,6 +64,12 @@
   return headers;
 }
 
+/** Returns undefined if the header is missing or is not a positive number. */
+function readRequestLimit(value: string | string[] | undefined): number | undefined {
+  const perSecond = Number(value);
+  return perSecond > 0 && Number.isFinite(perSecond) ? perSecond : undefined;
+}
+
 function toHead(message: IncomingMessage): AnswerHead {
   const { headers, statusCode = 0 } = message;
   const fault = headers[HEADER.blamedAddress];
@@ -74,6 +80,7 @@
     misdirected: statusCode === MISDIRECTED,
     notExecuted: headers[HEADER.notExecuted] !== undefined || statusCode === MISDIRECTED,
     identityEncoded: headers['content-encoding'] === undefined,
+    requestsPerSecond: readRequestLimit(headers[HEADER.requestLimit]),
     blamedAddress: typeof fault === 'string' ? fault : undefined,
   };
 }
--- a/src/platform/WireNames.ts
+++ b/src/platform/WireNames.ts
@@ -23,6 +23,8 @@
   /** Address of the server on the route that caused a rejection. */
   blamedAddress: 'at-server',
   lastEvent: 'last-event-id',
+  /** Requests a second that the server takes from all instances together, while it names them. */
+  requestLimit: 'server-limit',
 } as const;
 
 /** Status with which a server states that it did not run a request. */
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -10,6 +10,7 @@
 import { LeaseKeeper } from '../core/leases/LeaseKeeper.js';
 import { RetryAfterEstimator } from '../core/limits/RetryAfterEstimator.js';
 import { SharedRetryBudget, type SharedRetryLimits } from '../core/limits/SharedRetryBudget.js';
+import { ServerLimits, type ServerLimitChange } from '../core/limits/ServerLimits.js';
 import { PeerSharing } from '../core/peers/PeerSharing.js';
 import { decodePeerIdentity, InstanceRegistration } from '../core/peers/InstanceRegistration.js';
 import { StoreFollowController } from '../core/store/StoreFollowController.js';
@@ -77,6 +78,12 @@
     (service) => this.sharing.peerRetryUse(service),
   );
 
+  private readonly serverLimits = new ServerLimits(
+    this.clock,
+    new SystemRandom(),
+    () => this.sharing.knownInstances,
+  );
+
   private readonly quarantine = new PartQuarantine(this.clock, () => this.sharing.probationTurn);
 
   private readonly silenceDetector: SilenceDetector;
@@ -131,12 +138,13 @@
       deployments,
       directory,
       load,
-      routes: new EngineRoutes(directory, load, failureDomain),
+      routes: new EngineRoutes(directory, load, failureDomain, this.serverLimits),
       port: servers,
       // The detector monitors the streams that the dispatcher registers with it.
       streamRegistry: this.silenceDetector,
       retryBudget: this.retryBudget,
       retryAfterEstimator: new RetryAfterEstimator(random),
+      serverLimits: this.serverLimits,
       quarantine: this.quarantine,
       crashWitness: new CrashWitness({
         directory,
@@ -185,6 +193,7 @@
       deployments,
       directory,
       load,
+      serverLimits: this.serverLimits,
       quarantine: this.quarantine,
       port: this.peers,
       seeds: settings.peers.seeds,
@@ -220,6 +229,7 @@
       decisions: log,
     });
     deployments.onChange(() => this.ingress.applyLimits());
+    this.serverLimits.onChange((change) => this.recordServerLimit(change));
     this.quarantine.onChange((change) => this.recordQuarantine(change));
     this.addGauges();
   }
@@ -314,6 +324,10 @@
     this.sweepTimer = this.clock.schedule(SWEEP_MS, () => this.sweep());
   }
 
+  private recordServerLimit({ server, perSecond, ownPerSecond, source }: ServerLimitChange): void {
+    this.log.record('server-limit', { server, perSecond, ownPerSecond, heardFrom: source });
+  }
+
   private recordQuarantine({ quarantined, isHeld, source }: QuarantineChange): void {
     const { part, crashes, lastCrashAt, heldUntil } = quarantined;
     const now = this.clock.now();
@@ -341,6 +355,7 @@
     const { metrics } = this;
     metrics.addGauge('acaciadrum_live_instances', () => this.sharing.liveInstances);
     metrics.addGauge('acaciadrum_quarantined_parts', () => this.quarantine.size);
+    metrics.addGauge('acaciadrum_limited_servers', () => this.serverLimits.size);
     metrics.addGauge('acaciadrum_ticket', () => this.deployments.ticket);
     metrics.addGauge('acaciadrum_open_requests', () => this.dispatcher.active);
     metrics.addGauge('acaciadrum_lease_fence', () => this.lease.heldFence);
