Streams: a stream that its connection ended before the first event has been broken off

What callers saw in the test: an answer with neither a length nor chunks whose connection closed before the first event was passed on as a complete stream of no events (status 200). The same end would have counted as proof that the parts of its prompt are sound, although a server that crashes may close its connections.

Cause: the end of a connection was taken for the end of the answer whenever no event was incomplete. An answer's head now says whether a length or chunks delimit it; an undelimited stream without events is lost and is sent again where that is allowed, and only a delimited end proves a prompt sound before its second event.

Test: router.feature, streams that end with their connection: whole, inside an event, before the first event. The last one failed before; the other two passed and had no test.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -139,6 +139,7 @@
     notExecuted: false,
     misdirected: false,
     identityEncoded: true,
+    isDelimited: true,
     requestsPerSecond: undefined,
     blamedAddress: undefined,
     ...values,
--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -6,13 +6,20 @@
 import { resetConnection } from './Sockets.js';
 import type { FakeStore } from './FakeStore.js';
 
-/** How the server answers requests. Streams are complete in every style but `Rejected` and the endless ones. */
+/**
+ * How the server answers requests. Streams are complete in every style but `Rejected`, the endless ones, and
+ * those whose names say that they are not.
+ */
 export enum AnswerStyle {
   Whole = 'whole',
   /** Without a length; the end of the connection ends the answer. */
   Unframed = 'unframed',
   /** Without a length, and the connection is reset in the middle. */
   UnframedReset = 'unframed and reset',
+  /** Without a length, and the connection ends inside an event; streams only. */
+  EndsInsideEvent = 'unframed, ending inside an event',
+  /** Without a length, and the connection ends before the first event; streams only. */
+  EndsBeforeEvents = 'unframed, ending before the first event',
   /** Complete, but with the id of another request. */
   OfAnotherRequest = 'of another request',
   /** Rejected, stating that the request did not run. */
@@ -90,6 +97,9 @@
 export class FakeBackendServer {
   public style = AnswerStyle.Whole;
 
+  /** Called when the server breaks a stream off because of its style. */
+  public onBreakOff: () => void = () => {};
+
   /** Requests that the server ran, in order. */
   public readonly runs: Run[] = [];
 
@@ -284,8 +294,39 @@
     }
   }
 
+  /**
+   * Returns the body of a stream without a length, if the server answers in such a style.
+   * @param last - number of the last event that the caller has
+   */
+  private takeUnframedStream(last: number): string | undefined {
+    const events = Array.from(
+      { length: EVENTS_PER_STREAM - last },
+      (_, index) => `id: ${last + index + 1}\ndata: event ${last + index + 1}\n\n`,
+    );
+    switch (this.style) {
+      case AnswerStyle.Unframed:
+        return events.join('');
+      case AnswerStyle.EndsInsideEvent:
+        this.onBreakOff();
+        return events.slice(0, 4).join('').slice(0, -3);
+      case AnswerStyle.EndsBeforeEvents:
+        this.onBreakOff();
+        return '';
+      default:
+        return undefined;
+    }
+  }
+
   private stream(request: IncomingMessage, response: ServerResponse): void {
     const { headers } = request;
+    const unframed = this.takeUnframedStream(Number(headers['last-event-id'] ?? 0));
+    if (unframed !== undefined) {
+      const id = String(headers['x-attempt-id']);
+      request.socket.end(
+        `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\nconnection: close\r\n\r\n${unframed}`,
+      );
+      return;
+    }
     response.writeHead(200, {
       'content-type': 'text/event-stream',
       'x-attempt-id': String(headers['x-attempt-id']),
--- a/features/platform/router.feature
+++ b/features/platform/router.feature
@@ -22,6 +22,19 @@
       | rejected           | 503    |
       | truncated          | 502    |
 
+  # Guards against a stream that was broken off and looks complete, since nothing but its connection delimits it.
+  Scenario Outline: A stream that ends with its connection: <style>
+    When the engine servers answer "<style>", until one has broken a stream off
+    And a caller requests a stream
+    Then the caller receives 12 events and a complete answer with the server's signature
+    And <runs> servers have run it
+
+    Examples: a stream that was broken off is resumed at another server
+      | style                                   | runs |
+      | unframed                                | 1    |
+      | unframed, ending inside an event        | 2    |
+      | unframed, ending before the first event | 2    |
+
   # Guards against bytes that are no answer, without end: their memory, and requests that wait for them.
   Scenario Outline: The servers send <style>
     When the <servers> servers answer "<style>"
--- a/features/platform/router.steps.ts
+++ b/features/platform/router.steps.ts
@@ -193,6 +193,18 @@
   },
 );
 
+When(
+  'the engine servers answer {string}, until one has broken a stream off',
+  function set(this: RouterWorld, style: AnswerStyle) {
+    for (const server of this.engineServers) {
+      server.style = style;
+      server.onBreakOff = () => {
+        for (const other of this.engineServers) other.style = AnswerStyle.Whole;
+      };
+    }
+  },
+);
+
 Then(
   'the caller receives status {int} within {int} ms, with reason {string}',
   function check(this: RouterWorld, status: number, ms: number, reason: string) {
@@ -227,6 +239,11 @@
   assert.equal(this.answer.status, status);
 });
 
+Then('{int} servers have run it', function check(this: RouterWorld, count: number) {
+  const ran = this.engineServers.filter(({ runs }) => runs.some(({ id }) => id === 'id-1'));
+  assert.equal(ran.length, count);
+});
+
 Then('the request ran at most once', function check(this: RouterWorld) {
   const runs = this.plainServers.flatMap((server) => server.runs);
   assert.ok(runs.length <= 1);
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -169,6 +169,16 @@
     return head !== undefined && head.status === 200 && head.signed && head.identityEncoded;
   }
 
+  /**
+   * Whether the connection alone ended a stream that has no events. One that resumes after the last event has
+   * none either.
+   */
+  private get hasEndedBeforeFirstEvent(): boolean {
+    return (
+      this.head?.isDelimited === false && this.eventsOfSend === 0 && this.resumeAfter === undefined
+    );
+  }
+
   private handleChunk(target: SendTarget, chunk: Buffer): void {
     if (!this.isStream) {
       this.bufferedBytes += chunk.length;
@@ -220,12 +230,13 @@
       this.handleOtherAnswer(target);
       return;
     }
-    if (this.splitter.isInsideEvent) {
+    if (this.splitter.isInsideEvent || this.hasEndedBeforeFirstEvent) {
       this.handleFailure(target, CallFailure.ConnectionLost);
       return;
     }
     if (!this.answerBegun) this.beginAnswer();
-    this.recordAnswer();
+    // A server that crashes may end an undelimited stream after an event.
+    if (this.head?.isDelimited === true) this.recordAnswer();
     this.finish(RelayEnd.Complete);
     this.assigned.reply.end();
   }
--- a/src/core/relay/Types.ts
+++ b/src/core/relay/Types.ts
@@ -66,6 +66,8 @@
   readonly misdirected: boolean;
   /** Whether the body has no content encoding. */
   readonly identityEncoded: boolean;
+  /** Whether a length or chunks delimit the body; otherwise it ends with its connection. */
+  readonly isDelimited: boolean;
   /** Requests per second that the server takes from all instances together; undefined if it names no limit. */
   readonly requestsPerSecond: number | undefined;
   /** Address of the server on the route that the answer blames. */
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -64,6 +64,11 @@
   return headers;
 }
 
+/** Whether an answer is delimited by its length or by chunks, not by the end of its connection. */
+function isDelimited({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
 /** Returns undefined if the header is missing or is not a positive number. */
 function readRequestLimit(value: string | string[] | undefined): number | undefined {
   const perSecond = Number(value);
@@ -80,16 +85,12 @@
     misdirected: statusCode === MISDIRECTED,
     notExecuted: headers[HEADER.notExecuted] !== undefined || statusCode === MISDIRECTED,
     identityEncoded: headers['content-encoding'] === undefined,
+    isDelimited: isDelimited(message),
     requestsPerSecond: readRequestLimit(headers[HEADER.requestLimit]),
     blamedAddress: typeof fault === 'string' ? fault : undefined,
   };
 }
 
-/** Whether an answer is delimited by its length or by chunks, not by the end of its connection. */
-function isFramed({ headers }: IncomingMessage): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
-
 /** One call to a backend server that is in progress. Disposing it closes its connection. */
 export class OpenCall implements Disposable {
   private readonly outgoing: ClientRequest;
@@ -203,7 +204,7 @@
     });
     answer.on('end', () => {
       if (!answer.complete) this.fail(CallFailure.ConnectionLost);
-      else if (isFramed(answer)) this.succeed();
+      else if (head.isDelimited) this.succeed();
       // Lets the write of checkForReset complete first.
       else setImmediate(() => this.succeed());
     });
