--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -18,6 +18,16 @@
       | 2    | the test restarted a leaving server while another fault was draining it |
 
   # Guards against a prompt part that ends servers until none is left: without quarantine 112 requests with it followed five crashes.
-  Scenario: A part of some prompts crashes the engine servers, under the faults of seed 5001
-    When 4 instances and 12 callers run under the faults of seed 5001 for 6 seconds, with a crashing prompt part
+  Scenario Outline: A part of some prompts crashes the engine servers, under the faults of seed <seed> for <seconds> seconds
+    When 4 instances and 12 callers run under the faults of seed <seed> for <seconds> seconds, with a crashing prompt part
     Then no guarantee was violated
+
+    Examples:
+      | seed | seconds |
+      | 5001 | 6       |
+
+    @known-red
+    Examples: all instances are killed at once, see KNOWN-RED.txt
+      | seed | seconds |
+      | 6001 | 12      |
+      | 6005 | 12      |
