Store: evidence of crashes and limits of servers outlast the end of all instances

Cause: evidence was kept by instances only, and learnt anew. Change: the hub of each failure domain keeps one bounded row in the store (written 50 ms after a change, conditionally, each 10 s while a limit holds, removed when nothing is left); ages are counted on the store's steady clock. A starting instance accepts requests once it has read the rows or a prepared peer has told it, at the latest 3 s after it knows a configuration.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -204,6 +204,7 @@
       counters: NO_OP_COUNTERS,
       invariants: new Invariants(true),
       localDomain: 'a',
+      isPrepared: () => true,
     };
   }
 
--- a/features/core/peers/configuration-transfer.steps.ts
+++ b/features/core/peers/configuration-transfer.steps.ts
@@ -145,6 +145,7 @@
     self: identityOf(index),
     decisions: { record: () => {} },
     isLeaving: () => false,
+    isPrepared: () => true,
     storeAgeMs: () => (world.instances[index].followsStore ? STORE_MS : Infinity),
     retryUse: () => [],
   });
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -93,6 +93,7 @@
     self: { ...selfOf(index, domain), incarnation },
     decisions: { record: () => {} },
     isLeaving: () => false,
+    isPrepared: () => true,
     storeAgeMs: () => Math.max(0, clock.now() - world.instances[index].storeAnsweredAt),
     retryUse: () => [],
   });
--- a/features/core/quarantine/fleet.steps.ts
+++ b/features/core/quarantine/fleet.steps.ts
@@ -85,6 +85,7 @@
     self: identityOf(index, domain),
     decisions: { record: () => {} },
     isLeaving: () => false,
+    isPrepared: () => true,
     storeAgeMs: () => 0,
     retryUse: () => [],
   });
--- a/features/core/store/feed-follower.steps.ts
+++ b/features/core/store/feed-follower.steps.ts
@@ -28,7 +28,11 @@
     readAll: () => {
       throwIfFailing();
       world.reads += 1;
-      return Promise.resolve({ entries: [...world.entries], revision: world.entries.length });
+      return Promise.resolve({
+        entries: [...world.entries],
+        revision: world.entries.length,
+        storeTimeMs: 0,
+      });
     },
     changesSince: async (revision, waitMs) => {
       throwIfFailing();
--- a/features/platform/FakeStore.ts
+++ b/features/platform/FakeStore.ts
@@ -81,6 +81,16 @@
     });
   }
 
+  /** Time on the store's steady clock, in whole milliseconds. */
+  private get steadyMs(): number {
+    return Math.round(performance.now());
+  }
+
+  /** Number of rows of a table. */
+  public count(table: string): number {
+    return [...this.rows.values()].filter((row) => row.table === table).length;
+  }
+
   /** From now on, the connections that are open stay open, but bring no answer; new ones work. */
   public silenceConnections(): void {
     for (const socket of this.openSockets) this.silentSockets.add(socket);
@@ -134,7 +144,12 @@
     const rows = [...this.rows.values()]
       .filter((row) => row.table === table && row.key >= source)
       .filter((row) => to === null || row.key < to);
-    answer(response, 200, { rows, has_more: false, row_version: this.version, now_ms: 0 });
+    answer(response, 200, {
+      rows,
+      has_more: false,
+      row_version: this.version,
+      now_ms: this.steadyMs,
+    });
   }
 
   private feed(query: URLSearchParams, response: ServerResponse): void {
@@ -151,7 +166,7 @@
     const send = () => {
       clearTimeout(timer);
       if (response.socket !== null && this.silentSockets.has(response.socket)) return;
-      answer(response, 200, { rows: changed(), row_version: this.version, now_ms: 0 });
+      answer(response, 200, { rows: changed(), row_version: this.version, now_ms: this.steadyMs });
     };
     const wake = () => {
       if (changed().length === 0) return;
@@ -168,9 +183,10 @@
   }
 
   private transact(response: ServerResponse, body: string): void {
-    const { precondition, write } = JSON.parse(body) as {
+    const { precondition, write, remove } = JSON.parse(body) as {
       precondition: RowRef[];
       write: RowRef[];
+      remove: RowRef[];
     };
     const failed = precondition.filter(
       ({ table, key, row_version: version }) =>
@@ -181,7 +197,8 @@
       return;
     }
     for (const row of write) this.writeRow(row);
+    for (const row of remove) this.writeRow(row, true);
     if (this.fault === StoreFault.LosesAnswers) response.destroy();
-    else answer(response, 200, { row_version: this.version, now_ms: 0 });
+    else answer(response, 200, { row_version: this.version, now_ms: this.steadyMs });
   }
 }
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -35,6 +35,8 @@
   readonly quarantine: PartQuarantine;
   readonly decisions: DecisionLog;
   readonly isLeaving: () => boolean;
+  /** Whether this instance has everything that must be known before the first request. */
+  readonly isPrepared: () => boolean;
   /** Time since the store last confirmed what this instance read from it, in milliseconds. */
   readonly storeAgeMs: () => number;
   /** Returns this instance's requests and retries in the last window. */
@@ -90,6 +92,8 @@
 
   private isFetching = false;
 
+  private preparedByPeer = false;
+
   private round = 0;
 
   private timer: Disposable | undefined;
@@ -109,6 +113,11 @@
     ];
   }
 
+  /** Whether a peer that may accept requests has told what it knows of crashes and limits. */
+  public get isPreparedByPeer(): boolean {
+    return this.preparedByPeer;
+  }
+
   /** Number of instances whose work is counted, including this one. */
   public get liveInstances(): number {
     return this.reportedInstances + 1;
@@ -269,6 +278,7 @@
       this.dependencies.serverLimits.merge(digest.serverLimits, from.instance);
     if (digest.evidence !== undefined)
       this.dependencies.quarantine.merge(digest.evidence, from.instance);
+    this.preparedByPeer ||= digest.isPrepared === true;
     const peer = this.table.get(from.instance);
     if (peer !== undefined && ticket > this.dependencies.deployments.ticket) this.fetchFrom(peer);
   }
@@ -355,7 +365,7 @@
   }
 
   private digestFor(peer: Peer | undefined, work: WorkReport): PeerDigest {
-    const { deployments, self, isLeaving } = this.dependencies;
+    const { deployments, self, isLeaving, isPrepared } = this.dependencies;
     const isNew = peer !== undefined && peer.acknowledged === undefined;
     const storeAgeMs = Math.ceil(Math.min(this.dependencies.storeAgeMs(), this.peerStoreAgeMs));
     const serverLimits = this.dependencies.serverLimits.list();
@@ -364,6 +374,7 @@
       from: self,
       leaving: isLeaving(),
       ticket: deployments.ticket,
+      ...(isPrepared() && { isPrepared: true }),
       work,
       ...this.changesFor(peer),
       peers: isNew || this.round % ROUNDS_PER_PEER_LIST === 0 ? this.table.identities() : [],
--- a/src/core/peers/Types.ts
+++ b/src/core/peers/Types.ts
@@ -67,6 +67,8 @@
    * milliseconds: since the store answered it, or a peer that knows nothing newer.
    */
   readonly storeAgeMs?: number;
+  /** Whether the sender has everything that must be known before the first request; absent if not. */
+  readonly isPrepared?: true;
   readonly work: WorkReport;
   /** The sender's changes of server entries that `records` holds: those after `from`, up to `to`. */
   readonly changes: { readonly from: number; readonly to: number };
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -68,6 +68,8 @@
   readonly counters: RelayCounters;
   readonly invariants: Invariants;
   readonly localDomain: string;
+  /** Whether everything is known that must be known before the first request. */
+  readonly isPrepared: () => boolean;
 }
 
 /** A request with the route, service and account that the deployment assigns to it. */
--- a/src/core/relay/RelayDispatcher.ts
+++ b/src/core/relay/RelayDispatcher.ts
@@ -64,13 +64,13 @@
       );
     }
     const table = this.dependencies.deployments.currentTable;
-    if (table === undefined) {
+    if (table === undefined || !this.dependencies.isPrepared()) {
       return this.refuse(
         request,
         reply,
         notRunRefusal(
           RefusalReason.NotReady,
-          'This instance has not loaded its configuration yet. Retry after the delay given in Retry-After.',
+          'This instance has not loaded its configuration, or what is known of crashes, yet. Retry after the delay given in Retry-After.',
         ),
       );
     }
--- a/src/fakes/MemoryPlatform.ts
+++ b/src/fakes/MemoryPlatform.ts
@@ -41,6 +41,7 @@
       this.lastVersion += 1;
       this.rows.set(key, { key, value: structuredClone(value), version: this.lastVersion });
     }
+    for (const key of transaction.removes ?? []) this.rows.delete(key);
     return { status: CommitStatus.Committed, conflicts };
   }
 
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -1,7 +1,7 @@
 /** Client of the platform's store: rows of the router's own tables, and feeds of the platform's tables. */
 import type { HttpClient } from '../adapters/http/HttpClient.js';
 import { Failure, FailureKind } from '../core/Failure.js';
-import type { ChangeFeed, StoreEntries, StoreEntry } from '../ports/ChangeFeed.js';
+import type { ChangeFeed, StoreEntries, StoreEntry, StoreSnapshot } from '../ports/ChangeFeed.js';
 import {
   CommitStatus,
   type TransactionResult,
@@ -41,6 +41,8 @@
   readonly rows: readonly WireRow[];
   readonly row_version: number;
   readonly has_more?: boolean;
+  /** Steady clock of the store. */
+  readonly now_ms?: number;
 }
 
 /** Decodes the value of one row; undefined if it is not valid. */
@@ -80,7 +82,7 @@
           ...toRowReference(key),
           payload: Buffer.from(JSON.stringify(written)).toString('base64'),
         })),
-        remove: [],
+        remove: (transaction.removes ?? []).map(toRowReference),
       },
     );
     if (status === 200) return { status: CommitStatus.Committed, conflicts: [] };
@@ -117,7 +119,7 @@
     return row && { key, version: row.row_version, value: parsePayload(row.payload) };
   }
 
-  private async readTable<T>(table: string, decode: EntryDecoder<T>): Promise<StoreEntries<T>> {
+  private async readTable<T>(table: string, decode: EntryDecoder<T>): Promise<StoreSnapshot<T>> {
     const entries: StoreEntry<T>[] = [];
     let revision = Infinity;
     let source = '';
@@ -128,7 +130,8 @@
       revision = Math.min(revision, page.row_version);
       for (const row of page.rows) entries.push(toEntry(row, decode));
       const last = page.rows.at(-1);
-      if (page.has_more !== true || last === undefined) return { entries, revision };
+      if (page.has_more !== true || last === undefined)
+        return { entries, revision, storeTimeMs: page.now_ms ?? 0 };
       source = last.key + KEY_SUCCESSOR_SUFFIX;
     }
   }
--- a/src/ports/ChangeFeed.ts
+++ b/src/ports/ChangeFeed.ts
@@ -16,13 +16,19 @@
   readonly revision: number;
 }
 
+/** All entries of a table. */
+export interface StoreSnapshot<T> extends StoreEntries<T> {
+  /** Time on the store's steady clock at which they were read, in milliseconds. */
+  readonly storeTimeMs: number;
+}
+
 /**
  * Feed of the changes to one table. Every method rejects with a `Failure` of kind `PlatformUnavailable` when
  * the call fails.
  */
 export interface ChangeFeed<T> {
   /** Reads every entry. */
-  readAll(): Promise<StoreEntries<T>>;
+  readAll(): Promise<StoreSnapshot<T>>;
   /**
    * Waits for changes after a revision.
    * @param waitMs - time after which an answer without changes is returned, in milliseconds
--- a/src/ports/Types.ts
+++ b/src/ports/Types.ts
@@ -40,10 +40,12 @@
   readonly value: unknown;
 }
 
-/** Applies all writes if all conditions hold, and no write otherwise. */
+/** Applies all writes and removals if all conditions hold, and none otherwise. */
 export interface Transaction {
   readonly conditions: readonly Condition[];
   readonly writes: readonly Write[];
+  /** Keys of rows to remove. */
+  readonly removes?: readonly string[];
 }
 
 export enum CommitStatus {
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -13,6 +13,11 @@
 import { ServerLimits, type ServerLimitChange } from '../core/limits/ServerLimits.js';
 import { PeerSharing } from '../core/peers/PeerSharing.js';
 import { decodePeerIdentity, InstanceRegistration } from '../core/peers/InstanceRegistration.js';
+import {
+  decodeKnowledgeRow,
+  KNOWLEDGE_TABLE,
+  KnowledgeArchive,
+} from '../core/store/KnowledgeArchive.js';
 import { StoreFollowController } from '../core/store/StoreFollowController.js';
 import { CrashWitness } from '../core/quarantine/CrashWitness.js';
 import { PartQuarantine } from '../core/quarantine/PartQuarantine.js';
@@ -108,6 +113,8 @@
 
   private readonly registration: InstanceRegistration;
 
+  private readonly knowledge: KnowledgeArchive;
+
   private readonly storeFollower: StoreTablesFollower;
 
   private readonly storeFollowController: StoreFollowController;
@@ -156,6 +163,7 @@
       counters: this.metrics,
       invariants,
       localDomain: failureDomain,
+      isPrepared: () => this.knowledge.isPrepared,
     });
     this.ingress = new Ingress({
       clock,
@@ -199,6 +207,7 @@
       seeds: settings.peers.seeds,
       decisions: log,
       isLeaving: () => this.leaving,
+      isPrepared: () => deployments.currentTable !== undefined && this.knowledge.isPrepared,
       storeAgeMs: () => this.storeFollower.ageMs,
       retryUse: () => this.retryBudget.currentUse(clock.now()),
     });
@@ -213,6 +222,17 @@
       addPeer: (identity) => this.sharing.addPeer(identity),
       decisions: log,
     });
+    this.knowledge = new KnowledgeArchive({
+      clock,
+      table: store,
+      rows: store.ownFeed(KNOWLEDGE_TABLE, (_key, _revision, value) => decodeKnowledgeRow(value)),
+      failureDomain,
+      quarantine: this.quarantine,
+      serverLimits: this.serverLimits,
+      decisions: log,
+      isHub: () => this.sharing.isHub,
+      isPreparedByPeer: () => this.sharing.isPreparedByPeer,
+    });
     this.storeFollower = new StoreTablesFollower({
       clock,
       store,
@@ -245,6 +265,7 @@
     ]);
     this.sharing.start();
     this.registration.start();
+    this.knowledge.start();
     this.storeFollowController.start();
     this.lease.start();
     this.placement.start();
@@ -294,6 +315,7 @@
     this.storeFollowController.dispose();
     this.storeFollower.stop();
     this.registration.dispose();
+    this.knowledge.dispose();
     this.sharing.dispose();
     this.peers.dispose();
     this.ingress.close();
@@ -305,7 +327,11 @@
 
   private get isReady(): boolean {
     if (this.leaving) return false;
-    return this.deployments.currentTable !== undefined && this.directory.revision > 0;
+    return (
+      this.deployments.currentTable !== undefined &&
+      this.directory.revision > 0 &&
+      this.knowledge.isPrepared
+    );
   }
 
   /** Limits on the retries of all instances together. */
