Streams: what is no event, and what follows a missing event, is not forwarded

Cause: bytes between two blank lines counted as an event whatever they held; a gap in the ids was logged only. Change: a line without a field name, and an id after a gap, break the stream off before they are forwarded; it resumes at another server or ends as incomplete. A failure's whole answer (signed or not) was kept out before as well.

--- a/src/core/relay/EventSplitter.ts
+++ b/src/core/relay/EventSplitter.ts
@@ -5,26 +5,38 @@
   /** Bytes to forward; undefined if no new event is complete. */
   readonly bytes: Buffer | undefined;
   readonly events: number;
-  /** Whether the event ids skip one, so an event is missing. */
+  /** Whether the event ids skip one, so an event is missing. The events after the gap are not forwarded. */
   readonly gap: boolean;
+  /** Whether the stream holds something that is no event. It and what follows are not forwarded. */
+  readonly isCorrupt: boolean;
 }
 
 const LINE_FEED = 0x0a;
 
+const COLON = 0x3a;
+
 const ID_FIELD = Buffer.from('id:');
 
-/** Parses the id of the event in `bytes[from, to)`; NaN if it has none. */
-function eventId(bytes: Buffer, from: number, to: number): number {
+/**
+ * Parses the id of the event in `bytes[from, to)`.
+ * @returns NaN if it has none, and undefined if a line has no field name, so that it is no event
+ */
+function eventId(bytes: Buffer, from: number, to: number): number | undefined {
   let line = from;
+  let id = Number.NaN;
   while (line < to) {
     let end = bytes.indexOf(LINE_FEED, line);
     if (end === -1 || end > to) end = to;
-    if (bytes.compare(ID_FIELD, 0, ID_FIELD.length, line, line + ID_FIELD.length) === 0) {
-      return Number(bytes.toString('latin1', line + ID_FIELD.length, end));
-    }
+    const colon = bytes.indexOf(COLON, line);
+    if (colon === -1 || colon > end) return undefined;
+    if (
+      Number.isNaN(id) &&
+      bytes.compare(ID_FIELD, 0, ID_FIELD.length, line, line + ID_FIELD.length) === 0
+    )
+      id = Number(bytes.toString('latin1', line + ID_FIELD.length, end));
     line = end + 1;
   }
-  return Number.NaN;
+  return id;
 }
 
 export class EventSplitter {
@@ -61,19 +73,24 @@
     let at = 0;
     let events = 0;
     let gap = false;
+    let isCorrupt = false;
     for (;;) {
       const end = bytes.indexOf('\n\n', at, 'latin1');
       if (end === -1) break;
       const id = eventId(bytes, at, end);
+      isCorrupt = id === undefined;
+      if (id === undefined) break;
+      gap = id > this.last + 1;
+      if (gap) break;
       if (id <= this.last && events === 0) keepFrom = end + 2;
       else {
-        if (!Number.isNaN(this.last) && id > this.last + 1) gap = true;
         if (!Number.isNaN(id)) this.last = id;
         events += 1;
       }
       at = end + 2;
     }
     this.incompleteEvent = at < bytes.length ? bytes.subarray(at) : undefined;
-    return { bytes: at > keepFrom ? bytes.subarray(keepFrom, at) : undefined, events, gap };
+    const forwarded = at > keepFrom ? bytes.subarray(keepFrom, at) : undefined;
+    return { bytes: forwarded, events, gap, isCorrupt };
   }
 }
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -8,7 +8,6 @@
  * that the caller has received.
  */
 import type { Disposable } from '../../ports/Types.js';
-import { InvariantKind } from '../Invariant.js';
 import { RefusalReason, RetryReason } from '../Outcome.js';
 import { WorkReservation } from '../routing/WorkReservation.js';
 import { describeStages } from '../routing/StageText.js';
@@ -191,17 +190,16 @@
       this.handleFailure(target, CallFailure.TooLong);
       return;
     }
-    if (batch.bytes === undefined) return;
-    this.dependencies.invariants.check(
-      InvariantKind.TokenOrder,
-      !batch.gap,
-      () => `an event of request ${this.id} is missing`,
-    );
-    this.eventsOfSend += batch.events;
+    if (batch.bytes !== undefined) this.forward(batch.bytes, batch.events);
+    if (batch.gap || batch.isCorrupt) this.handleFailure(target, CallFailure.MismatchedAnswer);
+  }
+
+  private forward(bytes: Buffer, events: number): void {
+    this.eventsOfSend += events;
     if (this.eventsOfSend >= PROVING_EVENTS) this.recordAnswer();
     this.recordEvent();
     if (!this.answerBegun) this.beginAnswer();
-    this.assigned.reply.write(batch.bytes);
+    this.assigned.reply.write(bytes);
   }
 
   private recordEvent(): void {
