Servers: an answer without an id on a kept connection belongs to no call

What callers saw: a faulty server wrote an earlier rejection once more, without its id, on a kept connection; the caller was told 503, not run, for a request that the server ran (REFUSED). Cause: only an answer with another id counted as another's. Change: on a connection that was used before, an answer must name the call's id; otherwise the request may have run. Evidence: 'A server answers /stream-once/1 with an earlier rejection once more, ...' (router.feature): the case without an id failed (503), the others passed; all pass. The fake server now names the id in rejections, as the protocol says.

--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -26,6 +26,20 @@
   Rejected = 'rejected',
   /** The connection ends before the announced length. */
   Truncated = 'truncated',
+  /** The last rejection on the connection once more, then the answer. */
+  RepeatedRejection = 'an earlier rejection once more',
+  /** As before, but the repeated rejection does not say to which request it belongs. */
+  RepeatedAnonymousRejection = 'an earlier rejection once more, without an id',
+  /** As before, but the repeated rejection lacks its first byte. */
+  RepeatedCutRejection = 'an earlier rejection once more, without its first byte',
+  /** The answer to a request that resumes a stream is a failure of the server. */
+  FailsToResume = 'a failure when a stream is resumed',
+  /** As before, but without a signature. */
+  FailsToResumeUnsigned = 'an unsigned failure when a stream is resumed',
+  /** As before, but within a successful answer without a length. */
+  FailsWithinResumed = 'the head and text of a failure within a resumed stream',
+  /** A resumed stream skips an event. */
+  SkipsEvent = 'an event too few when a stream is resumed',
   EndlessLineEnds = 'endless line ends',
   EndlessInterimAnswers = 'endless interim answers',
   EndlessHeaders = 'endless headers',
@@ -53,6 +67,32 @@
   },
 };
 
+/** The text with which a server that repeats its last rejection begins its answer, by the rejected request's id. */
+const REPEATED_REJECTIONS: Partial<Record<AnswerStyle, (id: string) => string>> = {
+  [AnswerStyle.RepeatedRejection]: (id) => rejectionText(id),
+  [AnswerStyle.RepeatedAnonymousRejection]: () => rejectionText(undefined),
+  [AnswerStyle.RepeatedCutRejection]: (id) => rejectionText(id).slice(1),
+};
+
+function rejectionText(id: string | undefined): string {
+  const echo = id === undefined ? '' : `x-attempt-id: ${id}\r\n`;
+  return `HTTP/1.1 503 Service Unavailable\r\n${echo}x-not-executed: 1\r\ncontent-length: 0\r\n\r\n`;
+}
+
+/** The whole answer of a server that cannot resume a stream, by the request's id and the next event's number. */
+const FAILED_RESUMPTIONS: Partial<Record<AnswerStyle, (id: string, next: number) => string>> = {
+  [AnswerStyle.FailsToResume]: (id) =>
+    `HTTP/1.1 500 Error\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\ncontent-length: 9\r\n\r\nno memory`,
+  [AnswerStyle.FailsToResumeUnsigned]: (id) =>
+    `HTTP/1.1 502 Error\r\nx-attempt-id: ${id}\r\ncontent-length: 9\r\n\r\nno memory`,
+  [AnswerStyle.FailsWithinResumed]: (id, next) =>
+    `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\nconnection: close\r\n\r\n` +
+    `HTTP/1.1 500 Error\ncontent-length: 9\n\nno memory\n\nno memory\nid: ${next}\ndata: event ${next}\n\n`,
+  [AnswerStyle.SkipsEvent]: (id, next) =>
+    `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\nconnection: close\r\n\r\n` +
+    `id: ${next + 1}\ndata: event ${next + 1}\n\n`,
+};
+
 /** Writes text again and again until the socket is closed. */
 function repeatUntilClosed(socket: Socket, text: string): void {
   const write = (): void => {
@@ -127,6 +167,9 @@
   /** Endless answers whose connections are open. */
   private floods = 0;
 
+  /** Number of rejections that were sent once more. */
+  public repetitions = 0;
+
   private address = '';
 
   private state = 'ready';
@@ -135,6 +178,9 @@
 
   private readonly sockets = new Set<Socket>();
 
+  /** Id of the last rejected request, by connection. */
+  private readonly rejected = new WeakMap<Socket, string>();
+
   private readonly server: Server = createServer((request, response) => {
     this.handle(request, response);
   });
@@ -263,17 +309,25 @@
 
   private run(request: IncomingMessage, response: ServerResponse): void {
     const { headers } = request;
+    const requestId = String(headers['x-attempt-id']);
     if (headers['x-expect-instance'] !== this.id) {
-      response.writeHead(421).end();
+      response.writeHead(421, { 'x-attempt-id': requestId }).end();
       return;
     }
     if (this.style === AnswerStyle.Rejected) {
-      response.writeHead(503, { 'x-not-executed': '1' }).end();
+      this.rejected.set(request.socket, requestId);
+      response.writeHead(503, { 'x-attempt-id': requestId, 'x-not-executed': '1' }).end();
       return;
     }
     if (this.requestLimit !== undefined)
       response.setHeader('server-limit', String(this.requestLimit));
     this.runs.push({ id: String(headers['x-attempt-id']), at: performance.now(), headers });
+    const rejected = this.rejected.get(request.socket);
+    const repeated = REPEATED_REJECTIONS[this.style];
+    if (repeated !== undefined && rejected !== undefined) {
+      this.repetitions += 1;
+      request.socket.write(repeated(rejected));
+    }
     const endless = ENDLESS_ANSWERS[this.style];
     if (endless !== undefined) {
       this.floods += 1;
@@ -337,6 +391,13 @@
 
   private stream(request: IncomingMessage, response: ServerResponse): void {
     const { headers } = request;
+    const last = Number(headers['last-event-id'] ?? 0);
+    const failed = FAILED_RESUMPTIONS[this.style];
+    if (failed !== undefined && last > 0) {
+      this.onBreakOff();
+      request.socket.end(failed(String(headers['x-attempt-id']), last + 1));
+      return;
+    }
     const unframed = this.takeUnframedStream(Number(headers['last-event-id'] ?? 0));
     if (unframed !== undefined) {
       const id = String(headers['x-attempt-id']);
--- a/features/platform/SampleConfiguration.ts
+++ b/features/platform/SampleConfiguration.ts
@@ -10,6 +10,9 @@
   Read = '/read/',
 }
 
+/** Path prefix of a route whose streams may run only once. */
+export const STREAM_ONCE_PATH = '/stream-once/';
+
 const ROUTE = {
   host: 'host',
   timeout_ms: 5000,
@@ -36,6 +39,16 @@
         resumable: true,
         target_itl_ms: 200,
       },
+      {
+        ...ROUTE,
+        name: 'stream-once',
+        prefix: STREAM_ONCE_PATH,
+        route_kind: 'streaming',
+        service: 'engine',
+        attempts: 2,
+        resumable: false,
+        target_itl_ms: 200,
+      },
       {
         ...ROUTE,
         name: 'book',
--- a/features/platform/router.feature
+++ b/features/platform/router.feature
@@ -36,6 +36,34 @@
       | unframed, ending inside an event        | 2    |
       | unframed, ending before the first event | 2    |
 
+  # Guards against "not run" for a request that a server runs, and against running it at a second server.
+  Scenario Outline: A server answers <path> with <style>
+    When the engine servers reject a stream each, and then answer "<style>"
+    And a caller requests "<path>" with key "key-1"
+    Then an earlier rejection was repeated
+    And the caller receives status <status>
+    And at most <runs> servers have run it
+
+    Examples: such a stream may run only once
+      | style                                                | path           | status | runs |
+      | an earlier rejection once more                       | /stream-once/1 | 502    | 1    |
+      | an earlier rejection once more, without an id        | /stream-once/1 | 502    | 1    |
+      | an earlier rejection once more, without its first byte | /stream-once/1 | 502    | 1    |
+
+  # Guards against a failure's text within a stream, and against a broken stream that ends as if it were complete.
+  Scenario Outline: A stream breaks off after 4 events, and the next server answers with <style>
+    Given the instance has heard of the layers of all engine servers
+    When the engine servers answer "<style>"
+    And a caller requests a stream and its first server crashes after 4 events
+    Then the caller receives the first events in order and nothing else, and an answer that is not complete
+
+    Examples: no other server is left after two
+      | style                                                      |
+      | a failure when a stream is resumed                         |
+      | an unsigned failure when a stream is resumed               |
+      | the head and text of a failure within a resumed stream     |
+      | an event too few when a stream is resumed                  |
+
   # Guards against bytes that are no answer, without end: their memory, and requests that wait for them.
   Scenario Outline: The servers send <style>
     When the <servers> servers answer "<style>"
--- a/features/platform/router.steps.ts
+++ b/features/platform/router.steps.ts
@@ -38,6 +38,9 @@
 /** Time within which an instance hears of a changed entry in the fake store, in milliseconds. */
 const ENTRY_DELAY_MS = 1000;
 
+/** Time after which a server that rejected several requests is used again, in milliseconds. */
+const REST_MS = 3500;
+
 /** Each engine server can hold the whole model. */
 const ENGINE_ACCELERATORS = ['whole', 'whole', 'whole'];
 
@@ -219,6 +222,44 @@
   },
 );
 
+When(
+  'the engine servers reject a stream each, and then answer {string}',
+  { timeout: 2 * READY_MS },
+  async function run(this: RouterWorld, style: AnswerStyle) {
+    for (const server of this.engineServers) server.style = AnswerStyle.Rejected;
+    // A server that rejected a request rests, so that each of some requests meets another one.
+    for (let index = 0; index < 2 * this.engineServers.length; index += 1) {
+      const { status } = await sendRequest(this, { path: '/stream/1', id: `rejected-${index}` });
+      assert.equal(status, 503);
+    }
+    for (const server of this.engineServers) server.style = style;
+    await pause(REST_MS);
+  },
+);
+
+Then('an earlier rejection was repeated', function check(this: RouterWorld) {
+  assert.ok(this.engineServers.some(({ repetitions }) => repetitions > 0));
+});
+
+Then('at most {int} servers have run it', function check(this: RouterWorld, most: number) {
+  const ran = this.engineServers.filter(({ runs }) => runs.some(({ id }) => id === 'id-1'));
+  assert.ok(ran.length >= 1 && ran.length <= most, `${ran.length} servers`);
+});
+
+Then(
+  'the caller receives the first events in order and nothing else, and an answer that is not complete',
+  function check(this: RouterWorld) {
+    const { body, complete } = this.answer;
+    const events = countEvents(body);
+    let expected = '';
+    for (let number = 1; number <= events; number += 1)
+      expected += `id: ${number}\ndata: event ${number}\n\n`;
+    assert.equal(body, expected);
+    assert.ok(events >= 4);
+    assert.equal(complete, false);
+  },
+);
+
 Then(
   'the caller receives status {int} within {int} ms, with reason {string}',
   function check(this: RouterWorld, status: number, ms: number, reason: string) {
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -103,6 +103,9 @@
 
   private connected = false;
 
+  /** Whether earlier calls used the connection, so that a late or repeated answer to them may arrive. */
+  private isReusedConnection = false;
+
   /** Bytes that had been read on the connection before this call. */
   private bytesBefore = 0;
 
@@ -165,6 +168,7 @@
     socket.prependListener('end', this.checkForReset);
     if (!socket.connecting) {
       this.connected = true;
+      this.isReusedConnection = true;
       return;
     }
     this.connectTimer = setTimeout(() => {
@@ -191,8 +195,7 @@
   private readAnswer(answer: IncomingMessage): void {
     if (this.isFinished) return;
     const head = toHead(answer);
-    const echoed = answer.headers[HEADER.requestId];
-    if (echoed !== undefined && echoed !== this.call.request.id) {
+    if (!this.belongsToCall(answer)) {
       this.fail(CallFailure.MismatchedAnswer);
       this.outgoing.destroy();
       return;
@@ -214,6 +217,16 @@
     });
   }
 
+  /**
+   * Whether an answer is the one to this call. On a connection that was used before, an answer without an id may
+   * be a late or repeated one to an earlier call, whatever it says.
+   */
+  private belongsToCall({ headers }: IncomingMessage): boolean {
+    const echoed = headers[HEADER.requestId];
+    const { id } = this.call.request;
+    return echoed === undefined ? id === '' || !this.isReusedConnection : echoed === id;
+  }
+
   private succeed(): void {
     if (this.isFinished) return;
     this.finish();
