Hubs: the instance whose machine can carry most, and the next one at once when a hub is lost

What callers saw: on fleets of 66 and more machines, large configurations late and work counted late after machines were lost: the hub was the first by name, often one of 0.324 cores and 14 Mbit/s, and survivors tried the dead one by one, a round each. Cause: PeerTable compared names as text and knew nothing of machines; a failed digest waited for the next round. Change: settings state processor share, speed and link (machine); instances tell each other; a failed digest to the own domain is followed by one to the next hub after 20 ms.

--- a/features/adapters/sharing-service.steps.ts
+++ b/features/adapters/sharing-service.steps.ts
@@ -13,7 +13,7 @@
 }
 
 const DIGEST: PeerDigest = {
-  from: { instance: 'peer', address: '', failureDomain: 'a', incarnation: 1 },
+  from: { instance: 'peer', address: '', failureDomain: 'a', incarnation: 1, capacity: 0 },
   leaving: false,
   ticket: 0,
   work: { scope: WorkScope.Instance, instances: 1, shares: [], retries: [] },
--- a/features/core/peers/configuration-transfer.steps.ts
+++ b/features/core/peers/configuration-transfer.steps.ts
@@ -61,7 +61,7 @@
 
 function identityOf(index: number): PeerIdentity {
   const instance = `i${String(index).padStart(2, '0')}`;
-  return { instance, address: String(index), failureDomain: 'a', incarnation: 1 };
+  return { instance, address: String(index), failureDomain: 'a', incarnation: 1, capacity: 0 };
 }
 
 function copyThroughJson(digest: PeerDigest): PeerDigest {
--- a/features/core/peers/peer-sharing.feature
+++ b/features/core/peers/peer-sharing.feature
@@ -84,3 +84,17 @@
     When instance 0 learns the server entries from the store
     Then within 4000 ms all know the server entries
     And the entry has been sent 2 times
+
+  # Guards against hubs on machines that cannot carry a domain, and against survivors that all follow the store at once.
+  Scenario Outline: <killed> of 40 instances of each domain are killed at the same moment
+    Given 5 failure domains of 40 instances, three of each on large machines, that know each other
+    When each has 2 requests at server "s"
+    And of each domain the hub and further instances, <killed> in all, are killed at once
+    # Without a confirming exchange for 1 s, instances follow the store.
+    Then no survivor is without a confirming exchange for 1000 ms, and within 4000 ms each counts <requests> requests at server "s"
+    And the only hub of each domain is one of those that can carry most
+
+    Examples:
+      | killed | requests |
+      | 1      | 390      |
+      | 22     | 180      |
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -19,6 +19,7 @@
   readonly directory: ServerDirectory;
   readonly load: ServerLoad;
   readonly domain: string;
+  readonly capacity: number;
   isUnreachable: boolean;
   /** Whether fetching its configuration fails. */
   withholdsConfiguration: boolean;
@@ -40,8 +41,8 @@
   return JSON.parse(JSON.stringify(digest)) as PeerDigest;
 }
 
-function selfOf(index: number, failureDomain: string): PeerIdentity {
-  return { instance: `i${index}`, address: String(index), failureDomain, incarnation: 1 };
+function selfOf(index: number, failureDomain: string, capacity = 0): PeerIdentity {
+  return { instance: `i${index}`, address: String(index), failureDomain, incarnation: 1, capacity };
 }
 
 function addInstance(
@@ -49,6 +50,7 @@
   seeds: readonly string[],
   domain = 'a',
   incarnation = 1,
+  capacity = 0,
 ): Instance {
   const index = world.instances.length;
   const { clock } = world;
@@ -90,7 +92,7 @@
     quarantine: new PartQuarantine(clock, (): ProbationTurn => sharing.probationTurn),
     seeds,
     port: { send, fetchUpdate },
-    self: { ...selfOf(index, domain), incarnation },
+    self: { ...selfOf(index, domain, capacity), incarnation },
     decisions: { record: () => {} },
     isLeaving: () => false,
     isPrepared: () => true,
@@ -103,6 +105,7 @@
     directory,
     load,
     domain,
+    capacity,
     isUnreachable: false,
     withholdsConfiguration: false,
     storeAnsweredAt: -Infinity,
@@ -123,7 +126,8 @@
 
 function connectAll(instances: readonly Instance[]): void {
   for (const { sharing } of instances) {
-    for (const [index, { domain }] of instances.entries()) sharing.addPeer(selfOf(index, domain));
+    for (const [index, { domain, capacity }] of instances.entries())
+      sharing.addPeer(selfOf(index, domain, capacity));
     sharing.start();
   }
 }
@@ -140,6 +144,90 @@
   },
 );
 
+/** Capacities of the large machines of each domain; all others can carry less. */
+const LARGE_CAPACITY = 5.4;
+const SMALL_CAPACITY = 0.4;
+const LARGE_PER_DOMAIN = 3;
+
+Given(
+  '{int} failure domains of {int} instances, three of each on large machines, that know each other',
+  function set(this: SharingWorld, domains: number, count: number) {
+    this.clock = new VirtualClock();
+    this.transitMs = 1;
+    this.instances = [];
+    for (let index = 0; index < domains * count; index += 1) {
+      // The last three of each domain, so that the order of names says nothing.
+      const isLarge = index >= domains * (count - LARGE_PER_DOMAIN);
+      const capacity = isLarge ? LARGE_CAPACITY : SMALL_CAPACITY;
+      const instance = addInstance(this, [], `d${index % domains}`, 1, capacity);
+      instance.deployments.applyIfNewer(deployment([route()]));
+      instance.storeAnsweredAt = Infinity;
+    }
+    connectAll(this.instances);
+  },
+);
+
+/** Returns the instances of each domain that are reachable, those that can carry most first. */
+function survivorsByDomain(world: SharingWorld): Instance[][] {
+  const domains = new Map<string, Instance[]>();
+  for (const instance of world.instances) {
+    if (instance.isUnreachable) continue;
+    const known = domains.get(instance.domain);
+    if (known === undefined) domains.set(instance.domain, [instance]);
+    else known.push(instance);
+  }
+  for (const list of domains.values()) list.sort((a, b) => b.capacity - a.capacity);
+  return [...domains.values()];
+}
+
+When(
+  'of each domain the hub and further instances, {int} in all, are killed at once',
+  async function run(this: SharingWorld, killed: number) {
+    await this.clock.runUntil(this.clock.now() + 3000);
+    for (const instances of survivorsByDomain(this)) {
+      instances.sort((a, b) => Number(b.sharing.isHub) - Number(a.sharing.isHub));
+      for (const instance of instances.slice(0, killed)) {
+        instance.isUnreachable = true;
+        instance.sharing.dispose();
+      }
+    }
+  },
+);
+
+Then(
+  'the only hub of each domain is one of those that can carry most',
+  function check(this: SharingWorld) {
+    for (const instances of survivorsByDomain(this)) {
+      const hubs = instances.filter(({ sharing }) => sharing.isHub);
+      assert.deepEqual(
+        hubs.map(({ capacity }) => capacity),
+        [instances[0].capacity],
+      );
+    }
+  },
+);
+
+Then(
+  'no survivor is without a confirming exchange for {int} ms, and within {int} ms each counts {int} requests at server {string}',
+  async function check(
+    this: SharingWorld,
+    unconfirmedMs: number,
+    ms: number,
+    requests: number,
+    server: string,
+  ) {
+    const survivors = survivorsByDomain(this).flat();
+    for (const endsAt = this.clock.now() + ms; this.clock.now() < endsAt;) {
+      await this.clock.runUntil(this.clock.now() + 50);
+      for (const { sharing } of survivors) {
+        if (sharing.isHub) continue;
+        assert.ok(sharing.exchangeAgeMs < unconfirmedMs, `${sharing.exchangeAgeMs} ms`);
+      }
+    }
+    for (const { load } of survivors) assert.equal(load.requests(server), requests);
+  },
+);
+
 When(
   'each has {int} requests at server {string}',
   function run(this: SharingWorld, requests: number, server: string) {
--- a/features/core/quarantine/fleet.steps.ts
+++ b/features/core/quarantine/fleet.steps.ts
@@ -98,6 +98,7 @@
     address: String(index),
     failureDomain: `d${domain}`,
     incarnation: 1,
+    capacity: 0,
   };
 }
 
--- a/src/core/peers/InstanceRegistration.ts
+++ b/src/core/peers/InstanceRegistration.ts
@@ -10,6 +10,7 @@
   address: z.string(),
   failureDomain: z.string(),
   incarnation: z.number().default(0),
+  capacity: z.number().default(0),
 });
 
 /**
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -5,7 +5,8 @@
  *
  * One instance of each failure domain is its hub. The other instances exchange digests only with their hub,
  * and the hubs exchange digests with each other, so that each instance sends only a few digests per second in
- * a fleet of any size. When a hub stops answering, the next instance by name becomes the hub.
+ * a fleet of any size. When a hub stops answering, the instance whose machine can carry most of
+ * the others becomes the hub.
  */
 import type { Clock, Disposable } from '../../ports/Types.js';
 import type { DecisionLog } from '../DecisionLog.js';
@@ -209,7 +210,7 @@
     else this.sendToRemoteHubs(now);
   }
 
-  /** Sends digests before the next round is due, since more servers may crash until peers know of a crash. */
+  /** Sends digests before the next round is due: more servers may crash until peers know of a crash. */
   private scheduleEarlyDigest(): void {
     this.earlyTimer ??= this.dependencies.clock.schedule(EARLY_DIGEST_MS, () => {
       this.earlyTimer = undefined;
@@ -234,7 +235,7 @@
 
   private async sendDigest(peer: Peer, work: WorkReport): Promise<void> {
     if (peer.pendingSince !== undefined) return;
-    const { clock, port } = this.dependencies;
+    const { clock, port, self } = this.dependencies;
     peer.pendingSince = clock.now();
     const wasLive = this.table.isLive(peer, peer.pendingSince);
     const sentAt = peer.pendingSince;
@@ -245,6 +246,8 @@
     } catch (error) {
       this.table.avoid(peer, clock.now());
       if (wasLive) this.recordPeerEvent('peer-lost', peer, (error as Error).message);
+      // The next hub is asked at once: when many instances end together, several in a row may be lost.
+      if (peer.identity.failureDomain === self.failureDomain) this.scheduleEarlyDigest();
     } finally {
       peer.pendingSince = undefined;
     }
--- a/src/core/peers/PeerTable.ts
+++ b/src/core/peers/PeerTable.ts
@@ -24,6 +24,18 @@
   acknowledged: ChangePosition | undefined;
 }
 
+/**
+ * Whether an instance is preferred to another one as hub: the one that can carry more, or, if both can carry the
+ * same, the first by name.
+ */
+function isPreferredHub(one: PeerIdentity, other: PeerIdentity): boolean {
+  // Instances of builds that do not state their capacity come last.
+  const { capacity = 0 } = one;
+  const { capacity: otherCapacity = 0 } = other;
+  if (capacity !== otherCapacity) return capacity > otherCapacity;
+  return one.instance < other.instance;
+}
+
 export class PeerTable {
   private readonly peers = new Map<string, Peer>();
 
@@ -84,8 +96,8 @@
   }
 
   /**
-   * Returns the hub of a failure domain among the peers: the first by name that answers. All instances
-   * choose the same hub as long as they reach the same peers.
+   * Returns the hub of a failure domain among the peers: the one that can carry most of those that answer. All
+   * instances choose the same hub as long as they reach the same peers.
    */
   public hubOf(failureDomain: string, now: number): Peer | undefined {
     let hub: Peer | undefined;
@@ -93,7 +105,7 @@
       const { identity, pendingSince, avoidedUntil } = peer;
       if (identity.failureDomain !== failureDomain || avoidedUntil > now) continue;
       if (pendingSince !== undefined && now - pendingSince > SLOW_ANSWER_MS) continue;
-      if (hub === undefined || identity.instance < hub.identity.instance) hub = peer;
+      if (hub === undefined || isPreferredHub(identity, hub.identity)) hub = peer;
     }
     return hub;
   }
@@ -101,6 +113,6 @@
   /** Returns the hub of the local failure domain; undefined when it is this instance. */
   public localHub(now: number): Peer | undefined {
     const hub = this.hubOf(this.self.failureDomain, now);
-    return hub === undefined || this.self.instance < hub.identity.instance ? undefined : hub;
+    return hub === undefined || isPreferredHub(this.self, hub.identity) ? undefined : hub;
   }
 }
--- a/src/core/peers/Types.ts
+++ b/src/core/peers/Types.ts
@@ -17,6 +17,8 @@
   readonly failureDomain: string;
   /** Start time of the instance's process, in Unix milliseconds. */
   readonly incarnation: number;
+  /** What the instance's machine can carry; 0 if it is not known. Instances that can carry more become hubs first. */
+  readonly capacity: number;
 }
 
 /** Outstanding work at one server. */
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -48,6 +48,12 @@
  */
 const BALANCER_REMOVAL_MS = 3000;
 
+/** Processor time that relaying to 40 instances takes, as a fraction of one core. */
+const HUB_PROCESSOR_SHARE = 0.25;
+
+/** Bandwidth that relaying a large configuration to 40 instances in time takes, in megabits per second. */
+const HUB_LINK_MBPS = 40;
+
 /** Time reserved for closing connections before the process is killed, in milliseconds. */
 const EXIT_MARGIN_MS = 400;
 
@@ -63,6 +69,19 @@
  */
 const REROUTE_DRAIN_FRACTION = 0.6;
 
+/**
+ * Returns what a machine can carry as hub: the smaller of its processor share and its link, each against what
+ * relaying to a failure domain of 40 instances takes.
+ */
+function hubCapacity(machine: RouterSettings['machine']): number {
+  if (machine === undefined) return 0;
+  const { processorShare, processorSpeed, linkMbps } = machine;
+  return Math.min(
+    (processorShare * processorSpeed) / HUB_PROCESSOR_SHARE,
+    linkMbps / HUB_LINK_MBPS,
+  );
+}
+
 export class RouterInstance {
   public readonly metrics = new RouterMetrics();
 
@@ -194,6 +213,7 @@
       address: settings.peers.address,
       failureDomain,
       incarnation: Date.now(),
+      capacity: hubCapacity(settings.machine),
     };
     this.sharing = new PeerSharing({
       clock,
--- a/src/router/Settings.ts
+++ b/src/router/Settings.ts
@@ -22,6 +22,17 @@
   }),
   metrics: z.object({ address: ADDRESS }),
   store: z.object({ address: ADDRESS }),
+  /** What the machine can carry. Without it, hubs are chosen by the names of instances. */
+  machine: z
+    .object({
+      /** Processor time that the process gets, as a fraction of one core. */
+      processorShare: z.number().positive(),
+      /** Speed of a core; 1 is usual. */
+      processorSpeed: z.number().positive().default(1),
+      /** Bandwidth of the machine's link, in megabits per second. */
+      linkMbps: z.number().positive(),
+    })
+    .optional(),
   bounds: z.object({
     /** Time that a leaving server has to finish its requests, in milliseconds. */
     drainMs: MS,
