Sharing: malformed messages of peers are tested at the socket; a failed entry leaves no sender noted

What operators reported: one malformed message took a whole process down. Found by reading: an entry that could not be applied left its sender noted as the source of later changes, which that peer was then not told. No test shows it at the socket.

--- a/features/adapters/sharing-service.feature
+++ b/features/adapters/sharing-service.feature
@@ -5,3 +5,19 @@
     Given a sharing service that cannot apply digests
     When a peer sends it 2 digests
     Then both are rejected, and the service has reported 2 failures
+
+  # Guards against a message that ends the process that receives it.
+  Scenario Outline: A peer <does> "<message>"
+    Given a sharing service that answers
+    When a peer <does> "<message>"
+    Then the peer gets no digest, and the service answers the next digest
+
+    Examples:
+      | does          | message |
+      | sends         | null    |
+      | sends         | no json |
+      | sends         | 7       |
+      | asks with     | null    |
+      | asks with     | no json |
+      | is asked, and replies | null |
+      | is asked, and replies | no json |
--- a/features/adapters/sharing-service.steps.ts
+++ b/features/adapters/sharing-service.steps.ts
@@ -1,8 +1,15 @@
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import {
+  Client,
+  credentials,
+  Server,
+  ServerCredentials,
+  type ServerDuplexStream,
+} from '@grpc/grpc-js';
 import { SharingService, type SharingHandler } from '../../src/adapters/grpc/SharingService.js';
 import { WorkScope, type PeerDigest } from '../../src/core/peers/Types.js';
-import { freeAddress } from '../platform/Ports.js';
+import { freeAddress, pause } from '../platform/Ports.js';
 
 interface SharingServiceWorld {
   service: SharingService;
@@ -59,6 +66,102 @@
   },
 );
 
+const EXCHANGE = '/acaciadrum.Sharing/Exchange';
+
+const FETCH = '/acaciadrum.Sharing/FetchUpdate';
+
+/** Time after which a peer expects no reply any more, in milliseconds. */
+const REPLY_MS = 600;
+
+const asIs = (bytes: Buffer): Buffer => bytes;
+
+/** A peer's server that replies to each digest with the same bytes. */
+async function serveReply(address: string, reply: Buffer): Promise<Server> {
+  const server = new Server();
+  server.addService(
+    {
+      Exchange: {
+        path: EXCHANGE,
+        requestStream: true,
+        responseStream: true,
+        requestSerialize: asIs,
+        requestDeserialize: asIs,
+        responseSerialize: asIs,
+        responseDeserialize: asIs,
+      },
+    },
+    {
+      Exchange: (stream: ServerDuplexStream<Buffer, Buffer>) => {
+        stream.on('data', () => stream.write(reply));
+        stream.on('error', () => undefined);
+      },
+    },
+  );
+  await new Promise<void>((resolve, reject) => {
+    server.bindAsync(address, ServerCredentials.createInsecure(), (error) => {
+      if (error) reject(error);
+      else resolve();
+    });
+  });
+  return server;
+}
+
+const MESSAGES: Readonly<
+  Record<string, (world: SharingServiceWorld, bytes: Buffer) => Promise<void>>
+> = {
+  sends: async ({ address }, bytes) => {
+    const client = new Client(address, credentials.createInsecure());
+    const stream = client.makeBidiStreamRequest(EXCHANGE, asIs, asIs);
+    const replies: unknown[] = [];
+    stream.on('data', (reply) => replies.push(reply));
+    stream.on('error', () => undefined);
+    stream.write(bytes);
+    await pause(REPLY_MS);
+    assert.deepEqual(replies, []);
+    stream.cancel();
+    client.close();
+  },
+  'asks with': async ({ address }, bytes) => {
+    const client = new Client(address, credentials.createInsecure());
+    const error = await new Promise((resolve) => {
+      client.makeUnaryRequest(FETCH, asIs, asIs, bytes, (failure) => resolve(failure));
+    });
+    assert.ok(error !== null);
+    client.close();
+  },
+  'is asked, and replies': async ({ service }, bytes) => {
+    const address = await freeAddress();
+    const peer = await serveReply(address, bytes);
+    await assert.rejects(service.send(address, DIGEST));
+    peer.forceShutdown();
+  },
+};
+
+Given('a sharing service that answers', async function set(this: SharingServiceWorld) {
+  this.address = await freeAddress();
+  this.service = new SharingService({
+    receiveDigest: ({ ticket }) => ({ ...DIGEST, ticket }),
+    updateSince: () => undefined,
+    handleFailure: () => undefined,
+  });
+  await this.service.listen(this.address);
+  this.peer = new SharingService(handlerOf([]));
+});
+
+When(
+  /^a peer (sends|asks with|is asked, and replies) "(.+)"$/,
+  async function run(this: SharingServiceWorld, does: string, message: string) {
+    await MESSAGES[does](this, Buffer.from(message));
+  },
+);
+
+Then(
+  'the peer gets no digest, and the service answers the next digest',
+  async function check(this: SharingServiceWorld) {
+    assert.equal((await this.peer.send(this.address, { ...DIGEST, ticket: 9 })).ticket, 9);
+  },
+);
+
 After(function stop(this: SharingServiceWorld) {
   this.peer?.dispose();
   this.service?.dispose();
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -275,8 +275,11 @@
     this.applySender(digest);
     for (const identity of peers) this.table.add(identity, false);
     this.changeSource = from;
-    for (const entry of records) this.applyServer(entry, from);
-    this.changeSource = undefined;
+    try {
+      for (const entry of records) this.applyServer(entry, from);
+    } finally {
+      this.changeSource = undefined;
+    }
     if (digest.serverLimits !== undefined)
       this.dependencies.serverLimits.merge(digest.serverLimits, from.instance);
     if (digest.evidence !== undefined)
