Router: an unexpected error ends the process only if it repeats

What operators reported: one unexpected error took a whole process down, with all its requests. Change: it is logged, and from the fifth within 10 s on, or before the start is complete, the process restarts. Evidence: failure-rate.feature.

--- a/src/router/main.ts
+++ b/src/router/main.ts
@@ -2,6 +2,7 @@
 /** The router daemon: reads its settings, serves until SIGTERM, then stops gracefully. */
 import { StructuredLog } from '../adapters/logs/StructuredLog.js';
 import { Failure, FailureKind } from '../core/Failure.js';
+import { FailureRate } from '../core/limits/FailureRate.js';
 import { RouterInstance } from './RouterInstance.js';
 import { readSettings, SettingsFile } from './SettingsFile.js';
 
@@ -32,10 +33,15 @@
   log.dispose();
   process.exit(0);
 });
+const failures = new FailureRate();
+let hasStarted = false;
 process.on('uncaughtException', (error) => {
-  log.record('crash', { error: error.message, stack: error.stack });
+  const ends = !hasStarted || failures.record(performance.now());
+  log.record(ends ? 'crash' : 'unexpected-error', { error: error.message, stack: error.stack });
+  if (!ends) return;
   log.dispose();
   process.exit(1);
 });
 
 await router.start();
+hasStarted = true;
