Streams: silence is checked when it is due, not each 25 ms

Change: the next check is due when the first stream may have fallen silent, within 25 to 100 ms. Nothing is found later: the bounds of silence.feature hold unchanged.

--- a/src/core/relay/SilenceDetector.ts
+++ b/src/core/relay/SilenceDetector.ts
@@ -24,10 +24,16 @@
 }
 
 /**
- * Interval between checks, in milliseconds: a fraction of 200 ms, the longest pause in a stream that callers
+ * Least time between checks, in milliseconds: a fraction of 200 ms, the longest pause in a stream that callers
  * are promised.
  */
-const TICK_MS = 25;
+const MIN_TICK_MS = 25;
+
+/**
+ * Longest time between checks, in milliseconds. A check is due when the first stream may have fallen silent, and
+ * after this time because of leaving servers and of streams that begin meanwhile.
+ */
+const MAX_TICK_MS = 100;
 
 /** Lateness of a check, in milliseconds, that indicates that the process itself was stalled. */
 const PROCESS_STALL_MS = 120;
@@ -51,7 +57,7 @@
 
   private readonly suspectProbe: SuspectProbe;
 
-  private lastTickAt = 0;
+  private nextTickAt = 0;
 
   private timer: Disposable | undefined;
 
@@ -61,7 +67,7 @@
 
   public add(stream: WatchedStream): Disposable {
     this.streams.add(stream);
-    if (this.timer === undefined) this.schedule(this.dependencies.clock.now());
+    if (this.timer === undefined) this.schedule(MIN_TICK_MS);
     return { dispose: () => this.streams.delete(stream) };
   }
 
@@ -71,17 +77,25 @@
     this.suspectProbe.dispose();
   }
 
-  private schedule(now: number): void {
-    this.lastTickAt = now;
-    this.timer = this.dependencies.clock.schedule(TICK_MS, () => this.tick());
+  private schedule(ms: number): void {
+    this.nextTickAt = this.dependencies.clock.now() + ms;
+    this.timer = this.dependencies.clock.schedule(ms, () => this.tick());
+  }
+
+  /** Time until the first stream may have fallen silent, within the bounds of the time between checks. */
+  private nextTickMs(now: number): number {
+    let dueMs = MAX_TICK_MS;
+    for (const { lastEventAt, silentAfterMs } of this.streams)
+      dueMs = Math.min(dueMs, lastEventAt + silentAfterMs - now);
+    return Math.max(MIN_TICK_MS, dueMs);
   }
 
   private tick(): void {
     const now = this.dependencies.clock.now();
-    const wasStalled = now - this.lastTickAt > TICK_MS + PROCESS_STALL_MS;
+    const wasStalled = now - this.nextTickAt > PROCESS_STALL_MS;
     this.timer = undefined;
     if (this.streams.size === 0) return;
-    this.schedule(now);
+    this.schedule(this.nextTickMs(now));
     // After a stall, events that arrived in the meantime are processed first.
     if (wasStalled) return;
     for (const stream of this.streams) {
