Servers: an entry older than a complete read of the store brings no server back

What operators reported: after a restart of a process, a server that had left was in use again. Cause: an instance that started after the removal of an entry had no record of it. A peer that had missed the removal (frozen, cut off) told it of the server, it passed the entry on, and that peer itself never learnt of the removal. Change: an entry older than what has been read completely counts as removed, and the peer that sent it is told. Evidence: peer-sharing.feature, 'An instance starts again after a server has left, and a peer that was cut off missed that'; the server was usable at instances before, at none within 1 s now.

--- a/features/core/peers/peer-sharing.feature
+++ b/features/core/peers/peer-sharing.feature
@@ -98,3 +98,9 @@
       | killed | requests |
       | 1      | 390      |
       | 22     | 180      |
+
+  # Guards against a server that had left and is in use again, since a peer missed its removal.
+  Scenario: An instance starts again after a server has left, and a peer that was cut off missed that
+    Given 3 instances that know each other
+    When instance 2 alone knows a server that has left, and instance 0 reads all entries of the store
+    Then within 1000 ms no instance gives new work to that server
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -349,6 +349,26 @@
   },
 );
 
+When(
+  'instance 2 alone knows a server that has left, and instance 0 reads all entries of the store',
+  async function run(this: SharingWorld) {
+    this.instances[2].directory.put(backendServer('server', { revision: 50 }));
+    this.instances[0].directory.replaceAll([backendServer('other', { revision: 70 })], 90);
+    await this.clock.runUntil(this.clock.now() + 100);
+  },
+);
+
+Then(
+  'within {int} ms no instance gives new work to that server',
+  async function check(this: SharingWorld, ms: number) {
+    await this.clock.runUntil(this.clock.now() + ms);
+    for (const { directory } of this.instances) {
+      assert.ok(directory.isUsable('other'));
+      assert.equal(directory.isUsable('server'), false);
+    }
+  },
+);
+
 Then('the entry has been sent {int} times', function check(this: SharingWorld, times: number) {
   let sent = 0;
   for (const { entriesSent } of this.instances) sent += entriesSent;
--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -89,6 +89,9 @@
    */
   public readonly onChange = this.changes.event;
 
+  /** Revision up to which every change has been applied; 0 if the entries come from peers alone. */
+  private completeRevision = 0;
+
   public constructor(private readonly clock: Clock) {}
 
   /** Revision of the newest applied entry. */
@@ -110,6 +113,8 @@
     const server = this.known.get(record.id);
     if (server === undefined) {
       this.add(record);
+      // A peer that missed the removal of an entry would otherwise bring its server back into use.
+      if (record.revision < this.completeRevision) this.remove(record.id, this.completeRevision);
       return true;
     }
     if (record.revision <= server.revision) return false;
@@ -159,6 +164,11 @@
     this.markLeaving(server);
   }
 
+  /** Records that every change of an entry up to a revision has been applied here. */
+  public noteComplete(revision: number): void {
+    this.completeRevision = Math.max(this.completeRevision, revision);
+  }
+
   /** Applies all entries as of a revision. Servers without an entry are treated as removed. */
   public replaceAll(records: readonly BackendServer[], revision: number): void {
     const present = new Set<string>();
@@ -167,6 +177,7 @@
       this.put(record);
     }
     for (const id of this.known.keys()) if (!present.has(id)) this.remove(id, revision);
+    this.noteComplete(revision);
   }
 
   /**
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -108,7 +108,11 @@
     this.work = new WorkAggregator(dependencies.load, dependencies.retryUse);
     this.subscriptions = [
       dependencies.directory.onChange((server) =>
-        this.serverChanges.record(server, this.changeSource),
+        // A peer whose entry is outdated here is told so.
+        this.serverChanges.record(
+          server,
+          server.revision === server.record.revision ? this.changeSource : undefined,
+        ),
       ),
       dependencies.quarantine.onCrash(() => this.scheduleEarlyDigest()),
     ];
--- a/src/router/StoreTablesFollower.ts
+++ b/src/router/StoreTablesFollower.ts
@@ -123,7 +123,7 @@
     this.dependencies.decisions.record('servers', { known: servers.length, revision });
   }
 
-  private applyServerChanges({ entries }: StoreEntries<BackendServer>): void {
+  private applyServerChanges({ entries, revision: newest }: StoreEntries<BackendServer>): void {
     const { directory, decisions } = this.dependencies;
     for (const { key, value, revision } of entries) {
       if (value === undefined) directory.remove(key, revision);
@@ -137,5 +137,6 @@
         to: value?.span?.to,
       });
     }
+    directory.noteComplete(newest);
   }
 }
