Ingress: a request that crosses the end of its connection is not passed on

What operators reported: during a planned stop, requests that had just been accepted were cut off without an answer. Cause: an instance that stops ends kept connections after their answer; a request that arrived on one at that moment was passed on to a server although nothing could be answered any more. Evidence: ingress.feature, 'A request crosses the end of its connection', at the socket: accepted before, not passed on now.

--- /dev/null
+++ b/features/platform/ingress.steps.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
+import { SystemClock } from '../../src/adapters/SystemClock.js';
+import { Ingress } from '../../src/platform/Ingress.js';
+import { pause } from './Ports.js';
+
+interface IngressWorld {
+  ingress: Ingress;
+  address: string;
+  isLeaving: boolean;
+  accepted: string[];
+  caller: Socket;
+  received: string;
+}
+
+/** Time within which an answer on a loopback connection arrives, in milliseconds. */
+const ANSWER_MS = 200;
+
+const EVENT = 'id: 1\ndata: event 1\n\n';
+
+async function listen(world: IngressWorld, stopsMeanwhile: boolean): Promise<void> {
+  Object.assign(world, { isLeaving: false, accepted: [], received: '' });
+  world.ingress = new Ingress({
+    clock: new SystemClock(),
+    isLeaving: () => world.isLeaving,
+    limits: () => undefined,
+    accept: ({ id }, reply) => {
+      world.accepted.push(id);
+      // The head is sent before the stop, so it does not announce the end of the connection.
+      reply.writeHead({
+        status: 200,
+        headers: ['content-length', String(EVENT.length)],
+        signed: true,
+        misdirected: false,
+        notExecuted: false,
+        identityEncoded: true,
+        isDelimited: true,
+        requestsPerSecond: undefined,
+        blamedAddress: undefined,
+      });
+      world.isLeaving = stopsMeanwhile;
+      reply.write(Buffer.from(EVENT));
+      reply.end();
+      return { cancel: () => undefined };
+    },
+  });
+  world.address = await world.ingress.listen('127.0.0.1:0');
+}
+
+function requestText(id: string): string {
+  return `POST /x HTTP/1.1\r\nhost: host\r\nx-attempt-id: ${id}\r\ncontent-length: 4\r\n\r\nbody`;
+}
+
+Given(
+  'an instance that is told to stop while it answers a request on a kept connection',
+  async function set(this: IngressWorld) {
+    await listen(this, true);
+  },
+);
+
+Given(
+  'an instance that answers requests on a kept connection',
+  async function set(this: IngressWorld) {
+    await listen(this, false);
+  },
+);
+
+When(
+  'the caller sends its next request on that connection as soon as it has the answer',
+  async function run(this: IngressWorld) {
+    this.caller = connect(hostAndPort(this.address));
+    await once(this.caller, 'connect');
+    this.caller.on('error', () => undefined);
+    const answered = new Promise<void>((resolve) => {
+      this.caller.on('data', (bytes: Buffer) => {
+        this.received += bytes.toString();
+        resolve();
+      });
+    });
+    this.caller.write(requestText('first'));
+    await answered;
+    this.caller.write(requestText('second'));
+    await pause(ANSWER_MS);
+  },
+);
+
+Then(
+  'the second request is not passed on, and the connection is closed',
+  function check(this: IngressWorld) {
+    assert.deepEqual(this.accepted, ['first']);
+    assert.equal(this.received.split('HTTP/1.1 200').length, 2);
+    assert.ok(this.caller.closed);
+  },
+);
+
+Then('both requests are answered', function check(this: IngressWorld) {
+  assert.deepEqual(this.accepted, ['first', 'second']);
+  assert.equal(this.received.split('HTTP/1.1 200').length, 3);
+});
+
+After(function stop(this: IngressWorld) {
+  this.caller?.destroy();
+  this.ingress?.close();
+});
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -121,6 +121,11 @@
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
+    // The connection was ended after the previous answer; this request crossed that and cannot be answered.
+    if (request.socket.writableEnded) {
+      request.socket.destroy();
+      return;
+    }
     this.openRequests += 1;
     let relay: Relay | undefined;
     // A write fails if the caller disconnects meanwhile; `close` follows and ends the request.
