--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -40,6 +40,10 @@
   FailsWithinResumed = 'the head and text of a failure within a resumed stream',
   /** A resumed stream skips an event. */
   SkipsEvent = 'an event too few when a stream is resumed',
+  /** An event every `SLOW_EVENT_INTERVAL_MS`; streams only. */
+  Slow = 'slow, but sound',
+  /** After four events, a byte of the next one now and then; streams only. */
+  Drips = 'a byte now and then',
   EndlessLineEnds = 'endless line ends',
   EndlessInterimAnswers = 'endless interim answers',
   EndlessHeaders = 'endless headers',
@@ -108,6 +112,12 @@
 
 const EVENT_INTERVAL_MS = 10;
 
+/** Interval between the events of a slow stream, in milliseconds; a whole one takes less than its deadline. */
+const SLOW_EVENT_INTERVAL_MS = 300;
+
+/** Events of a stream before its server sends single bytes. */
+const EVENTS_BEFORE_DRIPS = 4;
+
 /** Time from the start of a run until a crashing part ends the server, in milliseconds. */
 const CRASH_DELAY_MS = 30;
 
@@ -412,13 +422,21 @@
       'x-server-seal': 'seal',
     });
     let number = Number(headers['last-event-id'] ?? 0);
-    const timer = setInterval(() => {
-      number += 1;
-      response.write(`id: ${number}\ndata: event ${number}\n\n`);
-      if (number < EVENTS_PER_STREAM) return;
-      clearInterval(timer);
-      response.end();
-    }, EVENT_INTERVAL_MS);
+    const isSlow = this.style === AnswerStyle.Slow || this.style === AnswerStyle.Drips;
+    const timer = setInterval(
+      () => {
+        number += 1;
+        if (this.style === AnswerStyle.Drips && number > EVENTS_BEFORE_DRIPS) {
+          response.write('i');
+          return;
+        }
+        response.write(`id: ${number}\ndata: event ${number}\n\n`);
+        if (number < EVENTS_PER_STREAM) return;
+        clearInterval(timer);
+        response.end();
+      },
+      isSlow ? SLOW_EVENT_INTERVAL_MS : EVENT_INTERVAL_MS,
+    );
     response.once('close', () => clearInterval(timer));
   }
 }
--- a/features/platform/router.feature
+++ b/features/platform/router.feature
@@ -64,6 +64,19 @@
       | the head and text of a failure within a resumed stream     |
       | an event too few when a stream is resumed                  |
 
+  # Guards against cutting slow streams that are sound, and against stalled ones without end.
+  Scenario: A slow stream whose servers are alive is not cut
+    When the engine servers answer "slow, but sound"
+    And a caller requests a stream
+    Then the caller receives 12 events and a complete answer with the server's signature
+    And 1 servers have run it
+
+  Scenario: A stalled stream that sends a byte now and then ends at the caller's deadline
+    When the engine servers answer "a byte now and then"
+    And a caller requests a stream
+    Then the answer ends between 4000 and 4500 ms after the request
+    And the caller receives the first events in order and nothing else, and an answer that is not complete
+
   # Guards against bytes that are no answer, without end: their memory, and requests that wait for them.
   Scenario Outline: The servers send <style>
     When the <servers> servers answer "<style>"
--- a/features/platform/router.steps.ts
+++ b/features/platform/router.steps.ts
@@ -163,7 +163,7 @@
   },
 );
 
-When('a caller requests a stream', async function run(this: RouterWorld) {
+When('a caller requests a stream', { timeout: READY_MS }, async function run(this: RouterWorld) {
   this.answer = await sendRequest(this, { path: '/stream/1?q=1' });
 });
 
@@ -237,6 +237,14 @@
   },
 );
 
+Then(
+  'the answer ends between {int} and {int} ms after the request',
+  function check(this: RouterWorld, least: number, most: number) {
+    const ms = performance.now() - this.askedAt;
+    assert.ok(ms >= least && ms <= most, `${ms} ms`);
+  },
+);
+
 Then('an earlier rejection was repeated', function check(this: RouterWorld) {
   assert.ok(this.engineServers.some(({ repetitions }) => repetitions > 0));
 });
