Store: instances that start while the store is away try to read less often

Cause: each read of the kept rows was repeated after 200 ms, some 45 calls in 9 s from every starting instance (by the delay; not measured). Change: the delay doubles up to 1.6 s. Evidence: knowledge-archive.feature, 'Starting instances try to read rarely ...'.

--- a/features/core/store/knowledge-archive.feature
+++ b/features/core/store/knowledge-archive.feature
@@ -26,3 +26,9 @@
     Given 3 instances, the first of which is the hub, with a store
     When another instance changes the row while the hub writes what it knows of 5 crashes under part "bad"
     Then within 3000 ms the row holds 5 crashes
+
+  # Guards against hundreds of instances that start while the store is away, each with several calls a second.
+  Scenario: Starting instances try to read rarely while the store is away
+    Given 3 instances, the first of which is the hub, with a store
+    When the store is away for 9000 ms while all instances start again
+    Then each has tried to read at most 9 times
--- a/features/core/store/knowledge-archive.steps.ts
+++ b/features/core/store/knowledge-archive.steps.ts
@@ -24,6 +24,8 @@
   platform: MemoryPlatform;
   instances: Instance[];
   awayUntil: number;
+  /** Calls that read the rows so far. */
+  reads: number;
   /** Index of the instance of each write. */
   writers: number[];
   /** Runs once between the next read and the write that follows it. */
@@ -64,6 +66,7 @@
     table,
     rows: {
       readAll: async () => {
+        world.reads += 1;
         await clock.sleep(ANSWER_MS);
         throwIfAway(world);
         const row = rowOf(world);
@@ -107,6 +110,7 @@
       platform: new MemoryPlatform(),
       instances: [],
       awayUntil: 0,
+      reads: 0,
       writers: [],
       beforeWrite: undefined,
     });
@@ -176,8 +180,8 @@
     await pass(this, Number(ms) - 300);
     if (Number(ms) > 300)
       for (const { archive } of this.instances) assert.equal(archive.isPrepared, false);
-    // A failed read is repeated within 200 ms.
-    await pass(this, 300 + 200);
+    // After failures for 1 s, a read is repeated within 800 ms.
+    await pass(this, 300 + 800);
     for (const instance of this.instances) {
       assert.ok(instance.archive.isPrepared);
       OUTCOMES[outcome](instance);
@@ -185,6 +189,25 @@
   },
 );
 
+When(
+  'the store is away for {int} ms while all instances start again',
+  async function run(this: ArchiveWorld, ms: number) {
+    for (const { archive } of this.instances) archive.dispose();
+    this.instances = [];
+    this.reads = 0;
+    this.awayUntil = this.clock.now() + ms;
+    for (let index = 0; index < 3; index += 1) addInstance(this);
+    await pass(this, ms);
+  },
+);
+
+Then(
+  'each has tried to read at most {int} times',
+  function check(this: ArchiveWorld, most: number) {
+    assert.ok(this.reads <= most * this.instances.length, `${this.reads} reads`);
+  },
+);
+
 Then(
   'at most {int} writes were made, all by the hub',
   function check(this: ArchiveWorld, most: number) {
--- a/src/core/store/KnowledgeArchive.ts
+++ b/src/core/store/KnowledgeArchive.ts
@@ -75,8 +75,11 @@
 /** Interval of checks whether a write is due, in milliseconds; also the delay after a failed write. */
 const CHECK_INTERVAL_MS = 1000;
 
-/** Delay between attempts to read the rows at start, in milliseconds. */
-const LOAD_RETRY_MS = 200;
+/** Delay after the first failed attempt to read the rows at start, in milliseconds; doubles with each further one. */
+const FIRST_LOAD_RETRY_MS = 200;
+
+/** Longest delay between these attempts, in milliseconds: many instances may start while the store is away. */
+const MAX_LOAD_RETRY_MS = 1600;
 
 /**
  * Interval of writes while servers name limits, in milliseconds: a third of the time for which a limit holds
@@ -139,7 +142,7 @@
   }
 
   public start(): void {
-    this.load();
+    this.load(FIRST_LOAD_RETRY_MS);
     this.check();
   }
 
@@ -150,14 +153,16 @@
     for (const subscription of this.subscriptions) subscription.dispose();
   }
 
-  private async load(): Promise<void> {
+  /** @param retryMs - delay after a failure, in milliseconds */
+  private async load(retryMs: number): Promise<void> {
     const { rows, clock, decisions } = this.dependencies;
     try {
       this.merge(await rows.readAll());
       this.hasLoaded = true;
     } catch (error) {
       decisions.record('knowledge', { outcome: 'tried again', error: (error as Error).message });
-      if (!this.isDisposed) clock.schedule(LOAD_RETRY_MS, () => this.load());
+      const nextMs = Math.min(MAX_LOAD_RETRY_MS, 2 * retryMs);
+      if (!this.isDisposed) clock.schedule(retryMs, () => this.load(nextMs));
     }
   }
 
