--- a/features/platform/ingress.steps.ts
+++ b/features/platform/ingress.steps.ts
@@ -8,11 +8,11 @@
 import { pause } from './Ports.js';
 
 interface IngressWorld {
-  ingress: Ingress;
+  testedIngress: Ingress;
   address: string;
   isLeaving: boolean;
   accepted: string[];
-  caller: Socket;
+  callerSocket: Socket;
   received: string;
 }
 
@@ -23,7 +23,7 @@
 
 async function listen(world: IngressWorld, stopsMeanwhile: boolean): Promise<void> {
   Object.assign(world, { isLeaving: false, accepted: [], received: '' });
-  world.ingress = new Ingress({
+  world.testedIngress = new Ingress({
     clock: new SystemClock(),
     isLeaving: () => world.isLeaving,
     limits: () => undefined,
@@ -47,7 +47,7 @@
       return { cancel: () => undefined };
     },
   });
-  world.address = await world.ingress.listen('127.0.0.1:0');
+  world.address = await world.testedIngress.listen('127.0.0.1:0');
 }
 
 function requestText(id: string): string {
@@ -71,18 +71,18 @@
 When(
   'the caller sends its next request on that connection as soon as it has the answer',
   async function run(this: IngressWorld) {
-    this.caller = connect(hostAndPort(this.address));
-    await once(this.caller, 'connect');
-    this.caller.on('error', () => undefined);
+    this.callerSocket = connect(hostAndPort(this.address));
+    await once(this.callerSocket, 'connect');
+    this.callerSocket.on('error', () => undefined);
     const answered = new Promise<void>((resolve) => {
-      this.caller.on('data', (bytes: Buffer) => {
+      this.callerSocket.on('data', (bytes: Buffer) => {
         this.received += bytes.toString();
         resolve();
       });
     });
-    this.caller.write(requestText('first'));
+    this.callerSocket.write(requestText('first'));
     await answered;
-    this.caller.write(requestText('second'));
+    this.callerSocket.write(requestText('second'));
     await pause(ANSWER_MS);
   },
 );
@@ -92,7 +92,7 @@
   function check(this: IngressWorld) {
     assert.deepEqual(this.accepted, ['first']);
     assert.equal(this.received.split('HTTP/1.1 200').length, 2);
-    assert.ok(this.caller.closed);
+    assert.ok(this.callerSocket.closed);
   },
 );
 
@@ -102,6 +102,6 @@
 });
 
 After(function stop(this: IngressWorld) {
-  this.caller?.destroy();
-  this.ingress?.close();
+  this.callerSocket?.destroy();
+  this.testedIngress?.close();
 });
