Tests: every answer of the fake server names the request's id, also an endless one

Trace: the fake's endless answers had no id; on a connection that the warm-up had used, such an answer belongs to no call since. Which connection the request met decided it; the protocol says that servers name the id.

--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -52,21 +52,34 @@
   EndlessEvent = 'endless event',
 }
 
+/** Returns the status line and the headers that every answer of a server has. */
+function signedHead(id: string): string {
+  return `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\n`;
+}
+
 /** What a server sends in an endless answer: the beginning, and the part that it repeats. */
-const ENDLESS_ANSWERS: Partial<Record<AnswerStyle, { begin: string; repeat: string }>> = {
-  [AnswerStyle.EndlessLineEnds]: { begin: '', repeat: '\r\n'.repeat(1000) },
-  [AnswerStyle.EndlessInterimAnswers]: { begin: '', repeat: 'HTTP/1.1 103 Early Hints\r\n\r\n' },
-  [AnswerStyle.EndlessHeaders]: { begin: 'HTTP/1.1 200 OK\r\n', repeat: 'x-more: and more\r\n' },
+const ENDLESS_ANSWERS: Partial<
+  Record<AnswerStyle, { begin: (id: string) => string; repeat: string }>
+> = {
+  [AnswerStyle.EndlessLineEnds]: { begin: () => '', repeat: '\r\n'.repeat(1000) },
+  [AnswerStyle.EndlessInterimAnswers]: {
+    begin: () => '',
+    repeat: 'HTTP/1.1 103 Early Hints\r\n\r\n',
+  },
+  [AnswerStyle.EndlessHeaders]: {
+    begin: () => 'HTTP/1.1 200 OK\r\n',
+    repeat: 'x-more: and more\r\n',
+  },
   [AnswerStyle.EndlessBody]: {
-    begin: 'HTTP/1.1 200 OK\r\nx-server-seal: seal\r\n\r\n',
+    begin: (id) => `${signedHead(id)}\r\n`,
     repeat: 'x'.repeat(4096),
   },
   [AnswerStyle.EndlessChunkSize]: {
-    begin: 'HTTP/1.1 200 OK\r\nx-server-seal: seal\r\ntransfer-encoding: chunked\r\n\r\n',
+    begin: (id) => `${signedHead(id)}transfer-encoding: chunked\r\n\r\n`,
     repeat: '0'.repeat(4096),
   },
   [AnswerStyle.EndlessEvent]: {
-    begin: 'HTTP/1.1 200 OK\r\nx-server-seal: seal\r\n\r\nid: 1\ndata: ',
+    begin: (id) => `${signedHead(id)}\r\nid: 1\ndata: `,
     repeat: 'x'.repeat(4096),
   },
 };
@@ -90,11 +103,9 @@
   [AnswerStyle.FailsToResumeUnsigned]: (id) =>
     `HTTP/1.1 502 Error\r\nx-attempt-id: ${id}\r\ncontent-length: 9\r\n\r\nno memory`,
   [AnswerStyle.FailsWithinResumed]: (id, next) =>
-    `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\nconnection: close\r\n\r\n` +
-    `HTTP/1.1 500 Error\ncontent-length: 9\n\nno memory\n\nno memory\nid: ${next}\ndata: event ${next}\n\n`,
+    `${signedHead(id)}connection: close\r\n\r\nHTTP/1.1 500 Error\ncontent-length: 9\n\nno memory\n\nno memory\nid: ${next}\ndata: event ${next}\n\n`,
   [AnswerStyle.SkipsEvent]: (id, next) =>
-    `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\nconnection: close\r\n\r\n` +
-    `id: ${next + 1}\ndata: event ${next + 1}\n\n`,
+    `${signedHead(id)}connection: close\r\n\r\nid: ${next + 1}\ndata: event ${next + 1}\n\n`,
 };
 
 /** Writes text again and again until the socket is closed. */
@@ -344,7 +355,7 @@
       request.socket.once('close', () => {
         this.floods -= 1;
       });
-      request.socket.write(endless.begin);
+      request.socket.write(endless.begin(requestId));
       repeatUntilClosed(request.socket, endless.repeat);
       return;
     }
@@ -358,7 +369,7 @@
     const hasOtherId = this.style === AnswerStyle.OfAnotherRequest;
     const id = hasOtherId ? 'another' : String(request.headers['x-attempt-id']);
     const answer = answerTo(id);
-    const head = `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\n`;
+    const head = signedHead(id);
     const { socket } = request;
     switch (this.style) {
       case AnswerStyle.Unframed:
@@ -411,9 +422,7 @@
     const unframed = this.takeUnframedStream(Number(headers['last-event-id'] ?? 0));
     if (unframed !== undefined) {
       const id = String(headers['x-attempt-id']);
-      request.socket.end(
-        `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\nconnection: close\r\n\r\n${unframed}`,
-      );
+      request.socket.end(`${signedHead(id)}connection: close\r\n\r\n${unframed}`);
       return;
     }
     response.writeHead(200, {
