--- /dev/null
+++ b/review/harness/Faults.mjs
@@ -0,0 +1,17 @@
+/** Answers of faulty servers. */
+
+/**
+ * Returns the head of a sound answer with one byte changed: the hyphen of `content-type` is a space, so that the
+ * bytes are no response in HTTP/1.1.
+ */
+export function spoiltHead({ id, server, contentType, framing }) {
+  return (
+    `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: seal.${server.id}.${id}\r\n` +
+    `content type: ${contentType}\r\n${framing}\r\n\r\n`
+  );
+}
+
+/** Returns one chunk of a chunked body. */
+export function chunkOf(text) {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
