--- a/review/harness/Client.mjs
+++ b/review/harness/Client.mjs
@@ -3,9 +3,15 @@
 import { Agent, request as httpRequest } from 'node:http';
 import { clearTimeout, setTimeout } from 'node:timers';
 
+/** Characters of an answer's body that are kept, and a chunk more. */
+const MAX_KEPT_CHARACTERS = 65_536;
+
 export class Client {
   #agent = new Agent({ keepAlive: true, maxSockets: 1 });
 
+  /** Bandwidth of the client's link, in bytes per millisecond. */
+  linkBytesPerMs = Infinity;
+
   /** @param target - address of the router: `host`, `port` */
   constructor(name, target, { now, record }) {
     Object.assign(this, { name, target, now, record });
@@ -56,10 +62,11 @@
       outgoing.on('response', (answer) => {
         result.status = answer.statusCode;
         result.headers = answer.headers;
-        const chunks = [];
         answer.on('data', (chunk) => {
-          chunks.push(chunk);
-          result.body = Buffer.concat(chunks).toString();
+          if (result.body.length < MAX_KEPT_CHARACTERS) result.body += chunk.toString();
+          if (this.linkBytesPerMs === Infinity) return;
+          answer.pause();
+          setTimeout(() => answer.resume(), chunk.length / this.linkBytesPerMs);
         });
         answer.on('end', () => finish(answer.complete ? 'complete' : 'cut'));
         answer.on('error', () => finish('cut'));
--- a/review/harness/Fleet.mjs
+++ b/review/harness/Fleet.mjs
@@ -41,7 +41,7 @@
 }
 
 /** Returns a loopback address that hardly any other program uses; the metrics port of a router is fixed. */
-function loopbackAddress(number) {
+export function loopbackAddress(number) {
   return `127.${20 + (process.pid % 200)}.${1 + (Math.floor(process.pid / 200) % 250)}.${10 + number}`;
 }
 
@@ -56,7 +56,8 @@
 
   #lines = [];
 
-  #clients = [];
+  /** Clients and other things that end with the fleet. */
+  #owned = [];
 
   #folder = mkdtempSync(path.join(tmpdir(), 'review-'));
 
@@ -131,9 +132,13 @@
   }
 
   client(name, router) {
-    const client = new Client(name, router.callers, this);
-    this.#clients.push(client);
-    return client;
+    return this.own(new Client(name, router.callers, this));
+  }
+
+  /** Ends something with the fleet that has a method `dispose`. */
+  own(disposable) {
+    this.#owned.push(disposable);
+    return disposable;
   }
 
   serversOf(service) {
@@ -141,7 +146,7 @@
   }
 
   dispose() {
-    for (const client of this.#clients) client.dispose();
+    for (const owned of this.#owned) owned.dispose();
     for (const router of this.routers) router.dispose();
     for (const server of this.servers) server.stop();
     this.store.close();
