--- a/review/harness/Fleet.mjs
+++ b/review/harness/Fleet.mjs
@@ -8,6 +8,7 @@
 import { performance } from 'node:perf_hooks';
 import process from 'node:process';
 import { setTimeout } from 'node:timers';
+import { FaultProxy } from '../../dist/features/soak/FaultProxy.js';
 import { FakeStore } from '../../dist/features/platform/FakeStore.js';
 import { configuration } from '../../dist/features/platform/SampleConfiguration.js';
 import { BackendServer } from './BackendServer.mjs';
@@ -50,6 +51,9 @@
 
   routers = [];
 
+  /** The link of each router to the store. */
+  storeLinks = [];
+
   store = new FakeStore();
 
   #startedAt = performance.now();
@@ -98,7 +102,10 @@
     }
     const seeds = this.routers.slice(0, 3).map(({ peers }) => peers);
     for (const router of this.routers) {
-      router.configure({ storeAddress, seeds, isFirstStart: true });
+      const storeLink = this.own(new FaultProxy());
+      this.storeLinks.push(storeLink);
+      const linkAddress = await storeLink.listen(storeAddress);
+      router.configure({ storeAddress: linkAddress, seeds, isFirstStart: true });
       router.start();
     }
     await this.waitUntil(async () => this.#isReady(), READY_MS, 'the deployment to be ready');
@@ -135,7 +142,7 @@
     return this.own(new Client(name, router.callers, this));
   }
 
-  /** Ends something with the fleet that has a method `dispose`. */
+  /** Ends something with the fleet that has a method `dispose` or `close`. */
   own(disposable) {
     this.#owned.push(disposable);
     return disposable;
@@ -146,7 +153,7 @@
   }
 
   dispose() {
-    for (const owned of this.#owned) owned.dispose();
+    for (const owned of this.#owned) (owned.dispose ?? owned.close).call(owned);
     for (const router of this.routers) router.dispose();
     for (const server of this.servers) server.stop();
     this.store.close();
