--- a/review/harness/Client.mjs
+++ b/review/harness/Client.mjs
@@ -28,7 +28,16 @@
    *   whether the connection had been used before
    */
   send({ id, path, method = 'POST', body = 'body', deadlineMs, headers = {} }) {
-    const result = { id, path, status: 0, headers: {}, body: '', kept: false, sentAt: this.now() };
+    const result = {
+      id,
+      path,
+      status: 0,
+      headers: {},
+      body: '',
+      bytes: 0,
+      kept: false,
+      sentAt: this.now(),
+    };
     return new Promise((resolve) => {
       let timer;
       const finish = (end) => {
@@ -63,6 +72,7 @@
         result.status = answer.statusCode;
         result.headers = answer.headers;
         answer.on('data', (chunk) => {
+          result.bytes += chunk.length;
           if (result.body.length < MAX_KEPT_CHARACTERS) result.body += chunk.toString();
           if (this.linkBytesPerMs === Infinity) return;
           answer.pause();
