--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,53 +1,82 @@
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { EndlessServerProcess } from '../harness/EndlessServerProcess.mjs';
-import { loopbackAddress, playCase } from '../harness/Fleet.mjs';
-import { judgeLost, playTraffic } from '../harness/Traffic.mjs';
+import { eventText } from '../harness/BackendServer.mjs';
+import { chunkOf, spoiltHead } from '../harness/Faults.mjs';
+import { pause, playCase } from '../harness/Fleet.mjs';
 
-/** Bandwidth of a client's link, in bytes per millisecond: 100 Mbit/s. */
-const CLIENT_BYTES_PER_MS = 12_500;
+const PLAY_MS = 25_000;
 
-/** Time limit of the routes, as on the sheet, in milliseconds. */
-const TIMEOUT_MS = 20_000;
+/** Share of the service's servers that spoil answers, and one in how many answers they spoil. */
+const FAULTY_SHARE = 0.6;
+const SPOILT_ONE_IN = 34;
 
-const TRAFFIC = {
-  plainClients: 40,
-  streamClients: 10,
-  playMs: 30_000,
-  prepare: (client) => {
-    client.linkBytesPerMs = CLIENT_BYTES_PER_MS;
-  },
-};
+const CLIENTS = 12;
+const EVENTS = 20;
+const EVENT_MS = 20;
 
 await playCase(path.dirname(fileURLToPath(import.meta.url)), async (fleet, hasTrouble) => {
-  const { store, record } = fleet;
-  const faulty = fleet.own(
-    new EndlessServerProcess({
-      id: 'engine-faulty',
-      zone: 'a',
-      host: loopbackAddress(200),
-      isFaulty: hasTrouble,
-      store,
-      record,
-    }),
-  );
-  const change = (config) => {
-    for (const route of config.routes) route.timeout_ms = TIMEOUT_MS;
-    return config;
+  await fleet.start({ zones: ['a', 'b'], routers: 2, engines: 5, plains: 1 });
+  const engines = fleet.serversOf('engine');
+  const faulty = new Set(engines.slice(0, FAULTY_SHARE * engines.length));
+  for (const server of engines) {
+    server.events = EVENTS;
+    server.eventMs = EVENT_MS;
+    server.spoil = ({ id, number, request }) => {
+      if (!hasTrouble || !faulty.has(server) || number % SPOILT_ONE_IN !== 0) return false;
+      const { socket } = request;
+      const framing = 'transfer-encoding: chunked';
+      const last = Number(request.headers['last-event-id'] ?? 0);
+      fleet.record(`spoilt ${id} at ${server.id}`);
+      socket.write(spoiltHead({ id, server, contentType: 'text/event-stream', framing }));
+      const send = async () => {
+        for (let event = last + 1; event <= EVENTS && !socket.destroyed; event += 1) {
+          await pause(EVENT_MS);
+          socket.write(chunkOf(eventText(event)));
+        }
+        if (!socket.destroyed) socket.end('0\r\n\r\n');
+      };
+      send();
+      return true;
+    };
+  }
+
+  const results = [];
+  const endsAt = fleet.now() + PLAY_MS;
+  const loop = async (router, number) => {
+    const client = fleet.client(`stream-${number}-${router.name}`, router);
+    for (let count = 1; fleet.now() < endsAt; count += 1) {
+      const headers = {
+        'x-model': 'model',
+        'x-token-count': '100,40',
+        'x-prompt-prefix': `a1:40,${number}${count}:60`,
+      };
+      const id = `${client.name}-${count}`;
+      results.push(await client.send({ id, path: '/stream/1', deadlineMs: 20_000, headers }));
+      await pause(100);
+    }
   };
-  await fleet.start({ zones: ['a', 'b'], routers: 2, engines: 2, plains: 3, change });
-  await fleet.waitUntil(() => faulty.holdsLayers, 10_000, 'the layers of the faulty server');
-  for (const server of fleet.serversOf('plain')) server.workMs = 43;
-  for (const server of fleet.serversOf('engine'))
-    Object.assign(server, { firstEventMs: 300, eventMs: 40, events: 20 });
+  const loops = [];
+  for (const router of fleet.routers)
+    for (let number = 0; number < CLIENTS; number += 1) loops.push(loop(router, number));
+  await Promise.all(loops);
 
-  const results = await playTraffic(fleet, TRAFFIC);
-  const runAtFaulty = new Set(faulty.runs);
-  const runAtSound = new Set(fleet.servers.flatMap(({ runs }) => runs.map(({ id }) => id)));
-  const { isBroken, findings } = judgeLost(
-    fleet,
-    results,
-    ({ id }) => runAtSound.has(id) && !runAtFaulty.has(id),
-  );
-  return { isBroken, findings: [`${faulty.endless} answers without end`, ...findings] };
+  let unsigned = 0;
+  let incomplete = 0;
+  for (const { id, status, end, headers, body } of results) {
+    if (status !== 200 || end !== 'complete') continue;
+    const events = [...body.matchAll(/^id: (\d+)$/gm)].map(([, event]) => Number(event));
+    const isWhole = events.length === EVENTS && events.every((event, index) => event === index + 1);
+    const isSigned = headers['x-server-seal'] !== undefined;
+    if (isWhole && isSigned) continue;
+    if (!isSigned) unsigned += 1;
+    if (!isWhole) incomplete += 1;
+    fleet.record(
+      `wrong ${id}: complete 200, signed=${isSigned}, ${events.length} events of ${EVENTS}, from event ${events[0]}`,
+    );
+  }
+  const ends = fleet.routers.map((router) => router.ends.length).join(' and ');
+  const findings = [
+    `${results.length} streams; complete answers with status 200: ${unsigned} without the server's signature, ${incomplete} with events missing; the processes ended by themselves ${ends} times`,
+  ];
+  return { isBroken: unsigned + incomplete > 0, findings };
 });
--- a/review/harness/Faults.mjs
+++ b/review/harness/Faults.mjs
@@ -15,3 +15,14 @@
 export function chunkOf(text) {
   return `${text.length.toString(16)}\r\n${text}\r\n`;
 }
+
+/**
+ * Returns a server's own failure, a 500 after a run, with one byte changed: its status reads 503. As it is the answer to
+ * a request that ran, it does not say that it was not executed.
+ */
+export function spoiltFailure({ id, server, body }) {
+  return (
+    `HTTP/1.1 503 Internal Server Error\r\nx-attempt-id: ${id}\r\nx-server-seal: seal.${server.id}.${id}\r\n` +
+    `content-length: ${body.length}\r\n\r\n${body}`
+  );
+}
