--- a/review/harness/Fleet.mjs
+++ b/review/harness/Fleet.mjs
@@ -170,15 +170,20 @@
   }
 }
 
+/** Exit codes. Node ends with 1 after an error of its own, so that a broken rule has another one. */
+const RULE_HELD = 0;
+const NOT_RUN = 2;
+const RULE_BROKEN = 3;
+
 /**
- * Plays one case and ends the process: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+ * Plays one case and ends the process.
  * @param play - gets the fleet and whether the disruption is to be made; returns the lines of what broke the
  *   rule, and whether it was broken
  */
 export async function playCase(caseFolder, play) {
   const hasTrouble = process.env.TROUBLE !== '0';
   const fleet = new Fleet(caseFolder);
-  let code = 2;
+  let code = NOT_RUN;
   const end = () => {
     fleet.write();
     fleet.dispose();
@@ -186,15 +191,21 @@
   const limit = setTimeout(() => {
     fleet.record('result: not finished in time');
     end();
-    process.exit(2);
+    process.exit(NOT_RUN);
   }, TIME_LIMIT_MS);
   limit.unref();
   for (const name of ['SIGINT', 'SIGTERM']) {
     process.once(name, () => {
       end();
-      process.exit(2);
+      process.exit(NOT_RUN);
     });
   }
+  process.on('uncaughtException', (error) => {
+    fleet.record(`result: could not run: ${error.stack}`);
+    process.stderr.write(`could not run: ${error.stack}\n`);
+    end();
+    process.exit(NOT_RUN);
+  });
   try {
     const { isBroken, findings } = await play(fleet, hasTrouble);
     for (const finding of findings) {
@@ -204,7 +215,7 @@
     const verdict = isBroken ? 'the rule was broken' : 'the rule held';
     fleet.record(`result: ${verdict}`);
     process.stdout.write(`${verdict} (trouble: ${hasTrouble})\n`);
-    code = isBroken ? 1 : 0;
+    code = isBroken ? RULE_BROKEN : RULE_HELD;
   } catch (error) {
     fleet.record(`result: could not run: ${error.stack}`);
     process.stdout.write(`could not run: ${error.stack}\n`);
