--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,16 +1,15 @@
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { eventText } from '../harness/BackendServer.mjs';
-import { chunkOf, spoiltHead } from '../harness/Faults.mjs';
+import { chunkOf, createSpoiler, FAULTY_MS, FAULTY_SHARE, spoiltHead } from '../harness/Faults.mjs';
 import { pause, playCase } from '../harness/Fleet.mjs';
 
-const PLAY_MS = 25_000;
+const PLAY_MS = 11_000;
 
-/** Share of the service's servers that spoil answers, and one in how many answers they spoil. */
-const FAULTY_SHARE = 0.6;
-const SPOILT_ONE_IN = 34;
+/** Time from the start of the traffic until servers are faulty, in milliseconds. */
+const FAULTY_FROM_MS = 2000;
 
-const CLIENTS = 12;
+const CLIENTS = 20;
 const EVENTS = 20;
 const EVENT_MS = 20;
 
@@ -18,11 +17,16 @@
   await fleet.start({ zones: ['a', 'b'], routers: 2, engines: 5, plains: 1 });
   const engines = fleet.serversOf('engine');
   const faulty = new Set(engines.slice(0, FAULTY_SHARE * engines.length));
+  const faultyFrom = fleet.now() + FAULTY_FROM_MS;
+  const isFaulty = () =>
+    hasTrouble && fleet.now() >= faultyFrom && fleet.now() < faultyFrom + FAULTY_MS;
   for (const server of engines) {
     server.events = EVENTS;
     server.eventMs = EVENT_MS;
-    server.spoil = ({ id, number, request }) => {
-      if (!hasTrouble || !faulty.has(server) || number % SPOILT_ONE_IN !== 0) return false;
+    if (!faulty.has(server)) continue;
+    const isSpoilt = createSpoiler(isFaulty);
+    server.spoil = ({ id, request }) => {
+      if (!isSpoilt()) return false;
       const { socket } = request;
       const framing = 'transfer-encoding: chunked';
       const last = Number(request.headers['last-event-id'] ?? 0);
--- a/review/harness/Faults.mjs
+++ b/review/harness/Faults.mjs
@@ -1,4 +1,22 @@
-/** Answers of faulty servers. */
+/** Answers of faulty servers, and when servers give them. */
+
+/** Doses of `garble` that the sheet of shamshyrak-lanterns names at most: share of servers, time; one answer in how many. */
+export const FAULTY_SHARE = 0.6;
+export const FAULTY_MS = 5500;
+export const SPOILT_ONE_IN = 34;
+
+/**
+ * Returns a function that tells of each answer whether it is to be spoilt.
+ * @param isFaulty - whether the server is faulty now
+ */
+export function createSpoiler(isFaulty) {
+  let answers = 0;
+  return () => {
+    if (!isFaulty()) return false;
+    answers += 1;
+    return answers % SPOILT_ONE_IN === 0;
+  };
+}
 
 /**
  * Returns the head of a sound answer with one byte changed: the hyphen of `content-type` is a space, so that the
--- a/review/harness/Traffic.mjs
+++ b/review/harness/Traffic.mjs
@@ -4,6 +4,10 @@
 /** Pause of a client between an answer and its next request, in milliseconds. */
 const THINK_MS = 250;
 
+/** Clients begin one after the other, this far apart, within a second, in milliseconds. */
+const STAGGER_MS = 61;
+const STAGGER_WITHIN_MS = 1000;
+
 const PLAIN_DEADLINE_MS = 1000;
 
 const STREAM_DEADLINE_MS = 20_000;
@@ -18,6 +22,7 @@
   prepare(client);
   const plainPath = number % 2 === 0 ? '/book/1' : '/read/1';
   const endsAt = fleet.now() + playMs;
+  await pause((number * STAGGER_MS) % STAGGER_WITHIN_MS);
   for (let count = 1; fleet.now() < endsAt; count += 1) {
     const headers = {
       'x-model': 'model',
