Relay: one table decides whether an answer may be passed on; a head that cannot be sent is discarded

Cause: Node's parser takes in header names that its writer refuses. StreamRelay noted that the answer had begun, then writeHead threw; the next chunk went to a response without a head, for which Node sends 200 OK by itself. Why this works: AnswerGate judges the head before anything of the answer is kept or written, and whether it can be sent is part of the decoded head. A discarded answer counts as lost at once, so the request goes to another server where it may.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -135,6 +135,7 @@
   return {
     status: 200,
     headers: [],
+    sendable: true,
     signed: true,
     notExecuted: false,
     misdirected: false,
--- a/features/core/relay/relays.feature
+++ b/features/core/relay/relays.feature
@@ -14,6 +14,8 @@
       | an answer of another request is discarded         | non-idempotent | foreign               | 502 unknown | 1     |
       | an answer without a signature is discarded        | non-idempotent | unsigned              | 502 unknown | 1     |
       | an answer in another encoding is discarded        | non-idempotent | encoded               | 502 unknown | 1     |
+      | an answer that cannot be sent on is discarded     | non-idempotent | unsendable            | 502 unknown | 1     |
+      | an answer that cannot be sent on is retried       | idempotent     | unsendable,200        | 200         | 2     |
       | a lost answer is retried                          | idempotent     | lost,200              | 200         | 2     |
       | a failure is retried                              | idempotent     | 500,200               | 200         | 2     |
       | an answered failure is preferred to a lost answer | idempotent     | 500,lost              | 500         | 2     |
--- a/features/core/relay/relays.steps.ts
+++ b/features/core/relay/relays.steps.ts
@@ -41,6 +41,7 @@
   rejected: answered({ status: 503, signed: false, notExecuted: true }),
   unsigned: answered({ signed: false }),
   encoded: answered({ identityEncoded: false }),
+  unsendable: answered({ sendable: false }),
   half: ({ listener }) => listener.onData(Buffer.from('id: ')),
   end: ({ listener }) => listener.onEnd(),
   wait: () => {},
--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -26,6 +26,8 @@
   Rejected = 'rejected',
   /** The connection ends before the announced length. */
   Truncated = 'truncated',
+  /** Complete, but a header's name has a space, which Node's parser takes in and its writer does not send. */
+  SpacedHeaderName = "with a space in a header's name",
   /** The connection ends inside a header. */
   EndsInsideHead = 'ending inside its head',
   /** The connection ends after the last header, before the empty line. */
@@ -139,6 +141,14 @@
 /** Time from a crash because of a crashing part until the server has restarted, in milliseconds. */
 export const RESTART_MS = 1500;
 
+/** Returns the events of a stream that follow event `last`. */
+function eventsAfter(last: number): string[] {
+  return Array.from(
+    { length: EVENTS_PER_STREAM - last },
+    (_, index) => `id: ${last + index + 1}\ndata: event ${last + index + 1}\n\n`,
+  );
+}
+
 /** Returns the complete body of the answer to a call. */
 export function answerTo(id: string): string {
   return `the whole answer of the server to ${id}`;
@@ -367,6 +377,10 @@
       repeatUntilClosed(request.socket, endless.repeat);
       return;
     }
+    if (this.style === AnswerStyle.SpacedHeaderName) {
+      this.answerWithSpacedName(request);
+      return;
+    }
     const hasCrashingPart =
       this.crashingPart !== undefined && promptParts(headers).includes(this.crashingPart);
     if (hasCrashingPart || body === this.crashingBody)
@@ -375,6 +389,22 @@
     else this.stream(request, response);
   }
 
+  /** Sends the whole answer with a head that Node would refuse to send. */
+  private answerWithSpacedName({ socket, headers }: IncomingMessage): void {
+    const id = String(headers['x-attempt-id']);
+    const isStream = headers['x-hop-count'] !== undefined;
+    const body = isStream
+      ? eventsAfter(Number(headers['last-event-id'] ?? 0)).join('')
+      : answerTo(id);
+    this.onBreakOff();
+    socket.write(
+      `${signedHead(id)}content type: text/plain\r\ncontent-length: ${body.length}\r\n\r\n`,
+    );
+    // The rest follows in parts, as it would from a server that writes its events one by one.
+    socket.write(body.slice(0, 30));
+    setTimeout(() => socket.write(body.slice(30)), EVENT_INTERVAL_MS);
+  }
+
   private answer(request: IncomingMessage, response: ServerResponse): void {
     const hasOtherId = this.style === AnswerStyle.OfAnotherRequest;
     const id = hasOtherId ? 'another' : String(request.headers['x-attempt-id']);
@@ -408,10 +438,7 @@
    * @param last - number of the last event that the caller has
    */
   private takeUnframedStream(last: number): string | undefined {
-    const events = Array.from(
-      { length: EVENTS_PER_STREAM - last },
-      (_, index) => `id: ${last + index + 1}\ndata: event ${last + index + 1}\n\n`,
-    );
+    const events = eventsAfter(last);
     switch (this.style) {
       case AnswerStyle.Unframed:
         return events.join('');
--- a/features/platform/ingress.steps.ts
+++ b/features/platform/ingress.steps.ts
@@ -33,6 +33,7 @@
       reply.writeHead({
         status: 200,
         headers: ['content-length', String(EVENT.length)],
+        sendable: true,
         signed: true,
         misdirected: false,
         notExecuted: false,
--- a/features/platform/router.feature
+++ b/features/platform/router.feature
@@ -23,6 +23,7 @@
       | truncated          | 502    |
       | ending inside its head            | 502 |
       | ending before the end of its head | 502 |
+      | with a space in a header's name   | 502 |
 
   # Guards against a stream that was broken off and looks complete, since nothing but its connection delimits it.
   Scenario Outline: A stream that ends with its connection: <style>
@@ -38,6 +39,19 @@
       | unframed, ending inside an event        | 2    |
       | unframed, ending before the first event | 2    |
 
+  # Guards against a stream that arrives as 200, unsigned and without its first event, because its head could not be sent.
+  Scenario: The head of a stream is spoilt at one server
+    Given the instance has heard of the layers of all engine servers
+    When the engine servers answer "with a space in a header's name", until one has broken a stream off
+    And a caller requests a stream
+    Then the caller receives 12 events and a complete answer with the server's signature
+    And 2 servers have run it
+
+  Scenario: The head of a stream is spoilt at all servers
+    When the engine servers answer "with a space in a header's name"
+    And a caller requests "/stream/1" with key "key-1"
+    Then the caller receives status 502 within 2000 ms, with reason "server-lost"
+
   # Guards against "not run" for a request that a server runs, and against running it at a second server.
   Scenario Outline: A server answers <path> with <style>
     When the engine servers reject a stream each, and then answer "<style>"
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -185,10 +185,30 @@
         account,
         resumeAfter: this.resumeAfter,
       },
-      this.listener(target),
+      this.whileCurrent(this.listener(target)),
     );
   }
 
+  /** Drops what arrives for a send that has been given up for another one, or after the end of the request. */
+  private whileCurrent(listener: ServerCallListener): ServerCallListener {
+    const { sendCount } = this.sendTracker;
+    const isCurrent = (): boolean => !this.ended && this.sendTracker.sendCount === sendCount;
+    return {
+      onHead: (head) => {
+        if (isCurrent()) listener.onHead(head);
+      },
+      onData: (chunk) => {
+        if (isCurrent()) listener.onData(chunk);
+      },
+      onEnd: () => {
+        if (isCurrent()) listener.onEnd();
+      },
+      onFailure: (failure) => {
+        if (isCurrent()) listener.onFailure(failure);
+      },
+    };
+  }
+
   /**
    * Resends the request if a server is available and the route's server limit, the retry budget and the
    * remaining time allow it.
--- a/src/core/relay/CallRelay.ts
+++ b/src/core/relay/CallRelay.ts
@@ -1,13 +1,11 @@
 /** Relays a request whose answer is buffered and forwarded once it is complete. */
 import { RefusalReason, RetryReason } from '../Outcome.js';
 import { RouteKind } from '../deployment/Types.js';
+import { AnswerVerdict, judgeAnswer, RepeatPolicy } from './AnswerGate.js';
 import { BaseRelay, lossReason, MAX_BUFFERED_BYTES, type SendTarget } from './BaseRelay.js';
 import { RelayEnd } from './RelayDependencies.js';
 import { CallFailure, type AnswerHead, type ServerCallListener } from './Types.js';
 
-/** Lowest HTTP status that reports a failure of the server itself; another server may succeed. */
-const FIRST_FAILURE_STATUS = 500;
-
 export class CallRelay extends BaseRelay {
   private head: AnswerHead | undefined;
 
@@ -26,6 +24,8 @@
       onHead: (head) => {
         this.recordHead(head);
         this.head = head;
+        if (this.judge(head) === AnswerVerdict.Discard)
+          this.handleFailure(server, CallFailure.MismatchedAnswer);
       },
       onData: (chunk) => this.handleChunk(server, chunk),
       onEnd: () => this.handleAnswer(server),
@@ -38,6 +38,13 @@
     return this.assigned.route.kind === RouteKind.Idempotent;
   }
 
+  private judge(head: AnswerHead): AnswerVerdict {
+    return judgeAnswer(
+      head,
+      this.isIdempotent ? RepeatPolicy.RepeatableCall : RepeatPolicy.SingleCall,
+    );
+  }
+
   private handleChunk(server: string, chunk: Buffer): void {
     this.bufferedBytes += chunk.length;
     if (this.bufferedBytes > MAX_BUFFERED_BYTES) this.handleFailure(server, CallFailure.TooLong);
@@ -46,21 +53,18 @@
 
   private handleAnswer(server: string): void {
     const head = this.head as AnswerHead;
+    const verdict = this.judge(head);
     this.sendTracker.recordResult(!head.notExecuted);
-    if (head.notExecuted) {
+    if (verdict === AnswerVerdict.NotRun) {
       this.dependencies.directory.noteRejection(server);
       // Rejections and failure statuses count as StageFailed, also for plain services, which have no stages.
       if (this.isIdempotent && this.retry(RetryReason.StageFailed, server)) return;
       this.failWith(RefusalReason.ServerLost);
       return;
     }
-    if (!head.identityEncoded || !head.signed) {
-      this.handleFailure(server, CallFailure.MismatchedAnswer);
-      return;
-    }
     this.recordAnswer();
     const body = Buffer.concat(this.chunks);
-    if (head.status >= FIRST_FAILURE_STATUS && this.isIdempotent) {
+    if (verdict === AnswerVerdict.ForwardIfLast) {
       this.failedAnswer = { head, body };
       if (this.retry(RetryReason.StageFailed, server)) return;
     }
@@ -89,8 +93,8 @@
       route.kind,
       this.dependencies.clock.now() - request.arrivedAt,
     );
-    this.finish(RelayEnd.Complete);
     reply.writeHead(head);
+    this.finish(RelayEnd.Complete);
     reply.write(body);
     reply.end();
   }
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -12,6 +12,7 @@
 import { WorkReservation } from '../routing/WorkReservation.js';
 import { describeStages } from '../routing/StageText.js';
 import type { Stage } from '../routing/Types.js';
+import { AnswerVerdict, judgeAnswer, RepeatPolicy } from './AnswerGate.js';
 import { BaseRelay, lossReason, MAX_BUFFERED_BYTES, type SendTarget } from './BaseRelay.js';
 import { retryReason } from './CallRelay.js';
 import { EventSplitter } from './EventSplitter.js';
@@ -76,6 +77,9 @@
 
   private head: AnswerHead | undefined;
 
+  /** What may be done with the answer to the last send; undefined before its head. */
+  private verdict: AnswerVerdict | undefined;
+
   private answerBegun = false;
 
   /** Events of the last send. */
@@ -128,6 +132,7 @@
     this.chunks.length = 0;
     this.bufferedBytes = 0;
     this.head = undefined;
+    this.verdict = undefined;
     this.averageGapMs = 0;
     this.eventsOfSend = 0;
     this.epoch += 1;
@@ -137,6 +142,9 @@
       onHead: (head) => {
         this.recordHead(head);
         this.head = head;
+        this.verdict = judgeAnswer(head, this.repeatPolicy);
+        if (this.verdict === AnswerVerdict.Discard)
+          this.handleFailure(target, CallFailure.MismatchedAnswer);
       },
       onData: (chunk) => this.handleChunk(target, chunk),
       onEnd: () => this.handleAnswer(target),
@@ -164,8 +172,14 @@
   }
 
   private get isStream(): boolean {
-    const { head } = this;
-    return head !== undefined && head.status === 200 && head.signed && head.identityEncoded;
+    return this.verdict === AnswerVerdict.ForwardEvents;
+  }
+
+  private get repeatPolicy(): RepeatPolicy {
+    if (this.answerBegun) return RepeatPolicy.ResumedStream;
+    return this.assigned.route.resumable
+      ? RepeatPolicy.RepeatableStream
+      : RepeatPolicy.SingleStream;
   }
 
   /**
@@ -216,11 +230,11 @@
 
   private beginAnswer(): void {
     const { request, reply, route } = this.assigned;
+    reply.writeHead(this.head as AnswerHead);
     this.answerBegun = true;
     this.endPrefill();
     for (const { server } of this.stages) this.dependencies.directory.noteAcceptance(server);
     this.dependencies.counters.recordFirstByte(route.kind, this.lastEventAt - request.arrivedAt);
-    reply.writeHead(this.head as AnswerHead);
   }
 
   private handleAnswer(target: SendTarget): void {
@@ -249,13 +263,9 @@
       this.failWith(RefusalReason.ServerLost);
       return;
     }
-    if (this.answerBegun || !head.signed || !head.identityEncoded) {
-      this.handleFailure(target, CallFailure.MismatchedAnswer);
-      return;
-    }
-    this.finish(RelayEnd.Complete);
     const { reply } = this.assigned;
     reply.writeHead(head);
+    this.finish(RelayEnd.Complete);
     reply.write(Buffer.concat(this.chunks));
     reply.end();
   }
--- a/src/core/relay/Types.ts
+++ b/src/core/relay/Types.ts
@@ -60,6 +60,8 @@
   readonly status: number;
   /** Alternating names and values, without hop-by-hop headers. */
   readonly headers: readonly string[];
+  /** Whether the status and the headers can be sent to a caller; a server in trouble may break their syntax. */
+  readonly sendable: boolean;
   /** Whether the answer carries the server's signature. */
   readonly signed: boolean;
   /** Whether the server states that it did not run the request and never will. */
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -15,6 +15,7 @@
 import type { Stage } from '../core/routing/Types.js';
 import type { Disposable } from '../ports/Types.js';
 import type { ServerAgent } from './ServerAgent.js';
+import { areSendable, isFinalStatus } from './HeaderText.js';
 import { endToEndHeaders, HEADER, MISDIRECTED } from './WireNames.js';
 
 /**
@@ -78,9 +79,11 @@
 function toHead(message: IncomingMessage): AnswerHead {
   const { headers, statusCode = 0 } = message;
   const fault = headers[HEADER.blamedAddress];
+  const forwarded = endToEndHeaders(message.rawHeaders, NO_EXCLUDED_HEADERS);
   return {
     status: statusCode,
-    headers: endToEndHeaders(message.rawHeaders, NO_EXCLUDED_HEADERS),
+    headers: forwarded,
+    sendable: isFinalStatus(statusCode) && areSendable(forwarded),
     signed: headers[HEADER.signature] !== undefined,
     misdirected: statusCode === MISDIRECTED,
     notExecuted: headers[HEADER.notExecuted] !== undefined || statusCode === MISDIRECTED,
@@ -200,7 +203,6 @@
       this.outgoing.destroy();
       return;
     }
-    this.listener.onHead(head);
     answer.on('data', (chunk: Buffer) => {
       this.bodyBytes += chunk.length;
       if (!this.isFinished) this.listener.onData(chunk);
@@ -215,6 +217,7 @@
     answer.on('close', () => {
       if (!answer.complete) this.fail(CallFailure.ConnectionLost);
     });
+    this.listener.onHead(head);
   }
 
   /**
