Relay: an unexpected error ends the request that met it, and no other

Cause: an exception in a step of a request went to the process. The request had often been counted as ended already, its timer gone, so nothing answered it. Why this works: each entry into a relay (start, answer, timer, reroute, withdrawal, cancel) and the handover by Ingress runs in one guard. It logs the error with the request's id, counts it by kind, and answers, or closes the connection if an answer had begun. The count of failures that ends the process sees only errors outside of requests.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -127,6 +127,7 @@
 const NO_OP_COUNTERS: RelayCounters = {
   countEnd: () => {},
   countRefusal: () => {},
+  countError: () => {},
   countRetry: () => {},
   recordFirstByte: () => {},
 };
--- a/features/core/relay/relays.feature
+++ b/features/core/relay/relays.feature
@@ -86,3 +86,21 @@
     When the stream gets "e1"
     And the caller disconnects
     Then the connection of the last send is closed and no outstanding work is left
+
+  # Guards against a request that nobody answers any more, since an exception came between its end and its answer.
+  Scenario Outline: An unexpected error when <part>
+    Given a route of kind "<kind>" to servers with scripted answers
+    And an unexpected error when "<part>"
+    When the servers answer "<answers>"
+    Then the caller gets "<outcome>" after 1 send
+    And the error is logged with the id of the request
+    And no time limit of the request is left
+
+    Examples:
+      | part                     | kind           | answers  | outcome     |
+      | the head is written      | non-idempotent | 200      | 502 unknown |
+      | the body is written      | non-idempotent | 200      | cut         |
+      | the answer ends          | non-idempotent | 200      | cut         |
+      | the refusal is written   | non-idempotent | rejected | cut         |
+      | another server is chosen | idempotent     | lost     | 502 unknown |
+      | its crash is examined    | non-idempotent | lost     | 502 unknown |
--- a/features/core/relay/relays.steps.ts
+++ b/features/core/relay/relays.steps.ts
@@ -102,6 +102,39 @@
   for (const word of answers.split(',')) answerAs(this.fixture, word);
 });
 
+type FaultyPart = (world: RelayWorld) => void;
+
+function throwError(): never {
+  throw new Error('unexpected');
+}
+
+const FAULTY_PARTS: Readonly<Record<string, FaultyPart>> = {
+  'the head is written': ({ caller }) => Object.assign(caller, { writeHead: throwError }),
+  'the body is written': ({ caller }) => Object.assign(caller, { write: throwError }),
+  'the answer ends': ({ caller }) => Object.assign(caller, { end: throwError }),
+  'the refusal is written': ({ caller }) => Object.assign(caller, { refuse: throwError }),
+  'another server is chosen': ({ fixture }) =>
+    Object.assign(fixture.serverLimits, { allows: throwError }),
+  'its crash is examined': ({ fixture }) =>
+    Object.assign(fixture.dependencies.crashWitness, { examineLoss: throwError }),
+};
+
+Given('an unexpected error when {string}', function set(this: RelayWorld, part: string) {
+  FAULTY_PARTS[part](this);
+});
+
+Then('the error is logged with the id of the request', function check(this: RelayWorld) {
+  const logged = this.fixture.loggedDecisions.filter(({ event }) => event === 'request-error');
+  assert.equal(logged.length, 1);
+  assert.equal((logged[0].fields as { id: string }).id, 'request');
+});
+
+Then('no time limit of the request is left', async function check(this: RelayWorld) {
+  const { outcome } = this.caller;
+  await this.fixture.clock.runUntil(60_000);
+  assert.equal(this.caller.outcome, outcome);
+});
+
 When("the route's timeout expires", async function run(this: RelayWorld) {
   await this.fixture.clock.runUntil(1001);
 });
--- a/features/platform/ingress.feature
+++ b/features/platform/ingress.feature
@@ -10,3 +10,9 @@
     Given an instance that answers requests on a kept connection
     When the caller sends its next request on that connection as soon as it has the answer
     Then both requests are answered
+
+  # Guards against a caller that waits in vain because its request could not be handed over.
+  Scenario: An unexpected error meets a request before it is accepted
+    Given an instance in which each request meets an unexpected error
+    When the caller sends its next request on that connection as soon as it has the answer
+    Then both requests are answered with status 503, and the errors are logged
--- a/features/platform/ingress.steps.ts
+++ b/features/platform/ingress.steps.ts
@@ -14,6 +14,7 @@
   accepted: string[];
   callerSocket: Socket;
   received: string;
+  errors: string[];
 }
 
 /** Time within which an answer on a loopback connection arrives, in milliseconds. */
@@ -21,14 +22,16 @@
 
 const EVENT = 'id: 1\ndata: event 1\n\n';
 
-async function listen(world: IngressWorld, stopsMeanwhile: boolean): Promise<void> {
-  Object.assign(world, { isLeaving: false, accepted: [], received: '' });
+async function listen(world: IngressWorld, stopsMeanwhile: boolean, fails = false): Promise<void> {
+  Object.assign(world, { isLeaving: false, accepted: [], received: '', errors: [] });
   world.testedIngress = new Ingress({
     clock: new SystemClock(),
     isLeaving: () => world.isLeaving,
+    handleError: (id) => world.errors.push(id),
     limits: () => undefined,
     accept: ({ id }, reply) => {
       world.accepted.push(id);
+      if (fails) throw new Error('unexpected');
       // The head is sent before the stop, so it does not announce the end of the connection.
       reply.writeHead({
         status: 200,
@@ -69,6 +72,13 @@
   },
 );
 
+Given(
+  'an instance in which each request meets an unexpected error',
+  async function set(this: IngressWorld) {
+    await listen(this, false, true);
+  },
+);
+
 When(
   'the caller sends its next request on that connection as soon as it has the answer',
   async function run(this: IngressWorld) {
@@ -102,6 +112,14 @@
   assert.equal(this.received.split('HTTP/1.1 200').length, 3);
 });
 
+Then(
+  'both requests are answered with status {int}, and the errors are logged',
+  function check(this: IngressWorld, status: number) {
+    assert.equal(this.received.split(`HTTP/1.1 ${status}`).length, 3);
+    assert.deepEqual(this.errors, ['first', 'second']);
+  },
+);
+
 After(function stop(this: IngressWorld) {
   this.callerSocket?.destroy();
   this.testedIngress?.close();
--- a/src/core/Outcome.ts
+++ b/src/core/Outcome.ts
@@ -31,6 +31,8 @@
   ClaimHolderGone = 'claim-holder-gone',
   ServerLost = 'server-lost',
   AnswerTooLong = 'answer-too-long',
+  /** An unexpected error in the handling of the request. */
+  InternalError = 'internal-error',
   CallerGone = 'caller-gone',
   DeadlinePassed = 'deadline-passed',
 }
@@ -95,6 +97,7 @@
   [RefusalReason.ClaimHolderGone]: { status: 409, retryAfterMs: 0 },
   [RefusalReason.ServerLost]: { status: 502, retryAfterMs: 1000 },
   [RefusalReason.AnswerTooLong]: { status: 502, retryAfterMs: 1000 },
+  [RefusalReason.InternalError]: { status: 502, retryAfterMs: 0 },
   [RefusalReason.CallerGone]: { status: 499, retryAfterMs: 0 },
   [RefusalReason.DeadlinePassed]: { status: 504, retryAfterMs: 0 },
 };
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -11,6 +11,8 @@
 import type { Stage } from '../routing/Types.js';
 import { choosePlainServer } from '../routing/PlainServerChoice.js';
 import { WorkReservation } from '../routing/WorkReservation.js';
+import { guardListener } from './ListenerGuard.js';
+import { REFUSAL_MESSAGES } from './RefusalMessages.js';
 import { RelayEnd, type AssignedRequest, type RelayDependencies } from './RelayDependencies.js';
 import { SendTracker } from './SendTracker.js';
 import { CallFailure, type AnswerHead, type Relay, type ServerCallListener } from './Types.js';
@@ -36,23 +38,6 @@
  */
 const MIN_QUARANTINE_DELAY_MS = 2000;
 
-const MESSAGES: Partial<Record<RefusalReason, string>> = {
-  [RefusalReason.NoRoute]:
-    'No server can accept the request now. Retry after the delay given in Retry-After.',
-  [RefusalReason.ServerLost]:
-    'The server failed before its answer was complete. Retry only if the request may run twice.',
-  [RefusalReason.Quarantined]:
-    'Servers crashed under this request, or under others with a part of its prompt. Change it, or retry after the delay given in Retry-After.',
-  [RefusalReason.Withdrawn]:
-    'Servers crashed under this request, or under others with a part of its prompt, so it was taken back from its server; it may have run. Change it before retrying it.',
-  [RefusalReason.AnswerTooLong]:
-    'The server sent more than the maximum size of an answer or of an event, and it was discarded. Retry only if the request may run twice; check the server if this repeats.',
-  [RefusalReason.DeadlinePassed]:
-    'The time limit of the request (route timeout or caller deadline) passed, and it may have run. Retry only if it may run twice.',
-  [RefusalReason.DeadlineUnreachable]:
-    'No server accepted the request within its time limit (route timeout or caller deadline). Retry it, after the delay in Retry-After if there is one.',
-};
-
 export abstract class BaseRelay implements Relay {
   protected readonly sendTracker: SendTracker;
 
@@ -86,7 +71,7 @@
       retryBudget: dependencies.retryBudget,
     });
     this.timer = dependencies.clock.schedule(Math.max(0, endsAt - dependencies.clock.now()), () =>
-      this.expire(),
+      this.guard(() => this.expire()),
     );
   }
 
@@ -97,22 +82,26 @@
 
   /** Sends the request for the first time. */
   public start(): void {
-    const target = this.chooseTarget();
-    if (target === undefined) this.refuseNotRun(RefusalReason.NoRoute);
-    else if (this.mayBeSent()) this.send(target);
-    else this.refuseQuarantined();
+    this.guard(() => {
+      const target = this.chooseTarget();
+      if (target === undefined) this.refuseNotRun(RefusalReason.NoRoute);
+      else if (this.mayBeSent()) this.send(target);
+      else this.refuseQuarantined();
+    });
   }
 
   /** Takes the request back from its server if an input of it has been quarantined since it was sent. */
   public withdrawIfQuarantined(): void {
     const { quarantine } = this.dependencies;
     if (this.ended || this.isProven) return;
-    if (quarantine.find(this.assigned.inputs).length > 0)
-      this.refuse(RefusalReason.Withdrawn, Outcome.Unknown, 0);
+    this.guard(() => {
+      if (quarantine.find(this.assigned.inputs).length > 0)
+        this.refuse(RefusalReason.Withdrawn, Outcome.Unknown, 0);
+    });
   }
 
   public cancel(): void {
-    this.finish(RelayEnd.CallerGone);
+    this.guard(() => this.finish(RelayEnd.CallerGone));
   }
 
   protected get msLeft(): number {
@@ -192,21 +181,34 @@
   /** Drops what arrives for a send that has been given up for another one, or after the end of the request. */
   private whileCurrent(listener: ServerCallListener): ServerCallListener {
     const { sendCount } = this.sendTracker;
-    const isCurrent = (): boolean => !this.ended && this.sendTracker.sendCount === sendCount;
-    return {
-      onHead: (head) => {
-        if (isCurrent()) listener.onHead(head);
-      },
-      onData: (chunk) => {
-        if (isCurrent()) listener.onData(chunk);
-      },
-      onEnd: () => {
-        if (isCurrent()) listener.onEnd();
-      },
-      onFailure: (failure) => {
-        if (isCurrent()) listener.onFailure(failure);
-      },
-    };
+    return guardListener(listener, (step) => {
+      if (!this.ended && this.sendTracker.sendCount === sendCount) this.guard(step);
+    });
+  }
+
+  /** Runs a step of the request. An exception ends this request and no other. */
+  protected guard(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      this.endAfterError(error as Error);
+    }
+  }
+
+  /** Ends the request after an unexpected error, with an answer if none has begun. */
+  protected endAfterError({ message, stack }: Error): void {
+    const { counters, decisions } = this.dependencies;
+    const { request, reply, route } = this.assigned;
+    counters.countError(route.kind);
+    decisions.record('request-error', { id: request.id, error: message, stack });
+    try {
+      if (this.ended) reply.abort();
+      else this.failWith(RefusalReason.InternalError);
+    } catch {
+      // The refusal failed as well; the first error, logged above, is the one to look for.
+      reply.abort();
+      this.finish(RelayEnd.Aborted);
+    }
   }
 
   /**
@@ -369,7 +371,7 @@
       ticket: deployments.ticket,
     });
     this.finishRefused(() =>
-      reply.refuse(refusal(outcome, reason, MESSAGES[reason] ?? reason, retryAfterMs)),
+      reply.refuse(refusal(outcome, reason, REFUSAL_MESSAGES[reason] ?? reason, retryAfterMs)),
     );
   }
 
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -41,10 +41,12 @@
   CallerGone = 'caller-gone',
 }
 
-/** Counts the ends, refusals and retries of requests, and records the time to their first byte. */
+/** Counts the ends, refusals, errors and retries of requests, and records the time to their first byte. */
 export interface RelayCounters {
   countEnd(kind: string, end: RelayEnd): void;
   countRefusal(reason: RefusalReason): void;
+  /** Counts a request that an unexpected error ended. */
+  countError(kind: string): void;
   countRetry(reason: RetryReason): void;
   /** @param ms - time from the arrival of the request to the first byte of its answer, in milliseconds */
   recordFirstByte(kind: string, ms: number): void;
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -116,10 +116,14 @@
   public rerouteAround(servers: ReadonlySet<string>, reason: RetryReason): void {
     if (this.ended || this.rerouting || this.stages.length === 0) return;
     if (this.dependencies.clock.now() < this.nextRerouteAt) return;
+    this.guard(() => this.moveOff(servers, reason));
+  }
+
+  private moveOff(servers: ReadonlySet<string>, reason: RetryReason): void {
     for (const server of servers) this.avoidedServers.add(server);
     const first = this.stages[0];
     if (!servers.has(first.server)) {
-      this.reroute(reason);
+      this.reroute(reason).catch((error: Error) => this.endAfterError(error));
       return;
     }
     // A leaving first server keeps serving; the stream resumes elsewhere only once its connection is lost.
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
+import { Outcome, refusal, RefusalReason } from '../core/Outcome.js';
 import type { CallerLimits } from '../core/deployment/Types.js';
 import type { CallerReply, CallerRequest, PromptSize, Relay } from '../core/relay/Types.js';
 import type { Clock } from '../ports/Types.js';
@@ -30,6 +31,8 @@
    * one to another instance.
    */
   isLeaving(): boolean;
+  /** Records an unexpected error that ended a request before it was accepted. */
+  handleError(id: string, error: Error): void;
   /** The operator's limits; undefined until they are known. */
   limits(): CallerLimits | undefined;
 }
@@ -154,10 +157,27 @@
     request.on('end', () => {
       if (response.destroyed || response.headersSent) return;
       const reply = new HttpReply(response, () => this.dependencies.isLeaving());
-      relay = this.dependencies.accept(this.decode(request, Buffer.concat(chunks, size)), reply);
+      relay = this.accept(request, Buffer.concat(chunks, size), reply);
     });
   }
 
+  /** Hands a request over. After an unexpected error it has been sent to no server. */
+  private accept(request: IncomingMessage, body: Buffer, reply: HttpReply): Relay | undefined {
+    try {
+      return this.dependencies.accept(this.decode(request, body), reply);
+    } catch (error) {
+      this.dependencies.handleError(header(request, HEADER.requestId) ?? '', error as Error);
+      reply.refuse(
+        refusal(
+          Outcome.NotRun,
+          RefusalReason.NotReady,
+          'An unexpected error ended the request before it was sent to a server. Retry it; report the error to the operators if this repeats.',
+        ),
+      );
+      return undefined;
+    }
+  }
+
   private rejectBody(request: IncomingMessage, response: ServerResponse): void {
     request.removeAllListeners('data');
     request.resume();
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -191,6 +191,10 @@
       clock,
       accept: (request, reply) => this.dispatcher.accept(request, reply),
       isLeaving: () => this.leaving,
+      handleError: (id, { message, stack }) => {
+        this.metrics.countError('unknown');
+        log.record('request-error', { id, error: message, stack });
+      },
       limits: () => deployments.currentTable?.deployment.limits,
     });
     this.lease = new LeaseKeeper({
--- a/src/router/RouterMetrics.ts
+++ b/src/router/RouterMetrics.ts
@@ -32,6 +32,10 @@
     this.count(`acaciadrum_refusals_total{reason="${reason}"}`);
   }
 
+  public countError(kind: string): void {
+    this.count(`acaciadrum_request_errors_total{kind="${kind}"}`);
+  }
+
   public countRetry(reason: RetryReason): void {
     this.count(`acaciadrum_retries_total{reason="${reason}"}`);
   }
