Relay: a server's stream is read only as fast as its caller takes it

Cause: no back pressure. What the caller had not taken piled up in its response, as write returned false and nothing paused the server's answer; a single stream without end took 350 MB within 3 s. Why this works: once the caller's connection takes no more, the server's answer is paused, so that the network's windows hold the server back; reading goes on when the caller has taken all. A stream that waits for its caller is not silent, whatever its servers do, and its pace counts anew from then on.

--- a/features/core/FakeCaller.ts
+++ b/features/core/FakeCaller.ts
@@ -17,8 +17,26 @@
     this.status = status;
   }
 
-  public write(chunk: Buffer): void {
+  /** Whether the caller reads what it is sent. */
+  public isReading = true;
+
+  private takenListener: (() => void) | undefined;
+
+  public write(chunk: Buffer): boolean {
     this.text += chunk.toString();
+    return this.isReading;
+  }
+
+  public onceTaken(listener: () => void): void {
+    this.takenListener = listener;
+  }
+
+  /** Reads everything that was written, and reads on from now on. */
+  public readOn(): void {
+    this.isReading = true;
+    const listener = this.takenListener;
+    this.takenListener = undefined;
+    listener?.();
   }
 
   public end(): void {
--- a/features/core/FakeServers.ts
+++ b/features/core/FakeServers.ts
@@ -14,6 +14,7 @@
   readonly call: ServerCall;
   readonly listener: ServerCallListener;
   disposed: boolean;
+  isPaused: boolean;
 }
 
 /** Records calls; the test answers them in place of the servers. */
@@ -38,12 +39,18 @@
   }
 
   public call(call: ServerCall, listener: ServerCallListener) {
-    const recorded: RecordedCall = { call, listener, disposed: false };
+    const recorded: RecordedCall = { call, listener, disposed: false, isPaused: false };
     this.calls.push(recorded);
     return {
       dispose: () => {
         recorded.disposed = true;
       },
+      pause: () => {
+        recorded.isPaused = true;
+      },
+      resume: () => {
+        recorded.isPaused = false;
+      },
     };
   }
 
--- a/features/core/relay/silence.feature
+++ b/features/core/relay/silence.feature
@@ -28,6 +28,20 @@
     When server "s2" announces that it is leaving
     Then within 1400 ms the stream has a new route without that server
 
+  # Guards against a caller that reads slowly and costs sound servers their good name.
+  Scenario: A caller that takes nothing does not make its servers look silent
+    Given a stream over three servers that has begun
+    When the caller takes nothing for 3000 ms, while no server reports
+    Then no server was asked for a report
+    And the stream keeps its route
+
+  Scenario: Once the caller reads on, a silent server is noticed as before
+    Given a stream over three servers that has begun
+    When the caller takes nothing for 3000 ms, while no server reports
+    And the caller reads on
+    And server "s2" falls silent
+    Then within 170 ms the stream resumes at another first server
+
   Scenario: A process that was stalled does not blame its servers
     Given a stream over three servers that has begun
     When the process stalls for 3000 ms while events wait to be read
--- a/features/core/relay/silence.steps.ts
+++ b/features/core/relay/silence.steps.ts
@@ -7,6 +7,7 @@
 
 interface SilenceWorld {
   fixture: RelayFixture;
+  caller: FakeCaller;
   silent: string;
   sentEvents: number;
   suspectProbe: SuspectProbe;
@@ -34,7 +35,8 @@
     );
   }
   Object.assign(world, { fixture, sentEvents: 0, silent: '' });
-  new RelayDispatcher(fixture.dependencies).accept(fixture.request(), new FakeCaller());
+  world.caller = new FakeCaller();
+  new RelayDispatcher(fixture.dependencies).accept(fixture.request(), world.caller);
   fixture.servers.calls[0].listener.onHead(answerHead());
   for (let sent = 0; sent < 20; sent += 1) {
     if (sent > 0) await fixture.clock.runUntil(fixture.clock.now() + paceMs);
@@ -88,6 +90,26 @@
   },
 );
 
+When(
+  'the caller takes nothing for {int} ms, while no server reports',
+  async function run(this: SilenceWorld, ms: number) {
+    this.caller.isReading = false;
+    sendEvent(this);
+    assert.ok(this.fixture.servers.calls[0].isPaused);
+    for (const server of Object.keys(SPANS)) this.fixture.servers.silent.add(server);
+    await this.fixture.clock.runUntil(this.fixture.clock.now() + ms);
+  },
+);
+
+When('the caller reads on', function run(this: SilenceWorld) {
+  this.caller.readOn();
+  assert.ok(!this.fixture.servers.calls[0].isPaused);
+});
+
+Then('no server was asked for a report', function check(this: SilenceWorld) {
+  assert.equal(this.fixture.servers.reportCount, 0);
+});
+
 When(
   'the process stalls for {int} ms while events wait to be read',
   async function run(this: SilenceWorld, ms: number) {
--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -56,6 +56,7 @@
   EndlessBody = 'endless body',
   EndlessChunkSize = 'endless chunk size',
   EndlessEvent = 'endless event',
+  EndlessEvents = 'endless events',
 }
 
 /** Returns the status line and the headers that every answer of a server has. */
@@ -84,6 +85,10 @@
     begin: (id) => `${signedHead(id)}transfer-encoding: chunked\r\n\r\n`,
     repeat: '0'.repeat(4096),
   },
+  [AnswerStyle.EndlessEvents]: {
+    begin: (id) => `${signedHead(id)}\r\n`,
+    repeat: `data: ${'x'.repeat(32 * 1024)}\n\n`,
+  },
   [AnswerStyle.EndlessEvent]: {
     begin: (id) => `${signedHead(id)}\r\nid: 1\ndata: `,
     repeat: 'x'.repeat(4096),
--- a/features/platform/router.feature
+++ b/features/platform/router.feature
@@ -112,6 +112,17 @@
       | endless headers         | engine  | /stream/1 | server-lost     |
       | endless event           | engine  | /stream/1 | answer-too-long |
 
+  # Guards against a stream whose caller reads more slowly than its server sends: what lay between them filled the memory.
+  Scenario: The servers send endless events to a caller that does not read
+    Given the instance has heard of the layers of all engine servers
+    When the engine servers answer "endless events"
+    And for 3000 ms a caller requests a stream and reads nothing
+    Then the process has taken less than 64 MB more
+    And 1 servers have run it
+    When the engine servers answer "whole"
+    And a caller requests a stream
+    Then the caller receives 12 events and a complete answer with the server's signature
+
   Scenario: A server crashes in the middle of a stream
     When a caller requests a stream and its first server crashes after 4 events
     Then the caller receives 12 events and a complete answer with the server's signature
--- a/features/platform/router.steps.ts
+++ b/features/platform/router.steps.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
 import { Agent, request as httpRequest, type IncomingHttpHeaders } from 'node:http';
+import { connect } from 'node:net';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
 import type { RouterInstance } from '../../src/router/RouterInstance.js';
@@ -29,6 +31,8 @@
   stopped: Promise<void> | undefined;
   /** Resident memory before an endless answer, in bytes. */
   memoryBefore: number;
+  /** Memory taken since then, if a step has measured it, in bytes. */
+  memoryTaken: number | undefined;
   askedAt: number;
 }
 
@@ -250,6 +254,21 @@
   assert.ok(this.engineServers.some(({ repetitions }) => repetitions > 0));
 });
 
+When(
+  'for {int} ms a caller requests a stream and reads nothing',
+  async function run(this: RouterWorld, ms: number) {
+    const socket = connect(hostAndPort(this.callerAddress));
+    await once(socket, 'connect');
+    socket.pause();
+    socket.write(
+      'POST /stream/1 HTTP/1.1\r\nhost: host\r\nauthorization: Token key-1\r\nx-attempt-id: id-1\r\nx-deadline-ms: 8000\r\nx-token-count: 800,24\r\ncontent-length: 4\r\n\r\nbody',
+    );
+    await pause(ms);
+    this.memoryTaken = process.memoryUsage().rss - this.memoryBefore;
+    socket.destroy();
+  },
+);
+
 Then('at most {int} servers have run it', function check(this: RouterWorld, most: number) {
   const ran = this.engineServers.filter(({ runs }) => runs.some(({ id }) => id === 'id-1'));
   assert.ok(ran.length >= 1 && ran.length <= most, `${ran.length} servers`);
@@ -290,7 +309,8 @@
 Then(
   'the process has taken less than {int} MB more',
   function check(this: RouterWorld, mb: number) {
-    const taken = (process.memoryUsage().rss - this.memoryBefore) / 1e6;
+    const bytes = this.memoryTaken ?? process.memoryUsage().rss - this.memoryBefore;
+    const taken = bytes / 1e6;
     assert.ok(taken < mb, `${taken} MB`);
   },
 );
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -15,7 +15,13 @@
 import { REFUSAL_MESSAGES } from './RefusalMessages.js';
 import { RelayEnd, type AssignedRequest, type RelayDependencies } from './RelayDependencies.js';
 import { SendTracker } from './SendTracker.js';
-import { CallFailure, type AnswerHead, type Relay, type ServerCallListener } from './Types.js';
+import {
+  CallFailure,
+  type AnswerHead,
+  type Relay,
+  type ServerCallListener,
+  type ServerConnection,
+} from './Types.js';
 
 /** The first server of a route and the stages of the route; no stages for plain services. */
 export interface SendTarget {
@@ -54,7 +60,9 @@
 
   private readonly timer: Disposable;
 
-  private call: Disposable | undefined;
+  private call: ServerConnection | undefined;
+
+  private isPaused = false;
 
   private reservation: WorkReservation | undefined;
 
@@ -176,6 +184,29 @@
       },
       this.whileCurrent(this.listener(target)),
     );
+    if (this.isPaused) this.call.pause();
+  }
+
+  /** Whether the answer is not read, because the caller has not taken what was written to it. */
+  protected get isWaitingForCaller(): boolean {
+    return this.isPaused;
+  }
+
+  /** Writes a part of the answer, and stops reading the answer until the caller has taken it. */
+  protected writePart(bytes: Buffer): void {
+    const { reply } = this.assigned;
+    if (reply.write(bytes) || this.isPaused) return;
+    this.isPaused = true;
+    this.call?.pause();
+    reply.onceTaken(() => {
+      this.isPaused = false;
+      if (!this.ended) this.guard(() => this.resumeAnswer());
+    });
+  }
+
+  /** Reads the answer on, once the caller has taken what was written to it. */
+  protected resumeAnswer(): void {
+    this.call?.resume();
   }
 
   /** Drops what arrives for a send that has been given up for another one, or after the end of the request. */
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -109,6 +109,8 @@
   }
 
   public get silentAfterMs(): number {
+    // Nothing is read meanwhile, so that the silence says nothing of the servers.
+    if (this.isWaitingForCaller) return Infinity;
     if (this.averageGapMs > 0) return Math.max(MIN_SILENCE_MS, this.averageGapMs * SILENCE_FACTOR);
     return FIRST_EVENT_MS + this.reservedTokens * FIRST_EVENT_TOKEN_MS;
   }
@@ -156,6 +158,11 @@
     };
   }
 
+  protected override resumeAnswer(): void {
+    this.lastEventAt = this.dependencies.clock.now();
+    super.resumeAnswer();
+  }
+
   protected override get resumeAfter(): string | undefined {
     const { lastId } = this.splitter;
     return this.answerBegun && !Number.isNaN(lastId) ? String(lastId) : super.resumeAfter;
@@ -217,7 +224,7 @@
     if (this.eventsOfSend >= PROVING_EVENTS) this.recordAnswer();
     this.recordEvent();
     if (!this.answerBegun) this.beginAnswer();
-    this.assigned.reply.write(bytes);
+    this.writePart(bytes);
   }
 
   private recordEvent(): void {
--- a/src/core/relay/Types.ts
+++ b/src/core/relay/Types.ts
@@ -47,7 +47,10 @@
 export interface CallerReply {
   /** Sends the status and headers of a server's answer. */
   writeHead(answer: AnswerHead): void;
-  write(chunk: Buffer): void;
+  /** @returns false if the caller has not taken the bytes yet; `onceTaken` tells when it has */
+  write(chunk: Buffer): boolean;
+  /** Calls `listener` once the caller has taken what was written; never if its connection closes before. */
+  onceTaken(listener: () => void): void;
   /** Ends a complete answer. */
   end(): void;
   refuse(refusal: Refusal): void;
@@ -129,9 +132,16 @@
   readonly blamedAddress?: string;
 }
 
-/** Calls servers. Disposing a call closes its connection, which stops the server's work. */
+/** A call in progress. Disposing it closes its connection, which stops the server's work. */
+export interface ServerConnection extends Disposable {
+  /** Stops reading the answer, so that the server can send only what the network buffers. */
+  pause(): void;
+  resume(): void;
+}
+
+/** Calls servers. */
 export interface ServerPort {
-  call(call: ServerCall, listener: ServerCallListener): Disposable;
+  call(call: ServerCall, listener: ServerCallListener): ServerConnection;
   /**
    * Moves a running request to another route that begins at the same server with the same layers.
    * @param serverId - id of that server, the first of the route
--- a/src/platform/HttpReply.ts
+++ b/src/platform/HttpReply.ts
@@ -14,8 +14,12 @@
     this.response.writeHead(status, headers as string[]);
   }
 
-  public write(chunk: Buffer): void {
-    if (chunk.length > 0) this.response.write(chunk);
+  public write(chunk: Buffer): boolean {
+    return chunk.length === 0 || this.response.write(chunk);
+  }
+
+  public onceTaken(listener: () => void): void {
+    this.response.once('drain', listener);
   }
 
   public end(): void {
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -11,9 +11,9 @@
   type AnswerHead,
   type ServerCall,
   type ServerCallListener,
+  type ServerConnection,
 } from '../core/relay/Types.js';
 import type { Stage } from '../core/routing/Types.js';
-import type { Disposable } from '../ports/Types.js';
 import type { ServerAgent } from './ServerAgent.js';
 import { areSendable, isFinalStatus } from './HeaderText.js';
 import { endToEndHeaders, HEADER, MISDIRECTED } from './WireNames.js';
@@ -95,9 +95,13 @@
 }
 
 /** One call to a backend server that is in progress. Disposing it closes its connection. */
-export class OpenCall implements Disposable {
+export class OpenCall implements ServerConnection {
   private readonly outgoing: ClientRequest;
 
+  private answer: IncomingMessage | undefined;
+
+  private isPaused = false;
+
   private connectTimer: NodeJS.Timeout | undefined;
 
   private socket: Socket | undefined;
@@ -145,6 +149,16 @@
     this.outgoing.destroy();
   }
 
+  public pause(): void {
+    this.isPaused = true;
+    this.answer?.pause();
+  }
+
+  public resume(): void {
+    this.isPaused = false;
+    this.answer?.resume();
+  }
+
   /** Closes the connection if the server sends bytes without end that are no part of an answer. */
   public checkFraming(): void {
     if (this.socket === undefined) return;
@@ -217,6 +231,8 @@
     answer.on('close', () => {
       if (!answer.complete) this.fail(CallFailure.ConnectionLost);
     });
+    this.answer = answer;
+    if (this.isPaused) answer.pause();
     this.listener.onHead(head);
   }
 
--- a/src/platform/ServerClient.ts
+++ b/src/platform/ServerClient.ts
@@ -14,11 +14,11 @@
   type RerouteAnswer,
   type ServerCall,
   type ServerCallListener,
+  type ServerConnection,
   type ServerPort,
 } from '../core/relay/Types.js';
 import type { ListenPort } from '../core/quarantine/Types.js';
 import type { Stage } from '../core/routing/Types.js';
-import type { Disposable } from '../ports/Types.js';
 import { formatStages, OpenCall } from './OpenCall.js';
 import { ServerAgent } from './ServerAgent.js';
 import { decodeSpan } from './ServerEntryDecoder.js';
@@ -54,7 +54,7 @@
     this.agent.destroy();
   }
 
-  public call(call: ServerCall, listener: ServerCallListener): Disposable {
+  public call(call: ServerCall, listener: ServerCallListener): ServerConnection {
     const open = new OpenCall(call, listener, this.agent, (ended) => this.openCalls.delete(ended));
     this.openCalls.add(open);
     return open;
