Router: all messages in progress share one budget of memory

Cause: 8 MiB for an answer, 4 MiB for a body, 32 MiB for an answer of the store, times any number of them; an answer was copied whole into the caller's connection, whether that read or not. Why this works: MemoryBudget counts what is kept for callers, servers and the store, and ends the one that keeps most, stalled ones first. What moves on keeps little. Bodies are kept only if the head is not refused anyway, and answers go out as they are taken. Not covered: gRPC messages of peers.

--- a/features/core/FakeCaller.ts
+++ b/features/core/FakeCaller.ts
@@ -39,6 +39,11 @@
     listener?.();
   }
 
+  public endWith(parts: readonly Buffer[]): void {
+    for (const part of parts) this.write(part);
+    this.end();
+  }
+
   public end(): void {
     this.isEnded = true;
   }
--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -21,6 +21,7 @@
 import { CrashWitness } from '../../src/core/quarantine/CrashWitness.js';
 import { InputQuarantine } from '../../src/core/quarantine/InputQuarantine.js';
 import { SilenceDetector } from '../../src/core/relay/SilenceDetector.js';
+import { MemoryBudget } from '../../src/core/limits/MemoryBudget.js';
 import { CallFailure, type AnswerHead, type CallerRequest } from '../../src/core/relay/Types.js';
 import { EngineRoutes } from '../../src/core/routing/EngineRoutes.js';
 import { ServerLoad } from '../../src/core/routing/ServerLoad.js';
@@ -223,6 +224,7 @@
       ownPromptPart: undefined,
       resumeAfter: undefined,
       message: { method: 'POST', target: '/x/', headers: [], body: Buffer.from('body') },
+      memory: new MemoryBudget(this.clock, Infinity).open({ allowanceBytes: 0, onEvict: () => {} }),
       ...values,
     };
   }
--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -59,6 +59,24 @@
   EndlessEvents = 'endless events',
 }
 
+/** Header with which a request asks for a large answer. */
+export const LARGE_ANSWER_HEADER = 'x-test-answer';
+
+/** Announced size of a large answer, in bytes. */
+export const LARGE_ANSWER_BYTES = 8_000_000;
+
+/** Bytes of a large answer that are sent, by what the request asks for. */
+const LARGE_ANSWERS: Readonly<Record<string, number>> = {
+  whole: LARGE_ANSWER_BYTES,
+  'stops inside': 7_500_000,
+};
+
+/** Sends a large answer, or the first part of it and then nothing. */
+function sendLargeAnswer(socket: Socket, id: string, sentBytes: number): void {
+  socket.write(`${signedHead(id)}content-length: ${LARGE_ANSWER_BYTES}\r\n\r\n`);
+  socket.write(Buffer.alloc(sentBytes, 'x'));
+}
+
 /** Returns the status line and the headers that every answer of a server has. */
 function signedHead(id: string): string {
   return `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\n`;
@@ -386,6 +404,11 @@
       this.answerWithSpacedName(request);
       return;
     }
+    const largeAnswer = LARGE_ANSWERS[String(headers[LARGE_ANSWER_HEADER])];
+    if (largeAnswer !== undefined) {
+      sendLargeAnswer(request.socket, requestId, largeAnswer);
+      return;
+    }
     const hasCrashingPart =
       this.crashingPart !== undefined && promptParts(headers).includes(this.crashingPart);
     if (hasCrashingPart || body === this.crashingBody)
--- a/features/platform/ingress.steps.ts
+++ b/features/platform/ingress.steps.ts
@@ -4,6 +4,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
 import { SystemClock } from '../../src/adapters/SystemClock.js';
+import { MemoryBudget } from '../../src/core/limits/MemoryBudget.js';
 import { Ingress } from '../../src/platform/Ingress.js';
 import { pause } from './Ports.js';
 
@@ -26,7 +27,10 @@
   Object.assign(world, { isLeaving: false, accepted: [], received: '', errors: [] });
   world.testedIngress = new Ingress({
     clock: new SystemClock(),
+    memory: new MemoryBudget(new SystemClock(), 1e8),
     isLeaving: () => world.isLeaving,
+    judgeHead: () => undefined,
+    refuse: (_request, reply, refused) => reply.refuse(refused),
     handleError: (id) => world.errors.push(id),
     limits: () => undefined,
     accept: ({ id }, reply) => {
@@ -48,7 +52,7 @@
       world.isLeaving = stopsMeanwhile;
       reply.write(Buffer.from(EVENT));
       reply.end();
-      return { cancel: () => undefined };
+      return { cancel: () => undefined, evict: () => undefined };
     },
   });
   world.address = await world.testedIngress.listen('127.0.0.1:0');
--- a/features/soak/RouterProcess.ts
+++ b/features/soak/RouterProcess.ts
@@ -1,9 +1,10 @@
 /** One router instance in a process of its own. */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { createWriteStream, writeFileSync, type WriteStream } from 'node:fs';
+import { createWriteStream, readFileSync, writeFileSync, type WriteStream } from 'node:fs';
 import { once } from 'node:events';
 import path from 'node:path';
 import { stringify } from 'yaml';
+import type { RouterSettings } from '../../src/router/Settings.js';
 import { freeAddress } from '../platform/Ports.js';
 
 const PROGRAM = 'dist/src/router/main.js';
@@ -37,8 +38,15 @@
     this.log = createWriteStream(path.join(folder, `${name}.log`), { flags: 'a' });
   }
 
-  /** Writes the settings file, with free addresses for all listeners. */
-  public async configure(storeAddress: string, seeds: readonly string[]): Promise<void> {
+  /**
+   * Writes the settings file, with free addresses for all listeners.
+   * @param machine - what the machine can carry; left out of the file if undefined
+   */
+  public async configure(
+    storeAddress: string,
+    seeds: readonly string[],
+    machine?: RouterSettings['machine'],
+  ): Promise<void> {
     this.callersAddress = await freeAddress();
     this.peersAddress = await freeAddress();
     const settings = {
@@ -49,6 +57,7 @@
       peers: { address: this.peersAddress, seeds },
       metrics: { address: await freeAddress() },
       store: { address: storeAddress },
+      ...(machine !== undefined && { machine }),
       bounds: {
         drainMs: DRAIN_MS,
         stopGraceS: STOP_GRACE_S,
@@ -60,6 +69,13 @@
     writeFileSync(this.settingsFile, stringify(settings));
   }
 
+  /** Largest resident memory of the process so far, in megabytes; 0 if it does not run. */
+  public get peakMemoryMb(): number {
+    if (this.child?.pid === undefined) return 0;
+    const status = readFileSync(`/proc/${this.child.pid}/status`, 'utf8');
+    return (Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * 1024) / 1e6;
+  }
+
   public get isRunning(): boolean {
     return this.child !== undefined;
   }
--- a/src/adapters/http/HttpClient.ts
+++ b/src/adapters/http/HttpClient.ts
@@ -7,6 +7,7 @@
   type OutgoingHttpHeaders,
 } from 'node:http';
 import { Failure, FailureKind } from '../../core/Failure.js';
+import type { MemoryBudget } from '../../core/limits/MemoryBudget.js';
 
 /** A call whose body is in memory. */
 export interface HttpCall {
@@ -39,6 +40,9 @@
 /** Maximum size of an answer's body for calls that state none, in bytes. */
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 
+/** Size up to which an answer is read even if callers' messages take all memory, in bytes. */
+const ALLOWANCE_BYTES = 8 * 1024 * 1024; // a large configuration in one page
+
 /** Splits `host:port` for Node's `http`, which expects an IPv6 host without brackets. */
 export function hostAndPort(address: string): { host: string; port: number } {
   const separator = address.lastIndexOf(':');
@@ -48,14 +52,14 @@
 
 /**
  * Reads a whole body. If it exceeds the limit, the connection is closed.
- * @param onPart - called for each part
+ * @param onPart - called for each part with its size in bytes
  * @throws Failure of kind `ConnectionLost` if the body exceeds `maxBytes` bytes
  * @throws the stream's error if the body ends early
  */
 export async function readBody(
   message: IncomingMessage,
   maxBytes: number,
-  onPart?: () => void,
+  onPart?: (bytes: number) => void,
 ): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let size = 0;
@@ -67,7 +71,7 @@
         `The body exceeds the limit of ${maxBytes} bytes. Only a smaller one can be read.`,
       );
     chunks.push(chunk as Buffer);
-    onPart?.();
+    onPart?.((chunk as Buffer).length);
   }
   return Buffer.concat(chunks, size);
 }
@@ -79,6 +83,9 @@
     maxFreeSockets: 256,
   });
 
+  /** @param memory - counts the answers that are being read; those that nobody counts have their own limits only */
+  public constructor(private readonly memory?: MemoryBudget) {}
+
   /** Closes all connections. */
   public dispose(): void {
     this.agent.destroy();
@@ -104,6 +111,10 @@
       const limit = (ms: number): NodeJS.Timeout =>
         setTimeout(() => outgoing.destroy(new Error(`no response within ${ms} ms`)), ms);
       let timer = limit(call.timeoutMs);
+      const share = this.memory?.open({
+        allowanceBytes: ALLOWANCE_BYTES,
+        onEvict: () => outgoing.destroy(new Error('no memory left for its answer')),
+      });
       const restartTimer = (): void => {
         if (call.idleTimeoutMs === undefined) return;
         clearTimeout(timer);
@@ -111,6 +122,7 @@
       };
       const fail = (error: Error) => {
         clearTimeout(timer);
+        share?.dispose();
         const kind = connected ? FailureKind.ConnectionLost : FailureKind.NotConnected;
         reject(
           new Failure(
@@ -129,9 +141,14 @@
       outgoing.on('error', fail);
       outgoing.on('response', (message) => {
         restartTimer();
-        readBody(message, call.maxAnswerBytes ?? MAX_ANSWER_BYTES, restartTimer)
+        const countPart = (bytes: number): void => {
+          share?.add(bytes);
+          restartTimer();
+        };
+        readBody(message, call.maxAnswerBytes ?? MAX_ANSWER_BYTES, countPart)
           .then((body) => {
             clearTimeout(timer);
+            share?.dispose();
             resolve({
               status: message.statusCode ?? 0,
               contentType: message.headers['content-type'] ?? '',
--- a/src/core/Outcome.ts
+++ b/src/core/Outcome.ts
@@ -31,6 +31,10 @@
   ClaimHolderGone = 'claim-holder-gone',
   ServerLost = 'server-lost',
   AnswerTooLong = 'answer-too-long',
+  /** The messages in progress take all of the memory that the process has for them; nothing was sent. */
+  MemoryExhausted = 'memory-exhausted',
+  /** The request was given up because the messages in progress took all of that memory. */
+  Evicted = 'evicted',
   /** An unexpected error in the handling of the request. */
   InternalError = 'internal-error',
   CallerGone = 'caller-gone',
@@ -97,6 +101,8 @@
   [RefusalReason.ClaimHolderGone]: { status: 409, retryAfterMs: 0 },
   [RefusalReason.ServerLost]: { status: 502, retryAfterMs: 1000 },
   [RefusalReason.AnswerTooLong]: { status: 502, retryAfterMs: 1000 },
+  [RefusalReason.MemoryExhausted]: { status: 503, retryAfterMs: 1000 },
+  [RefusalReason.Evicted]: { status: 502, retryAfterMs: 1000 },
   [RefusalReason.InternalError]: { status: 502, retryAfterMs: 0 },
   [RefusalReason.CallerGone]: { status: 499, retryAfterMs: 0 },
   [RefusalReason.DeadlinePassed]: { status: 504, retryAfterMs: 0 },
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -29,10 +29,7 @@
   readonly stages: readonly Stage[];
 }
 
-/**
- * Maximum size of an answer that is buffered, in bytes. Each request in progress may take this much of a
- * process that has 250 MB.
- */
+/** Maximum size of an answer that is buffered, in bytes. `MemoryBudget` bounds all answers together. */
 export const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 
 /** Minimum time that an answer takes, in milliseconds; with less time left a request is not resent. */
@@ -112,6 +109,13 @@
     this.guard(() => this.finish(RelayEnd.CallerGone));
   }
 
+  public evict(): void {
+    this.guard(() => {
+      if (this.ended) this.assigned.reply.abort();
+      else this.failWith(RefusalReason.Evicted);
+    });
+  }
+
   protected get msLeft(): number {
     return this.assigned.endsAt - this.dependencies.clock.now();
   }
--- a/src/core/relay/CallRelay.ts
+++ b/src/core/relay/CallRelay.ts
@@ -14,10 +14,11 @@
   private bufferedBytes = 0;
 
   /** Failure answer of a server, forwarded if a later send is lost or its answer cannot be trusted. */
-  private failedAnswer: { head: AnswerHead; body: Buffer } | undefined;
+  private failedAnswer: { head: AnswerHead; chunks: readonly Buffer[] } | undefined;
 
   protected listener({ server }: SendTarget): ServerCallListener {
     this.head = undefined;
+    if (this.failedAnswer?.chunks !== this.chunks) this.discard(this.chunks);
     this.chunks = [];
     this.bufferedBytes = 0;
     return {
@@ -47,8 +48,17 @@
 
   private handleChunk(server: string, chunk: Buffer): void {
     this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes > MAX_BUFFERED_BYTES) this.handleFailure(server, CallFailure.TooLong);
-    else this.chunks.push(chunk);
+    if (this.bufferedBytes > MAX_BUFFERED_BYTES) {
+      this.handleFailure(server, CallFailure.TooLong);
+      return;
+    }
+    this.chunks.push(chunk);
+    this.assigned.request.memory.add(chunk.length);
+  }
+
+  /** Discards what is kept of an answer. */
+  private discard(chunks: readonly Buffer[]): void {
+    for (const { length } of chunks) this.assigned.request.memory.remove(length);
   }
 
   private handleAnswer(server: string): void {
@@ -63,14 +73,14 @@
       return;
     }
     this.recordAnswer();
-    const body = Buffer.concat(this.chunks);
     if (verdict === AnswerVerdict.ForwardIfLast) {
-      this.failedAnswer = { head, body };
+      if (this.failedAnswer !== undefined) this.discard(this.failedAnswer.chunks);
+      this.failedAnswer = { head, chunks: this.chunks };
       if (this.retry(RetryReason.StageFailed, server)) return;
     }
     this.dependencies.directory.noteAlive(server);
     this.dependencies.directory.noteAcceptance(server);
-    this.deliver(head, body);
+    this.deliver(head, this.chunks);
   }
 
   private handleFailure(server: string, failure: CallFailure): void {
@@ -81,13 +91,13 @@
     if (failure !== CallFailure.MismatchedAnswer) this.dependencies.directory.suspect(server);
     if ((notSent || this.isIdempotent) && this.retry(retryReason(failure), server)) return;
     if (this.failedAnswer !== undefined) {
-      this.deliver(this.failedAnswer.head, this.failedAnswer.body);
+      this.deliver(this.failedAnswer.head, this.failedAnswer.chunks);
       return;
     }
     this.failWith(lossReason(failure));
   }
 
-  private deliver(head: AnswerHead, body: Buffer): void {
+  private deliver(head: AnswerHead, chunks: readonly Buffer[]): void {
     const { request, reply, route } = this.assigned;
     this.dependencies.counters.recordFirstByte(
       route.kind,
@@ -95,8 +105,7 @@
     );
     reply.writeHead(head);
     this.finish(RelayEnd.Complete);
-    reply.write(body);
-    reply.end();
+    reply.endWith(chunks, request.memory);
   }
 }
 
--- a/src/core/relay/RefusalMessages.ts
+++ b/src/core/relay/RefusalMessages.ts
@@ -16,6 +16,8 @@
     'The time limit of the request (route timeout or caller deadline) passed, and it may have run. Retry only if it may run twice.',
   [RefusalReason.DeadlineUnreachable]:
     'No server accepted the request within its time limit (route timeout or caller deadline). Retry it, after the delay in Retry-After if there is one.',
+  [RefusalReason.Evicted]:
+    'This instance has no memory left for what the request and its answer take, and it may have run. Retry only if it may run twice; add instances or memory if this repeats.',
   [RefusalReason.InternalError]:
     'An unexpected error ended the request, and it may have run. Retry only if it may run twice; report the error to the operators if this repeats.',
 };
--- a/src/core/relay/RelayDispatcher.ts
+++ b/src/core/relay/RelayDispatcher.ts
@@ -19,7 +19,14 @@
   [RouteKind.Streaming]: StreamRelay,
 };
 
-const NOTHING_TO_CANCEL: Relay = { cancel: () => {} };
+const NOTHING_TO_CANCEL: Relay = { cancel: () => {}, evict: () => {} };
+
+/** What the head of a request decides. */
+interface Destination {
+  readonly table: RouteTable;
+  readonly route: RequestRoute;
+  readonly account: string | undefined;
+}
 
 function notRunRefusal(reason: RefusalReason, message: string): Refusal {
   return refusal(Outcome.NotRun, reason, message);
@@ -54,28 +61,9 @@
 
   /** Relays a request; its answer or refusal is sent to `reply`. */
   public accept(request: CallerRequest, reply: CallerReply): Relay {
-    if (this.isClosed) {
-      return this.refuse(
-        request,
-        reply,
-        notRunRefusal(
-          RefusalReason.Stopping,
-          'This instance is shutting down. Retry the request at another instance.',
-        ),
-      );
-    }
-    const table = this.dependencies.deployments.currentTable;
-    if (table === undefined || !this.dependencies.isPrepared()) {
-      return this.refuse(
-        request,
-        reply,
-        notRunRefusal(
-          RefusalReason.NotReady,
-          'This instance has not loaded its configuration, or what is known of crashes, yet. Retry after the delay given in Retry-After.',
-        ),
-      );
-    }
-    const assigned = this.assign(table, request, reply);
+    const destination = this.findDestination(request);
+    if ('reason' in destination) return this.refuse(request, reply, destination);
+    const assigned = this.assign(destination, request, reply);
     if ('reason' in assigned) return this.refuse(request, reply, assigned);
     const relay = new RELAYS[assigned.route.kind](this.dependencies, assigned);
     this.running.add(relay);
@@ -84,11 +72,43 @@
     return relay;
   }
 
-  private assign(
-    table: RouteTable,
-    request: CallerRequest,
-    reply: CallerReply,
-  ): AssignedRequest | Refusal {
+  /** Refuses a request that no server has received. */
+  public refuse(request: CallerRequest, reply: CallerReply, refused: Refusal): Relay {
+    this.dependencies.counters.countRefusal(refused.reason);
+    this.dependencies.decisions.record('refuse', {
+      id: request.id,
+      reason: refused.reason,
+      outcome: refused.outcome,
+      ticket: this.dependencies.deployments.ticket,
+    });
+    reply.refuse(refused);
+    return NOTHING_TO_CANCEL;
+  }
+
+  /**
+   * Decides what the head of a request decides, before its body is kept.
+   * @returns the refusal, if there is one
+   */
+  public judgeHead(request: CallerRequest): Refusal | undefined {
+    const destination = this.findDestination(request);
+    return 'reason' in destination ? destination : undefined;
+  }
+
+  /** Finds the route and the account of a request, or the reason why there is none. */
+  private findDestination(request: CallerRequest): Destination | Refusal {
+    if (this.isClosed) {
+      return notRunRefusal(
+        RefusalReason.Stopping,
+        'This instance is shutting down. Retry the request at another instance.',
+      );
+    }
+    const table = this.dependencies.deployments.currentTable;
+    if (table === undefined || !this.dependencies.isPrepared()) {
+      return notRunRefusal(
+        RefusalReason.NotReady,
+        'This instance has not loaded its configuration, or what is known of crashes, yet. Retry after the delay given in Retry-After.',
+      );
+    }
     const route = table.routeFor(request.host, request.path);
     if (route === undefined) {
       return notRunRefusal(
@@ -103,6 +123,14 @@
         'The API key is missing or unknown. Send "Authorization: Token KEY" with a valid key.',
       );
     }
+    return { table, route, account: account?.name };
+  }
+
+  private assign(
+    { table, route, account }: Destination,
+    request: CallerRequest,
+    reply: CallerReply,
+  ): AssignedRequest | Refusal {
     const service = table.deployment.services.get(this.pickService(route));
     if (service === undefined) {
       return notRunRefusal(
@@ -111,9 +139,9 @@
       );
     }
     const endsAt = request.arrivedAt + Math.min(route.timeoutMs, request.deadlineMs);
-    const fingerprint = fingerprintOf(request, account?.name);
+    const fingerprint = fingerprintOf(request, account);
     const inputs = [...request.sharedPromptParts, fingerprint];
-    return { request, reply, route, service, account: account?.name, inputs, endsAt };
+    return { request, reply, route, service, account, inputs, endsAt };
   }
 
   private pickService(route: RequestRoute): string {
@@ -126,16 +154,4 @@
     }
     return (route.shares.at(-1) as ServiceShare).service;
   }
-
-  private refuse(request: CallerRequest, reply: CallerReply, refused: Refusal): Relay {
-    this.dependencies.counters.countRefusal(refused.reason);
-    this.dependencies.decisions.record('refuse', {
-      id: request.id,
-      reason: refused.reason,
-      outcome: refused.outcome,
-      ticket: this.dependencies.deployments.ticket,
-    });
-    reply.refuse(refused);
-    return NOTHING_TO_CANCEL;
-  }
 }
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -98,7 +98,10 @@
   private epoch = 0;
 
   /** Body of an answer that is not an event stream. */
-  private readonly chunks: Buffer[] = [];
+  private chunks: Buffer[] = [];
+
+  /** Bytes of an incomplete event that are counted in the memory of the request. */
+  private countedEventBytes = 0;
 
   private bufferedBytes = 0;
 
@@ -135,7 +138,9 @@
 
   protected listener(target: SendTarget): ServerCallListener {
     this.splitter.restart();
-    this.chunks.length = 0;
+    for (const { length } of this.chunks) this.assigned.request.memory.remove(length);
+    this.chunks = [];
+    this.countIncompleteEvent();
     this.bufferedBytes = 0;
     this.head = undefined;
     this.verdict = undefined;
@@ -206,11 +211,17 @@
   private handleChunk(target: SendTarget, chunk: Buffer): void {
     if (!this.isStream) {
       this.bufferedBytes += chunk.length;
-      if (this.bufferedBytes > MAX_BUFFERED_BYTES) this.handleFailure(target, CallFailure.TooLong);
-      else this.chunks.push(chunk);
+      if (this.bufferedBytes > MAX_BUFFERED_BYTES) {
+        this.handleFailure(target, CallFailure.TooLong);
+        return;
+      }
+      this.chunks.push(chunk);
+      this.assigned.request.memory.add(chunk.length);
       return;
     }
     const batch = this.splitter.push(chunk);
+    this.countIncompleteEvent();
+    if (this.ended) return;
     if (this.splitter.incompleteBytes > MAX_EVENT_BYTES) {
       this.handleFailure(target, CallFailure.TooLong);
       return;
@@ -219,6 +230,15 @@
     if (batch.gap || batch.isCorrupt) this.handleFailure(target, CallFailure.MismatchedAnswer);
   }
 
+  private countIncompleteEvent(): void {
+    const { memory } = this.assigned.request;
+    const bytes = this.splitter.incompleteBytes;
+    if (bytes === this.countedEventBytes) return;
+    if (this.countedEventBytes > 0) memory.remove(this.countedEventBytes);
+    this.countedEventBytes = bytes;
+    if (bytes > 0) memory.add(bytes);
+  }
+
   private forward(bytes: Buffer, events: number): void {
     this.eventsOfSend += events;
     if (this.eventsOfSend >= PROVING_EVENTS) this.recordAnswer();
@@ -277,8 +297,7 @@
     const { reply } = this.assigned;
     reply.writeHead(head);
     this.finish(RelayEnd.Complete);
-    reply.write(Buffer.concat(this.chunks));
-    reply.end();
+    reply.endWith(this.chunks, this.assigned.request.memory);
   }
 
   /**
--- a/src/core/relay/Types.ts
+++ b/src/core/relay/Types.ts
@@ -1,5 +1,6 @@
 /** A caller's request on its way to a server, independent of the transport. */
 import type { Disposable } from '../../ports/Types.js';
+import type { MemoryShare } from '../limits/MemoryShare.js';
 import type { Refusal } from '../Outcome.js';
 import type { Stage } from '../routing/Types.js';
 import type { BackendServer } from '../deployment/Types.js';
@@ -41,6 +42,8 @@
   /** Id of the last event that the caller received of an interrupted stream. */
   readonly resumeAfter: string | undefined;
   readonly message: ForwardedMessage;
+  /** Memory that the request takes of the process: its body, and what is kept of its answer. */
+  readonly memory: MemoryShare;
 }
 
 /** Sends an answer to a caller. */
@@ -51,6 +54,11 @@
   write(chunk: Buffer): boolean;
   /** Calls `listener` once the caller has taken what was written; never if its connection closes before. */
   onceTaken(listener: () => void): void;
+  /**
+   * Writes the rest of a complete answer as fast as the caller takes it, and ends it.
+   * @param parts - counted in `memory`, from which they are removed once they are written
+   */
+  endWith(parts: readonly Buffer[], memory: MemoryShare): void;
   /** Ends a complete answer. */
   end(): void;
   refuse(refusal: Refusal): void;
@@ -162,4 +170,6 @@
 export interface Relay {
   /** Ends the request because its caller has disconnected. */
   cancel(): void;
+  /** Ends the request because the process has no memory left for it. */
+  evict(): void;
 }
--- a/src/platform/HttpReply.ts
+++ b/src/platform/HttpReply.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import type { Refusal } from '../core/Outcome.js';
+import type { MemoryShare } from '../core/limits/MemoryShare.js';
 import type { AnswerHead, CallerReply } from '../core/relay/Types.js';
 
 /** Sends one answer to a caller through Node's `ServerResponse`. */
@@ -22,6 +23,22 @@
     this.response.once('drain', listener);
   }
 
+  public endWith(parts: readonly Buffer[], memory: MemoryShare): void {
+    const { response } = this;
+    const pending = [...parts];
+    const write = (): void => {
+      for (let part = pending.shift(); part !== undefined; part = pending.shift()) {
+        memory.remove(part.length);
+        if (!this.write(part) && pending.length > 0) {
+          response.once('drain', write);
+          return;
+        }
+      }
+      response.end();
+    };
+    write();
+  }
+
   public end(): void {
     this.response.end();
   }
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -2,7 +2,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
-import { Outcome, refusal, RefusalReason } from '../core/Outcome.js';
+import type { MemoryBudget } from '../core/limits/MemoryBudget.js';
+import type { MemoryShare } from '../core/limits/MemoryShare.js';
+import { Outcome, refusal, RefusalReason, type Refusal } from '../core/Outcome.js';
 import type { CallerLimits } from '../core/deployment/Types.js';
 import type { CallerReply, CallerRequest, PromptSize, Relay } from '../core/relay/Types.js';
 import type { Clock } from '../ports/Types.js';
@@ -18,14 +20,42 @@
   idleTimeoutMs: 15_000,
 };
 
+/** Size from which on a body is kept only if the head of its request is not refused anyway, in bytes. */
+const UNJUDGED_BODY_BYTES = 16 * 1024;
+
+const NO_BODY = Buffer.alloc(0);
+
 const NO_EXCLUDED_HEADERS: ReadonlySet<string> = new Set();
 
 /** Length of the accept queue: after a network cut, all callers of a failure domain may connect at once. */
 const BACKLOG = 1024;
 
+const BODY_TOO_LARGE = refusal(
+  Outcome.NotRun,
+  RefusalReason.BodyTooLarge,
+  'The body is larger than the limit of the configuration. Send a smaller one.',
+);
+
+const UNEXPECTED_ERROR = refusal(
+  Outcome.NotRun,
+  RefusalReason.NotReady,
+  'An unexpected error ended the request before it was sent to a server. Retry it; report the error to the operators if this repeats.',
+);
+
+const MEMORY_EXHAUSTED = refusal(
+  Outcome.NotRun,
+  RefusalReason.MemoryExhausted,
+  'This instance has no memory left for the body of the request. Retry after the delay given in Retry-After.',
+);
+
 export interface IngressDependencies {
   readonly clock: Clock;
+  readonly memory: MemoryBudget;
   accept(request: CallerRequest, reply: CallerReply): Relay;
+  /** Returns the refusal of a request if its head decides it. */
+  judgeHead(request: CallerRequest): Refusal | undefined;
+  /** Refuses a request that no server has received. */
+  refuse(request: CallerRequest, reply: CallerReply, refused: Refusal): void;
   /**
    * Whether the instance is leaving; answers then close their connections, so that callers open the next
    * one to another instance.
@@ -136,58 +166,90 @@
     }
     this.openRequests += 1;
     let relay: Relay | undefined;
+    const reply = new HttpReply(response, () => this.dependencies.isLeaving());
+    const memory = this.dependencies.memory.open({
+      allowanceBytes: 0,
+      onEvict: () => {
+        if (relay === undefined) this.rejectBody(request, response, MEMORY_EXHAUSTED);
+        else relay.evict();
+      },
+    });
     // A write fails if the caller disconnects meanwhile; `close` follows and ends the request.
     response.on('error', () => undefined);
     response.once('close', () => {
       this.openRequests -= 1;
+      memory.dispose();
       if (!response.writableFinished) relay?.cancel();
     });
     response.once('finish', () => {
       // The head may have been sent before the stop began, without `connection: close`.
       if (this.dependencies.isLeaving()) request.socket.end();
     });
-    const chunks: Buffer[] = [];
+    if (Number(header(request, 'content-length') ?? 0) > this.limits.maxBodyBytes) {
+      this.rejectBody(request, response, BODY_TOO_LARGE);
+      return;
+    }
+    let chunks: Buffer[] = [];
     let size = 0;
+    let refused: Refusal | undefined;
     request.on('data', (chunk: Buffer) => {
+      const wasJudged = size > UNJUDGED_BODY_BYTES;
       size += chunk.length;
-      if (size > this.limits.maxBodyBytes) this.rejectBody(request, response);
-      else chunks.push(chunk);
+      if (size > this.limits.maxBodyBytes) {
+        this.rejectBody(request, response, BODY_TOO_LARGE);
+        return;
+      }
+      if (!wasJudged && size > UNJUDGED_BODY_BYTES)
+        refused = this.judgeHead(this.decode(request, NO_BODY, memory));
+      if (refused === undefined) {
+        chunks.push(chunk);
+        memory.add(chunk.length);
+      } else {
+        chunks = [];
+        memory.dispose();
+      }
     });
     request.on('error', () => response.destroy());
     request.on('end', () => {
       if (response.destroyed || response.headersSent) return;
-      const reply = new HttpReply(response, () => this.dependencies.isLeaving());
-      relay = this.accept(request, Buffer.concat(chunks, size), reply);
+      memory.settle();
+      if (refused === undefined)
+        relay = this.accept(this.decode(request, Buffer.concat(chunks, size), memory), reply);
+      else this.dependencies.refuse(this.decode(request, NO_BODY, memory), reply, refused);
+      chunks = [];
     });
   }
 
+  private judgeHead(request: CallerRequest): Refusal | undefined {
+    try {
+      return this.dependencies.judgeHead(request);
+    } catch (error) {
+      this.dependencies.handleError(request.id, error as Error);
+      return UNEXPECTED_ERROR;
+    }
+  }
+
   /** Hands a request over. After an unexpected error it has been sent to no server. */
-  private accept(request: IncomingMessage, body: Buffer, reply: HttpReply): Relay | undefined {
+  private accept(request: CallerRequest, reply: HttpReply): Relay | undefined {
     try {
-      return this.dependencies.accept(this.decode(request, body), reply);
+      return this.dependencies.accept(request, reply);
     } catch (error) {
-      this.dependencies.handleError(header(request, HEADER.requestId) ?? '', error as Error);
-      reply.refuse(
-        refusal(
-          Outcome.NotRun,
-          RefusalReason.NotReady,
-          'An unexpected error ended the request before it was sent to a server. Retry it; report the error to the operators if this repeats.',
-        ),
-      );
+      this.dependencies.handleError(request.id, error as Error);
+      reply.refuse(UNEXPECTED_ERROR);
       return undefined;
     }
   }
 
-  private rejectBody(request: IncomingMessage, response: ServerResponse): void {
+  /** Refuses a request whose body is not kept. The connection closes, as the body may go on. */
+  private rejectBody(request: IncomingMessage, response: ServerResponse, refused: Refusal): void {
     request.removeAllListeners('data');
     request.resume();
     if (response.headersSent) return;
     response.shouldKeepAlive = false;
-    response.writeHead(413, { 'content-length': 0 });
-    response.end();
+    new HttpReply(response, () => this.dependencies.isLeaving()).refuse(refused);
   }
 
-  private decode(request: IncomingMessage, body: Buffer): CallerRequest {
+  private decode(request: IncomingMessage, body: Buffer, memory: MemoryShare): CallerRequest {
     const target = request.url ?? '/';
     const query = target.indexOf('?');
     const host = header(request, 'host') ?? '';
@@ -209,6 +271,7 @@
         headers: endToEndHeaders(request.rawHeaders, NO_EXCLUDED_HEADERS),
         body,
       },
+      memory,
     };
   }
 }
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -9,6 +9,7 @@
 import { Invariants } from '../core/Invariant.js';
 import { LeaseKeeper } from '../core/leases/LeaseKeeper.js';
 import { RetryAfterEstimator } from '../core/limits/RetryAfterEstimator.js';
+import { MemoryBudget } from '../core/limits/MemoryBudget.js';
 import { SharedRetryBudget, type SharedRetryLimits } from '../core/limits/SharedRetryBudget.js';
 import { ServerLimits, type ServerLimitChange } from '../core/limits/ServerLimits.js';
 import { PeerSharing } from '../core/peers/PeerSharing.js';
@@ -55,6 +56,15 @@
 /** Bandwidth that relaying a large configuration to 40 instances in time takes, in megabits per second. */
 const HUB_LINK_MBPS = 40;
 
+/** Memory of a machine whose settings state none, in megabytes: that of the smallest machines in use. */
+const DEFAULT_MEMORY_MB = 250;
+
+/**
+ * Fraction of the machine's memory for messages in progress. The rest holds the program, its heap, and parts of
+ * messages that the collector has not freed yet.
+ */
+const MESSAGE_MEMORY_SHARE = 0.2;
+
 /** Time reserved for closing connections before the process is killed, in milliseconds. */
 const EXIT_MARGIN_MS = 400;
 
@@ -83,12 +93,19 @@
   );
 }
 
+/** Returns the bytes that all messages in progress together may take of the process. */
+function messageBytes(machine: RouterSettings['machine']): number {
+  return (machine?.memoryMb ?? DEFAULT_MEMORY_MB) * 1e6 * MESSAGE_MEMORY_SHARE;
+}
+
 export class RouterInstance {
   public readonly metrics = new RouterMetrics();
 
   private readonly clock = new SystemClock();
 
-  private readonly http = new HttpClient();
+  private readonly memory: MemoryBudget;
+
+  private readonly http: HttpClient;
 
   private readonly storeEra = new StoreEra();
 
@@ -98,7 +115,7 @@
 
   private readonly load = new ServerLoad();
 
-  private readonly servers = new ServerClient(this.http);
+  private readonly servers: ServerClient;
 
   private readonly retryBudget = new SharedRetryBudget(
     () => this.retryLimits,
@@ -149,7 +166,11 @@
     private settings: RouterSettings,
     private readonly log: StructuredLog,
   ) {
-    const { clock, deployments, directory, load, servers } = this;
+    const { clock, deployments, directory, load } = this;
+    this.memory = new MemoryBudget(clock, messageBytes(settings.machine));
+    this.http = new HttpClient(this.memory);
+    const servers = new ServerClient(this.http);
+    this.servers = servers;
     const { failureDomain, bounds, instance } = settings;
     const random = new SystemRandom();
     const store = new StoreClient(this.http, settings.store.address, this.storeEra);
@@ -189,7 +210,10 @@
     });
     this.ingress = new Ingress({
       clock,
+      memory: this.memory,
       accept: (request, reply) => this.dispatcher.accept(request, reply),
+      judgeHead: (request) => this.dispatcher.judgeHead(request),
+      refuse: (request, reply, refused) => this.dispatcher.refuse(request, reply, refused),
       isLeaving: () => this.leaving,
       handleError: (id, { message, stack }) => {
         this.metrics.countError('unknown');
@@ -419,6 +443,8 @@
     metrics.addGauge('acaciadrum_live_instances', () => this.sharing.liveInstances);
     metrics.addGauge('acaciadrum_quarantined_parts', () => this.quarantine.size);
     metrics.addGauge('acaciadrum_limited_servers', () => this.serverLimits.size);
+    metrics.addGauge('acaciadrum_message_bytes', () => this.memory.used);
+    metrics.addGauge('acaciadrum_evictions', () => this.memory.evictions);
     metrics.addGauge('acaciadrum_store_era', () => this.storeEra.current);
     metrics.addGauge('acaciadrum_ticket', () => this.deployments.ticket);
     metrics.addGauge('acaciadrum_open_requests', () => this.dispatcher.active);
--- a/src/router/Settings.ts
+++ b/src/router/Settings.ts
@@ -34,6 +34,8 @@
       processorShare: z.number().positive(),
       /** Speed of a core; 1 is usual. */
       processorSpeed: z.number().positive().default(1),
+      /** Memory at which the process is killed, in megabytes. */
+      memoryMb: z.number().positive().optional(),
       /** Bandwidth of the machine's link, in megabits per second. */
       linkMbps: z.number().positive(),
     })
