Router: an address that is taken is tried again, and metrics never hold up a start

Cause: RouterInstance.start rejected with EADDRINUSE and the process ended with code 1, for the metrics' fixed port too, which serves no caller. The process before, just killed, or any program beside it is enough. Evidence: the five new scenarios of router-process.feature fail before ("the process has ended"). A gRPC server that failed to bind stays failed, so each attempt of the peers' has a new one.

--- /dev/null
+++ b/features/platform/router-process.feature
@@ -0,0 +1,20 @@
+# Guards against routers that do not start, or end by themselves, because of what every deployment does to them.
+Feature: A router process lives through its deployment
+
+  Background:
+    Given a store with a configuration, a server of a plain service, and the settings of a router process
+
+  Scenario Outline: The address of <listener> is taken when the process starts
+    When another program holds the address of "<listener>" for 1000 ms, and the process starts
+    Then the process is ready within 10 seconds
+
+    Examples:
+      | listener  |
+      | callers   |
+      | readiness |
+      | peers     |
+      | metrics   |
+
+  Scenario: The address of the metrics is taken for good
+    When another program holds the address of "metrics" for 60000 ms, and the process starts
+    Then the process is ready within 10 seconds
--- a/features/soak/RouterProcess.ts
+++ b/features/soak/RouterProcess.ts
@@ -25,7 +25,12 @@
 
   private child: ChildProcess | undefined;
 
-  private readonly settingsFile: string;
+  /** Addresses of the listeners by the names that the settings give them. */
+  public readonly listeners: Record<string, string> = {};
+
+  public readonly settingsFile: string;
+
+  public readonly logFile: string;
 
   private readonly log: WriteStream;
 
@@ -35,7 +40,8 @@
     folder: string,
   ) {
     this.settingsFile = path.join(folder, `${name}.yaml`);
-    this.log = createWriteStream(path.join(folder, `${name}.log`), { flags: 'a' });
+    this.logFile = path.join(folder, `${name}.log`);
+    this.log = createWriteStream(this.logFile, { flags: 'a' });
   }
 
   /**
@@ -49,13 +55,17 @@
   ): Promise<void> {
     this.callersAddress = await freeAddress();
     this.peersAddress = await freeAddress();
+    this.listeners.callers = this.callersAddress;
+    this.listeners.peers = this.peersAddress;
+    this.listeners.readiness = await freeAddress();
+    this.listeners.metrics = await freeAddress();
     const settings = {
       instance: this.name,
       failureDomain: this.failureDomain,
       callers: { address: this.callersAddress },
-      readiness: { address: await freeAddress() },
+      readiness: { address: this.listeners.readiness },
       peers: { address: this.peersAddress, seeds },
-      metrics: { address: await freeAddress() },
+      metrics: { address: this.listeners.metrics },
       store: { address: storeAddress },
       ...(machine !== undefined && { machine }),
       bounds: {
@@ -76,6 +86,14 @@
     return (Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * 1024) / 1e6;
   }
 
+  /** Whether the process handles a signal by its number. */
+  public handlesSignal(number: number): boolean {
+    if (this.child?.pid === undefined) return false;
+    const status = readFileSync(`/proc/${this.child.pid}/status`, 'utf8');
+    const mask = BigInt(`0x${/^SigCgt:\s+([0-9a-f]+)$/m.exec(status)?.[1] ?? '0'}`);
+    return mask.toString(2).at(-number) === '1';
+  }
+
   public get isRunning(): boolean {
     return this.child !== undefined;
   }
--- a/src/adapters/grpc/SharingService.ts
+++ b/src/adapters/grpc/SharingService.ts
@@ -100,10 +100,16 @@
 export class SharingService implements PeerPort {
   private readonly connections = new Map<string, PeerConnection>();
 
-  private readonly server = new Server({ 'grpc.max_receive_message_length': MAX_MESSAGE_BYTES });
+  private server: Server;
 
-  public constructor(handler: SharingHandler) {
-    this.server.addService(SHARING_SERVICE, {
+  public constructor(private readonly handler: SharingHandler) {
+    this.server = this.createServer();
+  }
+
+  private createServer(): Server {
+    const { handler } = this;
+    const server = new Server({ 'grpc.max_receive_message_length': MAX_MESSAGE_BYTES });
+    server.addService(SHARING_SERVICE, {
       Exchange: (stream: ServerDuplexStream<NumberedDigest, NumberedDigest>) => {
         stream.on('data', ({ number, digest }: NumberedDigest) => {
           try {
@@ -122,13 +128,20 @@
         callback: sendUnaryData<DeploymentUpdate | undefined>,
       ) => callback(null, handler.updateSince(call.request.ticket)),
     });
+    return server;
   }
 
   public listen(address: string): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.bindAsync(address, ServerCredentials.createInsecure(), (error) => {
-        if (error) reject(error);
-        else resolve();
+        if (error === null) {
+          resolve();
+          return;
+        }
+        // A server that could not bind an address fails for that address ever after.
+        this.server.forceShutdown();
+        this.server = this.createServer();
+        reject(error);
       });
     });
   }
--- a/src/core/Failure.ts
+++ b/src/core/Failure.ts
@@ -8,6 +8,7 @@
   NotConnected = 'not-connected',
   ConnectionLost = 'connection-lost',
   OrderRejected = 'order-refused',
+  AddressTaken = 'address-taken',
 }
 
 /** An expected error; `kind` says which. */
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -1,5 +1,6 @@
 /** Connects the core of one router instance to the platform, and owns every listener and timer. */
 import { SharingService } from '../adapters/grpc/SharingService.js';
+import { listenWithRetry } from '../adapters/ListenRetry.js';
 import { HttpClient } from '../adapters/http/HttpClient.js';
 import type { StructuredLog } from '../adapters/logs/StructuredLog.js';
 import { SystemClock } from '../adapters/SystemClock.js';
@@ -65,6 +66,12 @@
  */
 const MESSAGE_MEMORY_SHARE = 0.2;
 
+/** Time for which the address of a listener is tried while it is taken, in milliseconds. */
+const LISTEN_LIMIT_MS = 30_000;
+
+/** The same for the metrics, without which an instance serves as well. */
+const METRICS_LIMIT_MS = Infinity;
+
 /** Time reserved for closing connections before the process is killed, in milliseconds. */
 const EXIT_MARGIN_MS = 400;
 
@@ -308,14 +315,25 @@
     this.addGauges();
   }
 
-  /** Opens the listeners and begins to follow the store. Rejects if an address cannot be bound. */
+  /**
+   * Opens the listeners and begins to follow the store. Rejects if an address cannot be bound; only the metrics
+   * are then served later.
+   */
   public async start(): Promise<void> {
     const { settings } = this;
+    this.listen('metrics', settings.metrics.address, METRICS_LIMIT_MS, (address) =>
+      this.metrics.listen(address),
+    ).catch(({ message }: Error) => this.log.record('metrics-unavailable', { error: message }));
     await Promise.all([
-      this.ingress.listen(settings.callers.address),
-      this.readiness.listen(settings.readiness.address),
-      this.metrics.listen(settings.metrics.address),
-      this.peers.listen(settings.peers.address),
+      this.listen('callers', settings.callers.address, LISTEN_LIMIT_MS, (address) =>
+        this.ingress.listen(address),
+      ),
+      this.listen('readiness', settings.readiness.address, LISTEN_LIMIT_MS, (address) =>
+        this.readiness.listen(address),
+      ),
+      this.listen('peers', settings.peers.address, LISTEN_LIMIT_MS, (address) =>
+        this.peers.listen(address),
+      ),
     ]);
     this.sharing.start();
     this.registration.start();
@@ -379,6 +397,21 @@
     this.http.dispose();
   }
 
+  private listen(
+    listener: string,
+    address: string,
+    limitMs: number,
+    bind: (address: string) => Promise<unknown>,
+  ): Promise<unknown> {
+    return listenWithRetry(() => bind(address), {
+      clock: this.clock,
+      address,
+      limitMs,
+      onRetry: ({ message }) =>
+        this.log.record('address-taken', { listener, address, error: message }),
+    });
+  }
+
   private get isReady(): boolean {
     if (this.leaving) return false;
     return (
