--- a/features/platform/router-process.feature
+++ b/features/platform/router-process.feature
@@ -4,6 +4,12 @@
   Background:
     Given a store with a configuration, a server of a plain service, and the settings of a router process
 
+  Scenario: Settings change while the process starts
+    When the process starts, and gets SIGHUP every 10 ms from the moment at which it handles it
+    Then the process is ready within 10 seconds
+    And it handled SIGHUP before half of the time until then had passed
+    And it has read its settings again
+
   Scenario Outline: The address of <listener> is taken when the process starts
     When another program holds the address of "<listener>" for 1000 ms, and the process starts
     Then the process is ready within 10 seconds
@@ -18,3 +24,8 @@
   Scenario: The address of the metrics is taken for good
     When another program holds the address of "metrics" for 60000 ms, and the process starts
     Then the process is ready within 10 seconds
+
+  Scenario: SIGTERM comes twice
+    Given the process serves streams
+    When it gets SIGTERM twice within 500 ms while a stream is running
+    Then the stream is complete, and the process ends with code 0
