Router: a settings file that is missing or not whole is read again for five seconds at a start

Callers saw: no router, where the settings were placed late or written in parts (FAULT). Cause: the first read decided; an empty, half written or missing file ended the process with code 1 and a stack trace.

--- a/features/platform/router-process.feature
+++ b/features/platform/router-process.feature
@@ -25,6 +25,20 @@
     When another program holds the address of "metrics" for 60000 ms, and the process starts
     Then the process is ready within 10 seconds
 
+  Scenario Outline: The settings file is <state> when the process starts
+    When the settings file is "<state>" for 600 ms, and the process starts
+    Then the process is ready within 10 seconds
+
+    Examples:
+      | state        |
+      | empty        |
+      | half written |
+      | missing      |
+
+  Scenario: The settings file stays invalid
+    When the settings file is "half written" for 60000 ms, and the process starts
+    Then the process ends with code 1 and one line of error output that names the file
+
   Scenario: SIGTERM comes twice
     Given the process serves streams
     When it gets SIGTERM twice within 500 ms while a stream is running
--- a/src/router/RouterProgram.ts
+++ b/src/router/RouterProgram.ts
@@ -3,7 +3,7 @@
 import type { Signals } from '../adapters/Signals.js';
 import { FailureRate } from '../core/limits/FailureRate.js';
 import { RouterInstance } from './RouterInstance.js';
-import { readSettings, SettingsFile } from './SettingsFile.js';
+import { awaitSettings, SettingsFile } from './SettingsFile.js';
 import type { RouterSettings } from './Settings.js';
 
 /** Environment variable with the path of the settings file. */
@@ -21,7 +21,7 @@
     endStart(
       new Error(`${SETTINGS_VARIABLE} is not set. Set it to the path of the settings file.`),
     );
-  const loaded = await readSettings(file);
+  const loaded = await awaitSettings(file);
   if (loaded.isErr) endStart(loaded.error);
   return { file, settings: loaded.value };
 }
--- a/src/router/SettingsFile.ts
+++ b/src/router/SettingsFile.ts
@@ -8,6 +8,12 @@
 /** Poll interval in milliseconds: changes without a signal are rare. */
 const POLL_MS = 5000;
 
+/** Time for which a file that is missing or invalid is read again at a start, in milliseconds. */
+const START_LIMIT_MS = 5000;
+
+/** Delay before such a file is read again, in milliseconds. */
+const START_RETRY_MS = 100;
+
 /** Receives the settings of a changed file, or the reason why it cannot be used. */
 export type SettingsListener = (settings: Result<RouterSettings, Failure>) => void;
 
@@ -26,6 +32,31 @@
   );
 }
 
+/** Reads settings; a file that cannot be read is a `BadSettings` failure as well. */
+async function tryReadSettings(file: string): Promise<Result<RouterSettings, Failure>> {
+  try {
+    return await readSettings(file);
+  } catch (error) {
+    const message = `${file} cannot be read: ${(error as Error).message}. Restore it.`;
+    return err(new Failure(FailureKind.BadSettings, message));
+  }
+}
+
+/**
+ * Reads the settings of a start. The file may be written just now, so one that is missing or invalid is read again.
+ * @returns the settings, or the last failure after `START_LIMIT_MS`
+ */
+export async function awaitSettings(file: string): Promise<Result<RouterSettings, Failure>> {
+  const endsAt = performance.now() + START_LIMIT_MS;
+  for (;;) {
+    const loaded = await tryReadSettings(file);
+    if (loaded.isOk || performance.now() >= endsAt) return loaded;
+    await new Promise((resolve) => {
+      setTimeout(resolve, START_RETRY_MS);
+    });
+  }
+}
+
 export class SettingsFile {
   private modifiedAt = 0;
 
@@ -49,12 +80,7 @@
 
   /** Reads the file again, whether or not it has changed. */
   public async reload(): Promise<void> {
-    try {
-      this.listener(await readSettings(this.file));
-    } catch (error) {
-      const message = `${this.file} cannot be read: ${(error as Error).message}. Restore it.`;
-      this.listener(err(new Failure(FailureKind.BadSettings, message)));
-    }
+    this.listener(await tryReadSettings(this.file));
   }
 
   private async checkForChange(isFirst = false): Promise<void> {
