Relay: a 503, 429 or 408 without the statement that nothing ran is not passed on for a request that may run once

Cause: any signed answer was delivered with its status, also those statuses that promise callers that their request has not run. Why this works: it is a row of AnswerGate's table, for calls and streams that may run once: such an answer is discarded and the request answered 502, like any other of unknown outcome.

--- a/features/core/relay/answer-gate.feature
+++ b/features/core/relay/answer-gate.feature
@@ -21,6 +21,13 @@
       | single-call       | 503 not-executed          | not-run         |
       | single-call       | 503 not-executed unsendable | not-run       |
       | single-call       | 200 unsendable            | discard         |
+      | single-call       | 503                       | discard         |
+      | single-call       | 429                       | discard         |
+      | single-call       | 408                       | discard         |
+      | single-call       | 504                       | forward         |
+      | single-stream     | 503                       | discard         |
+      | repeatable-call   | 503                       | forward-if-last |
+      | repeatable-call   | 429                       | forward         |
       | repeatable-stream | 200                       | forward-events  |
       | repeatable-stream | 500                       | forward         |
       | repeatable-stream | 200 unsigned              | discard         |
--- a/features/core/relay/relays.feature
+++ b/features/core/relay/relays.feature
@@ -15,6 +15,7 @@
       | an answer without a signature is discarded        | non-idempotent | unsigned              | 502 unknown | 1     |
       | an answer in another encoding is discarded        | non-idempotent | encoded               | 502 unknown | 1     |
       | an answer that cannot be sent on is discarded     | non-idempotent | unsendable            | 502 unknown | 1     |
+      | a 503 that does not say that nothing ran          | non-idempotent | 503                   | 502 unknown | 1     |
       | an answer that cannot be sent on is retried       | idempotent     | unsendable,200        | 200         | 2     |
       | a lost answer is retried                          | idempotent     | lost,200              | 200         | 2     |
       | a failure is retried                              | idempotent     | 500,200               | 200         | 2     |
--- a/features/core/relay/relays.steps.ts
+++ b/features/core/relay/relays.steps.ts
@@ -38,6 +38,7 @@
 const SCRIPTED_ANSWERS: Readonly<Record<string, ScriptedAnswer>> = {
   200: answered({}),
   500: answered({ status: 500 }),
+  503: answered({ status: 503 }),
   rejected: answered({ status: 503, signed: false, notExecuted: true }),
   unsigned: answered({ signed: false }),
   encoded: answered({ identityEncoded: false }),
--- a/src/core/relay/AnswerGate.ts
+++ b/src/core/relay/AnswerGate.ts
@@ -37,6 +37,14 @@
 /** Lowest HTTP status that reports a failure of the server itself; another server may succeed. */
 const FIRST_FAILURE_STATUS = 500;
 
+/** Statuses that tell callers that their request has not run and never will. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+const SINGLE: ReadonlySet<RepeatPolicy> = new Set([
+  RepeatPolicy.SingleCall,
+  RepeatPolicy.SingleStream,
+]);
+
 const STREAMS: ReadonlySet<RepeatPolicy> = new Set([
   RepeatPolicy.RepeatableStream,
   RepeatPolicy.SingleStream,
@@ -66,6 +74,11 @@
     verdict: AnswerVerdict.Discard,
     applies: (_head, policy) => policy === RepeatPolicy.ResumedStream,
   },
+  // Without the server's statement the request may have run, and its caller would send it again.
+  {
+    verdict: AnswerVerdict.Discard,
+    applies: (head, policy) => SINGLE.has(policy) && NOT_RUN_STATUSES.has(head.status),
+  },
   {
     verdict: AnswerVerdict.ForwardIfLast,
     applies: (head, policy) =>
