Ingress: a request whose header cannot be sent on is refused with 400

Cause: Node's parser takes in a header name with a space, and refuses to send it to the server, by an exception in OpenCall. Evidence: the new row of ingress.feature fails without the check. Why this works: the headers are checked with the writer's own rules before the request is handed over. It is the caller's fault and will not heal by a retry, so 400. The row failed before, see above.

--- a/features/platform/ingress.feature
+++ b/features/platform/ingress.feature
@@ -11,6 +11,18 @@
     When the caller sends its next request on that connection as soon as it has the answer
     Then both requests are answered
 
+  # Guards against a caller whose header, taken in by Node's parser and refused by its writer, ends the router.
+  Scenario Outline: A caller sends the header "<header>"
+    Given an instance that answers requests on a kept connection
+    When the caller sends a request with the header "<header>"
+    Then it is answered with status <status>, and <accepted> requests are passed on
+
+    Examples:
+      | header         | status | accepted |
+      | x foo: 1       | 400    | 0        |
+      | x-foo: 1       | 200    | 1        |
+      | x-foo: caf\u00e9 | 200    | 1        |
+
   # Guards against a caller that waits in vain because its request could not be handed over.
   Scenario: An unexpected error meets a request before it is accepted
     Given an instance in which each request meets an unexpected error
--- a/features/platform/ingress.steps.ts
+++ b/features/platform/ingress.steps.ts
@@ -111,6 +111,29 @@
   },
 );
 
+When(
+  'the caller sends a request with the header {string}',
+  async function run(this: IngressWorld, text: string) {
+    this.callerSocket = connect(hostAndPort(this.address));
+    await once(this.callerSocket, 'connect');
+    this.callerSocket.on('data', (bytes: Buffer) => {
+      this.received += bytes.toString();
+    });
+    const line = JSON.parse(`"${text}"`) as string;
+    const request = requestText('first').replace('\r\n\r\n', `\r\n${line}\r\n\r\n`);
+    this.callerSocket.write(Buffer.from(request, 'latin1'));
+    await pause(ANSWER_MS);
+  },
+);
+
+Then(
+  'it is answered with status {int}, and {int} requests are passed on',
+  function check(this: IngressWorld, status: number, accepted: number) {
+    assert.ok(this.received.startsWith(`HTTP/1.1 ${status} `), this.received);
+    assert.equal(this.accepted.length, accepted);
+  },
+);
+
 Then('both requests are answered', function check(this: IngressWorld) {
   assert.deepEqual(this.accepted, ['first', 'second']);
   assert.equal(this.received.split('HTTP/1.1 200').length, 3);
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -9,6 +9,7 @@
 import type { CallerReply, CallerRequest, PromptSize, Relay } from '../core/relay/Types.js';
 import type { Clock } from '../ports/Types.js';
 import { HttpReply } from './HttpReply.js';
+import { areSendable } from './HeaderText.js';
 import { endToEndHeaders, HEADER } from './WireNames.js';
 
 const KEY_SCHEME = 'token ';
@@ -36,6 +37,12 @@
   'The body is larger than the limit of the configuration. Send a smaller one.',
 );
 
+const INVALID_HEADERS = refusal(
+  Outcome.NotRun,
+  RefusalReason.BadRequest,
+  'The name or the value of a header has characters that HTTP does not allow, so that it cannot be sent on. Send valid headers.',
+);
+
 const UNEXPECTED_ERROR = refusal(
   Outcome.NotRun,
   RefusalReason.NotReady,
@@ -185,6 +192,10 @@
       // The head may have been sent before the stop began, without `connection: close`.
       if (this.dependencies.isLeaving()) request.socket.end();
     });
+    if (!areSendable(request.rawHeaders)) {
+      this.rejectBody(request, response, INVALID_HEADERS);
+      return;
+    }
     if (Number(header(request, 'content-length') ?? 0) > this.limits.maxBodyBytes) {
       this.rejectBody(request, response, BODY_TOO_LARGE);
       return;
