Ingress: a stop leaves connections open on which an answer is still being sent

Cause: Server.close and closeIdleConnections take a connection as idle once end has been called on its response, written or not. Evidence: the new scenario of ingress.feature, an answer of 8 MB whose caller reads it after the stop, fails without the change. Why this works: Ingress counts the requests of each connection whose answers are not written, closes those without any, and stops listening by the socket server's own method; the others close when their answer has been written. The scenario failed before.

--- a/features/platform/ingress.feature
+++ b/features/platform/ingress.feature
@@ -11,6 +11,14 @@
     When the caller sends its next request on that connection as soon as it has the answer
     Then both requests are answered
 
+  # Guards against a planned stop that cuts an answer which its caller is still reading.
+  Scenario: The instance stops listening while an answer of 8000000 bytes is being read
+    Given an instance that answers requests on a kept connection
+    And a second connection that is idle
+    When the caller reads its answer of 8000000 bytes only after the instance has stopped listening
+    Then it gets all 8000000 bytes
+    And the idle connection is closed
+
   # Guards against a caller whose header, taken in by Node's parser and refused by its writer, ends the router.
   Scenario Outline: A caller sends the header "<header>"
     Given an instance that answers requests on a kept connection
--- a/features/platform/ingress.steps.ts
+++ b/features/platform/ingress.steps.ts
@@ -16,6 +16,8 @@
   callerSocket: Socket;
   received: string;
   errors: string[];
+  idleSocket: Socket;
+  receivedBytes: number;
 }
 
 /** Time within which an answer on a loopback connection arrives, in milliseconds. */
@@ -36,10 +38,13 @@
     accept: ({ id }, reply) => {
       world.accepted.push(id);
       if (fails) throw new Error('unexpected');
+      const body = id.startsWith('large-')
+        ? Buffer.alloc(Number(id.slice(6)), 'x')
+        : Buffer.from(EVENT);
       // The head is sent before the stop, so it does not announce the end of the connection.
       reply.writeHead({
         status: 200,
-        headers: ['content-length', String(EVENT.length)],
+        headers: ['content-length', String(body.length)],
         sendable: true,
         signed: true,
         misdirected: false,
@@ -50,7 +55,7 @@
         blamedAddress: undefined,
       });
       world.isLeaving = stopsMeanwhile;
-      reply.write(Buffer.from(EVENT));
+      reply.write(body);
       reply.end();
       return { cancel: () => undefined, evict: () => undefined };
     },
@@ -134,6 +139,38 @@
   },
 );
 
+Given('a second connection that is idle', async function set(this: IngressWorld) {
+  this.idleSocket = connect(hostAndPort(this.address));
+  await once(this.idleSocket, 'connect');
+  this.idleSocket.resume();
+});
+
+When(
+  'the caller reads its answer of {int} bytes only after the instance has stopped listening',
+  async function run(this: IngressWorld, bytes: number) {
+    this.callerSocket = connect(hostAndPort(this.address));
+    await once(this.callerSocket, 'connect');
+    this.callerSocket.write(requestText(`large-${bytes}`));
+    await pause(ANSWER_MS);
+    this.isLeaving = true;
+    this.testedIngress.stopListening();
+    this.receivedBytes = 0;
+    this.callerSocket.on('data', ({ length }: Buffer) => {
+      this.receivedBytes += length;
+    });
+    await once(this.callerSocket, 'end');
+  },
+);
+
+Then('it gets all {int} bytes', function check(this: IngressWorld, bytes: number) {
+  assert.ok(this.receivedBytes > bytes, `${this.receivedBytes} bytes with the head`);
+});
+
+Then('the idle connection is closed', async function check(this: IngressWorld) {
+  if (!this.idleSocket.closed) await once(this.idleSocket, 'close');
+  assert.equal(this.testedIngress.active, 0);
+});
+
 Then('both requests are answered', function check(this: IngressWorld) {
   assert.deepEqual(this.accepted, ['first', 'second']);
   assert.equal(this.received.split('HTTP/1.1 200').length, 3);
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -1,6 +1,6 @@
 /** HTTP server that accepts callers' requests from the platform's load balancer. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
 import type { MemoryBudget } from '../core/limits/MemoryBudget.js';
 import type { MemoryShare } from '../core/limits/MemoryShare.js';
@@ -112,11 +112,18 @@
 
   private openRequests = 0;
 
+  /** Requests whose answers have not been written, by connection. */
+  private readonly requestsOf = new Map<Socket, number>();
+
   public constructor(private readonly dependencies: IngressDependencies) {
     this.server = createServer(
       { keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs },
       (request, response) => this.receive(request, response),
     );
+    this.server.on('connection', (socket: Socket) => {
+      this.requestsOf.set(socket, 0);
+      socket.once('close', () => this.requestsOf.delete(socket));
+    });
     this.server.requestTimeout = 0;
     this.applyLimits();
   }
@@ -149,10 +156,14 @@
     });
   }
 
-  /** Stops listening and closes idle connections; requests in progress continue. */
+  /**
+   * Stops listening and closes idle connections. Requests in progress continue, and so do answers that their
+   * callers have not taken yet, which Node counts as idle.
+   */
   public stopListening(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+    // Unlike this one, the method of the HTTP server closes the connections that Node counts as idle.
+    NetServer.prototype.close.call(this.server);
+    for (const [socket, requests] of this.requestsOf) if (requests === 0) socket.destroy();
   }
 
   /** Closes the server and every connection, including those with requests in progress. */
@@ -165,13 +176,19 @@
     return this.dependencies.limits() ?? DEFAULT_LIMITS;
   }
 
+  private countRequest(socket: Socket, change: number): void {
+    this.openRequests += change;
+    const count = this.requestsOf.get(socket);
+    if (count !== undefined) this.requestsOf.set(socket, count + change);
+  }
+
   private receive(request: IncomingMessage, response: ServerResponse): void {
     // The connection was ended after the previous answer; this request crossed that and cannot be answered.
     if (request.socket.writableEnded) {
       request.socket.destroy();
       return;
     }
-    this.openRequests += 1;
+    this.countRequest(request.socket, 1);
     let relay: Relay | undefined;
     const reply = new HttpReply(response, () => this.dependencies.isLeaving());
     const memory = this.dependencies.memory.open({
@@ -184,7 +201,7 @@
     // A write fails if the caller disconnects meanwhile; `close` follows and ends the request.
     response.on('error', () => undefined);
     response.once('close', () => {
-      this.openRequests -= 1;
+      this.countRequest(request.socket, -1);
       memory.dispose();
       if (!response.writableFinished) relay?.cancel();
     });
