Logs: why an answer was discarded, and each request refused before its body was kept

A request whose answer could not be passed on could be followed to its server only, and one that was refused with 413, 400 or for memory left no line at all. The gate now names the row that decided, and such refusals go the way of all others: one line, one count.

--- a/features/core/relay/answer-gate.steps.ts
+++ b/features/core/relay/answer-gate.steps.ts
@@ -24,7 +24,7 @@
       assert.ok(mark in MARKS, `unknown mark ${mark}`);
       head = { ...head, ...MARKS[mark] };
     }
-    this.verdict = judgeAnswer(head, policy);
+    this.verdict = judgeAnswer(head, policy).verdict;
   },
 );
 
--- a/features/core/relay/relays.feature
+++ b/features/core/relay/relays.feature
@@ -23,6 +23,18 @@
       | a route allows two servers                        | idempotent     | lost,lost             | 502 unknown | 2     |
       | rejections of all servers                         | idempotent     | rejected,rejected     | 503 not-run | 2     |
 
+  Scenario Outline: The log tells why an answer was discarded: <reason>
+    Given a route of kind "non-idempotent" to servers with scripted answers
+    When the servers answer "<answer>"
+    Then the log tells that an answer was discarded because of "<reason>"
+
+    Examples:
+      | answer     | reason          |
+      | unsendable | unsendable-head |
+      | unsigned   | unverified      |
+      | encoded    | unverified      |
+      | 503        | false-promise   |
+
   Scenario Outline: At the route's timeout a request that is <state> is answered "<outcome>"
     Given a route of kind "<kind>" to servers with scripted answers
     When the servers answer "<answers>"
--- a/features/core/relay/relays.steps.ts
+++ b/features/core/relay/relays.steps.ts
@@ -138,6 +138,17 @@
   FAULTY_PARTS[part](this);
 });
 
+Then(
+  'the log tells that an answer was discarded because of {string}',
+  function check(this: RelayWorld, reason: string) {
+    const logged = this.fixture.loggedDecisions.filter(({ event }) => event === 'answer-discarded');
+    assert.equal(logged.length, 1);
+    const { id, server, reason: actual } = logged[0].fields as Record<string, string>;
+    assert.deepEqual({ id, reason: actual }, { id: 'request', reason });
+    assert.ok(server !== '');
+  },
+);
+
 Then('the error is logged with the id of the request', function check(this: RelayWorld) {
   const logged = this.fixture.loggedDecisions.filter(({ event }) => event === 'request-error');
   assert.equal(logged.length, 1);
--- a/src/core/relay/AnswerGate.ts
+++ b/src/core/relay/AnswerGate.ts
@@ -31,6 +31,24 @@
   Discard = 'discard',
 }
 
+/** Why an answer must not reach its caller. */
+export enum DiscardReason {
+  /** Its status or headers cannot be sent. */
+  Unsendable = 'unsendable-head',
+  /** It is not signed, or its body is encoded, so that it may not be the server's own. */
+  Unverified = 'unverified',
+  /** It cannot follow the events that the caller already has. */
+  NotResumed = 'not-resumed',
+  /** Its status would tell the caller that nothing ran, which the server does not state. */
+  FalsePromise = 'false-promise',
+}
+
+export interface AnswerJudgement {
+  readonly verdict: AnswerVerdict;
+  /** Set if the answer is discarded. */
+  readonly reason?: DiscardReason;
+}
+
 /** Status of an answer that begins an event stream. */
 const STREAM_STATUS = 200;
 
@@ -51,8 +69,7 @@
   RepeatPolicy.ResumedStream,
 ]);
 
-interface GateRule {
-  readonly verdict: AnswerVerdict;
+interface GateRule extends AnswerJudgement {
   applies(head: AnswerHead, policy: RepeatPolicy): boolean;
 }
 
@@ -60,9 +77,14 @@
 const RULES: readonly GateRule[] = [
   { verdict: AnswerVerdict.NotRun, applies: (head) => head.notExecuted },
   // A head that HTTP does not allow cannot be written to the caller, and its bytes may be spoilt elsewhere, too.
-  { verdict: AnswerVerdict.Discard, applies: (head) => !head.sendable },
   {
     verdict: AnswerVerdict.Discard,
+    reason: DiscardReason.Unsendable,
+    applies: (head) => !head.sendable,
+  },
+  {
+    verdict: AnswerVerdict.Discard,
+    reason: DiscardReason.Unverified,
     applies: (head) => !head.signed || !head.identityEncoded,
   },
   {
@@ -72,11 +94,13 @@
   // The caller has the head of a success; no other answer can follow it.
   {
     verdict: AnswerVerdict.Discard,
+    reason: DiscardReason.NotResumed,
     applies: (_head, policy) => policy === RepeatPolicy.ResumedStream,
   },
   // Without the server's statement the request may have run, and its caller would send it again.
   {
     verdict: AnswerVerdict.Discard,
+    reason: DiscardReason.FalsePromise,
     applies: (head, policy) => SINGLE.has(policy) && NOT_RUN_STATUSES.has(head.status),
   },
   {
@@ -93,7 +117,7 @@
  * @param policy - whether the request may run again, and what its caller already has
  * @returns what may be done with the answer
  */
-export function judgeAnswer(head: AnswerHead, policy: RepeatPolicy): AnswerVerdict {
-  for (const rule of RULES) if (rule.applies(head, policy)) return rule.verdict;
-  return AnswerVerdict.Discard;
+export function judgeAnswer(head: AnswerHead, policy: RepeatPolicy): AnswerJudgement {
+  for (const rule of RULES) if (rule.applies(head, policy)) return rule;
+  return { verdict: AnswerVerdict.Discard, reason: DiscardReason.Unverified };
 }
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -11,6 +11,7 @@
 import type { Stage } from '../routing/Types.js';
 import { choosePlainServer } from '../routing/PlainServerChoice.js';
 import { WorkReservation } from '../routing/WorkReservation.js';
+import { AnswerVerdict, judgeAnswer, type RepeatPolicy } from './AnswerGate.js';
 import { guardListener } from './ListenerGuard.js';
 import { REFUSAL_MESSAGES } from './RefusalMessages.js';
 import { RelayEnd, type AssignedRequest, type RelayDependencies } from './RelayDependencies.js';
@@ -273,6 +274,26 @@
     return true;
   }
 
+  /**
+   * Judges the head of an answer, and logs why the answer must not reach the caller if that is so.
+   * @returns what may be done with the answer
+   */
+  protected judge(server: string, head: AnswerHead, policy: RepeatPolicy): AnswerVerdict {
+    const { verdict, reason } = judgeAnswer(head, policy);
+    if (verdict === AnswerVerdict.Discard) {
+      const { id } = this.assigned.request;
+      const { status } = head;
+      this.dependencies.decisions.record('answer-discarded', {
+        id,
+        server,
+        reason,
+        status,
+        policy,
+      });
+    }
+    return verdict;
+  }
+
   /** Records what the head of an answer says about its server. */
   protected recordHead({ signed, notExecuted, misdirected, requestsPerSecond }: AnswerHead): void {
     // Other heads may not be the server's own.
--- a/src/core/relay/CallRelay.ts
+++ b/src/core/relay/CallRelay.ts
@@ -1,7 +1,7 @@
 /** Relays a request whose answer is buffered and forwarded once it is complete. */
 import { RefusalReason, RetryReason } from '../Outcome.js';
 import { RouteKind } from '../deployment/Types.js';
-import { AnswerVerdict, judgeAnswer, RepeatPolicy } from './AnswerGate.js';
+import { AnswerVerdict, RepeatPolicy } from './AnswerGate.js';
 import { BaseRelay, lossReason, MAX_BUFFERED_BYTES, type SendTarget } from './BaseRelay.js';
 import { RelayEnd } from './RelayDependencies.js';
 import { CallFailure, type AnswerHead, type ServerCallListener } from './Types.js';
@@ -9,6 +9,9 @@
 export class CallRelay extends BaseRelay {
   private head: AnswerHead | undefined;
 
+  /** What may be done with the answer to the last send; undefined before its head. */
+  private verdict: AnswerVerdict | undefined;
+
   private chunks: Buffer[] = [];
 
   private bufferedBytes = 0;
@@ -18,6 +21,7 @@
 
   protected listener({ server }: SendTarget): ServerCallListener {
     this.head = undefined;
+    this.verdict = undefined;
     if (this.failedAnswer?.chunks !== this.chunks) this.discard(this.chunks);
     this.chunks = [];
     this.bufferedBytes = 0;
@@ -25,7 +29,8 @@
       onHead: (head) => {
         this.recordHead(head);
         this.head = head;
-        if (this.judge(head) === AnswerVerdict.Discard)
+        this.verdict = this.judge(server, head, this.repeatPolicy);
+        if (this.verdict === AnswerVerdict.Discard)
           this.handleFailure(server, CallFailure.MismatchedAnswer);
       },
       onData: (chunk) => this.handleChunk(server, chunk),
@@ -39,11 +44,8 @@
     return this.assigned.route.kind === RouteKind.Idempotent;
   }
 
-  private judge(head: AnswerHead): AnswerVerdict {
-    return judgeAnswer(
-      head,
-      this.isIdempotent ? RepeatPolicy.RepeatableCall : RepeatPolicy.SingleCall,
-    );
+  private get repeatPolicy(): RepeatPolicy {
+    return this.isIdempotent ? RepeatPolicy.RepeatableCall : RepeatPolicy.SingleCall;
   }
 
   private handleChunk(server: string, chunk: Buffer): void {
@@ -63,9 +65,8 @@
 
   private handleAnswer(server: string): void {
     const head = this.head as AnswerHead;
-    const verdict = this.judge(head);
     this.sendTracker.recordResult(!head.notExecuted);
-    if (verdict === AnswerVerdict.NotRun) {
+    if (this.verdict === AnswerVerdict.NotRun) {
       this.dependencies.directory.noteRejection(server);
       // Rejections and failure statuses count as StageFailed, also for plain services, which have no stages.
       if (this.isIdempotent && this.retry(RetryReason.StageFailed, server)) return;
@@ -73,7 +74,7 @@
       return;
     }
     this.recordAnswer();
-    if (verdict === AnswerVerdict.ForwardIfLast) {
+    if (this.verdict === AnswerVerdict.ForwardIfLast) {
       if (this.failedAnswer !== undefined) this.discard(this.failedAnswer.chunks);
       this.failedAnswer = { head, chunks: this.chunks };
       if (this.retry(RetryReason.StageFailed, server)) return;
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -12,7 +12,7 @@
 import { WorkReservation } from '../routing/WorkReservation.js';
 import { describeStages } from '../routing/StageText.js';
 import type { Stage } from '../routing/Types.js';
-import { AnswerVerdict, judgeAnswer, RepeatPolicy } from './AnswerGate.js';
+import { AnswerVerdict, RepeatPolicy } from './AnswerGate.js';
 import { BaseRelay, lossReason, MAX_BUFFERED_BYTES, type SendTarget } from './BaseRelay.js';
 import { retryReason } from './CallRelay.js';
 import { EventSplitter } from './EventSplitter.js';
@@ -153,7 +153,7 @@
       onHead: (head) => {
         this.recordHead(head);
         this.head = head;
-        this.verdict = judgeAnswer(head, this.repeatPolicy);
+        this.verdict = this.judge(target.server, head, this.repeatPolicy);
         if (this.verdict === AnswerVerdict.Discard)
           this.handleFailure(target, CallFailure.MismatchedAnswer);
       },
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -194,7 +194,7 @@
     const memory = this.dependencies.memory.open({
       allowanceBytes: 0,
       onEvict: () => {
-        if (relay === undefined) this.rejectBody(request, response, MEMORY_EXHAUSTED);
+        if (relay === undefined) this.rejectBody(request, response, memory, MEMORY_EXHAUSTED);
         else relay.evict();
       },
     });
@@ -210,11 +210,11 @@
       if (this.dependencies.isLeaving()) request.socket.end();
     });
     if (!areSendable(request.rawHeaders)) {
-      this.rejectBody(request, response, INVALID_HEADERS);
+      this.rejectBody(request, response, memory, INVALID_HEADERS);
       return;
     }
     if (Number(header(request, 'content-length') ?? 0) > this.limits.maxBodyBytes) {
-      this.rejectBody(request, response, BODY_TOO_LARGE);
+      this.rejectBody(request, response, memory, BODY_TOO_LARGE);
       return;
     }
     let chunks: Buffer[] = [];
@@ -224,7 +224,7 @@
       const wasJudged = size > UNJUDGED_BODY_BYTES;
       size += chunk.length;
       if (size > this.limits.maxBodyBytes) {
-        this.rejectBody(request, response, BODY_TOO_LARGE);
+        this.rejectBody(request, response, memory, BODY_TOO_LARGE);
         return;
       }
       if (!wasJudged && size > UNJUDGED_BODY_BYTES)
@@ -269,12 +269,18 @@
   }
 
   /** Refuses a request whose body is not kept. The connection closes, as the body may go on. */
-  private rejectBody(request: IncomingMessage, response: ServerResponse, refused: Refusal): void {
+  private rejectBody(
+    request: IncomingMessage,
+    response: ServerResponse,
+    memory: MemoryShare,
+    refused: Refusal,
+  ): void {
     request.removeAllListeners('data');
     request.resume();
     if (response.headersSent) return;
     response.shouldKeepAlive = false;
-    new HttpReply(response, () => this.dependencies.isLeaving()).refuse(refused);
+    const reply = new HttpReply(response, () => this.dependencies.isLeaving());
+    this.dependencies.refuse(this.decode(request, NO_BODY, memory), reply, refused);
   }
 
   private decode(request: IncomingMessage, body: Buffer, memory: MemoryShare): CallerRequest {
