Servers: answers with status 101 or in an unknown transfer coding are no answers

Callers saw: no answer until their time limit after a 101; a body with the marks of an unknown transfer coding in it, as a success. Cause: Node tells of a 101 by an event that nobody listened to, and decodes chunks only; any other coding went through as body. Evidence: both new rows of router.feature failed (no answer in time; 200 for 502). Why this works: both count as an answer that is not the request's own: lost, resent where it may be, else 502. Measured: both rows pass, with the other answers and the streams of router.feature.

--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -28,6 +28,10 @@
   Truncated = 'truncated',
   /** Complete, but a header's name has a space, which Node's parser takes in and its writer does not send. */
   SpacedHeaderName = "with a space in a header's name",
+  /** With status 101, as if the request had asked for another protocol. */
+  SwitchesProtocol = 'with status 101',
+  /** With a transfer coding that is not known, so that the marks of its parts are in the body. */
+  UnknownCoding = 'in an unknown transfer coding',
   /** The connection ends inside a header. */
   EndsInsideHead = 'ending inside its head',
   /** The connection ends after the last header, before the empty line. */
@@ -447,6 +451,14 @@
         socket.write(`${head}connection: close\r\n\r\n${answer.slice(0, 9)}`);
         socket.resetAndDestroy();
         return;
+      case AnswerStyle.SwitchesProtocol:
+        socket.write(
+          `HTTP/1.1 101 Switching Protocols\r\nx-attempt-id: ${id}\r\nconnection: upgrade\r\nupgrade: other\r\n\r\n`,
+        );
+        return;
+      case AnswerStyle.UnknownCoding:
+        socket.end(`${head}transfer-encoding: parts\r\n\r\n5\r\nwhole\r\n0\r\n\r\n`);
+        return;
       case AnswerStyle.EndsInsideHead:
         socket.end(`${head}content-len`);
         return;
--- a/features/platform/router.feature
+++ b/features/platform/router.feature
@@ -24,6 +24,8 @@
       | ending inside its head            | 502 |
       | ending before the end of its head | 502 |
       | with a space in a header's name   | 502 |
+      | with status 101                   | 502 |
+      | in an unknown transfer coding     | 502 |
 
   # Guards against a stream that was broken off and looks complete, since nothing but its connection delimits it.
   Scenario Outline: A stream that ends with its connection: <style>
--- a/src/core/relay/Types.ts
+++ b/src/core/relay/Types.ts
@@ -79,7 +79,7 @@
   readonly notExecuted: boolean;
   /** Whether the blamed server is not the expected one or no longer holds its layers. */
   readonly misdirected: boolean;
-  /** Whether the body has no content encoding. */
+  /** Whether the body has no content encoding, and no transfer coding that is not decoded. */
   readonly identityEncoded: boolean;
   /** Whether a length or chunks delimit the body; otherwise it ends with its connection. */
   readonly isDelimited: boolean;
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -70,6 +70,12 @@
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 }
 
+/** Whether Node decodes the transfer coding of an answer, so that its body holds no marks of it. */
+function hasKnownCoding({ headers }: IncomingMessage): boolean {
+  const coding = headers['transfer-encoding'];
+  return coding === undefined || coding.toLowerCase() === 'chunked';
+}
+
 /** Returns undefined if the header is missing or is not a positive number. */
 function readRequestLimit(value: string | string[] | undefined): number | undefined {
   const perSecond = Number(value);
@@ -87,7 +93,7 @@
     signed: headers[HEADER.signature] !== undefined,
     misdirected: statusCode === MISDIRECTED,
     notExecuted: headers[HEADER.notExecuted] !== undefined || statusCode === MISDIRECTED,
-    identityEncoded: headers['content-encoding'] === undefined,
+    identityEncoded: headers['content-encoding'] === undefined && hasKnownCoding(message),
     isDelimited: isDelimited(message),
     requestsPerSecond: readRequestLimit(headers[HEADER.requestLimit]),
     blamedAddress: typeof fault === 'string' ? fault : undefined,
@@ -139,6 +145,11 @@
     this.outgoing = httpRequest(options);
     this.outgoing.on('socket', (socket) => this.watchSocket(socket));
     this.outgoing.on('response', (answer) => this.readAnswer(answer));
+    // No request asks for another protocol; Node tells of such an answer only here.
+    this.outgoing.on('upgrade', (_answer, socket) => {
+      this.fail(CallFailure.MismatchedAnswer);
+      socket.destroy();
+    });
     this.outgoing.on('error', () => this.fail(this.connectionFailure));
     this.outgoing.end(message.body);
   }
