--- a/src/router/RouterProgram.ts
+++ b/src/router/RouterProgram.ts
@@ -45,11 +45,16 @@
 export async function runRouter(signals: Signals): Promise<void> {
   let isStopping = false;
   let stop = async (): Promise<void> => {};
-  signals.handle('SIGTERM', async () => {
+  signals.handle('SIGTERM', () => {
     if (isStopping) return;
     isStopping = true;
-    await stop();
-    process.exit(0);
+    stop().then(
+      () => process.exit(0),
+      (error: Error) => {
+        process.stderr.write(`${JSON.stringify({ msg: 'stop-failed', error: error.message })}\n`);
+        process.exit(1);
+      },
+    );
   });
   const { file, settings } = await loadSettings();
   const log = new StructuredLog(settings.instance);
