--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -4,11 +4,17 @@
 import { hostAndPort } from '../adapters/http/HttpClient.js';
 import type { MemoryBudget } from '../core/limits/MemoryBudget.js';
 import type { MemoryShare } from '../core/limits/MemoryShare.js';
-import { Outcome, refusal, RefusalReason, type Refusal } from '../core/Outcome.js';
+import type { Refusal } from '../core/Outcome.js';
 import type { CallerLimits } from '../core/deployment/Types.js';
 import type { CallerReply, CallerRequest, PromptSize, Relay } from '../core/relay/Types.js';
 import type { Clock } from '../ports/Types.js';
 import { HttpReply } from './HttpReply.js';
+import {
+  BODY_TOO_LARGE,
+  INVALID_HEADERS,
+  MEMORY_EXHAUSTED,
+  UNEXPECTED_ERROR,
+} from './IngressRefusals.js';
 import { areSendable } from './HeaderText.js';
 import { endToEndHeaders, HEADER } from './WireNames.js';
 
@@ -31,30 +37,6 @@
 /** Length of the accept queue: after a network cut, all callers of a failure domain may connect at once. */
 const BACKLOG = 1024;
 
-const BODY_TOO_LARGE = refusal(
-  Outcome.NotRun,
-  RefusalReason.BodyTooLarge,
-  'The body is larger than the limit of the configuration. Send a smaller one.',
-);
-
-const INVALID_HEADERS = refusal(
-  Outcome.NotRun,
-  RefusalReason.BadRequest,
-  'The name or the value of a header has characters that HTTP does not allow, so that it cannot be sent on. Send valid headers.',
-);
-
-const UNEXPECTED_ERROR = refusal(
-  Outcome.NotRun,
-  RefusalReason.NotReady,
-  'An unexpected error ended the request before it was sent to a server. Retry it; report the error to the operators if this repeats.',
-);
-
-const MEMORY_EXHAUSTED = refusal(
-  Outcome.NotRun,
-  RefusalReason.MemoryExhausted,
-  'This instance has no memory left for the body of the request. Retry after the delay given in Retry-After.',
-);
-
 export interface IngressDependencies {
   readonly clock: Clock;
   readonly memory: MemoryBudget;
--- /dev/null
+++ b/src/platform/IngressRefusals.ts
@@ -0,0 +1,26 @@
+/** Refusals of requests that are not handed over. No server has received any of them. */
+import { Outcome, refusal, RefusalReason } from '../core/Outcome.js';
+
+export const BODY_TOO_LARGE = refusal(
+  Outcome.NotRun,
+  RefusalReason.BodyTooLarge,
+  'The body is larger than the limit of the configuration. Send a smaller one.',
+);
+
+export const INVALID_HEADERS = refusal(
+  Outcome.NotRun,
+  RefusalReason.BadRequest,
+  'The name or the value of a header has characters that HTTP does not allow, so that it cannot be sent on. Send valid headers.',
+);
+
+export const UNEXPECTED_ERROR = refusal(
+  Outcome.NotRun,
+  RefusalReason.NotReady,
+  'An unexpected error ended the request before it was sent to a server. Retry it; report the error to the operators if this repeats.',
+);
+
+export const MEMORY_EXHAUSTED = refusal(
+  Outcome.NotRun,
+  RefusalReason.MemoryExhausted,
+  'This instance has no memory left for the body of the request. Retry after the delay given in Retry-After.',
+);
