Deployment: ranks, objectives, longest pauses and the profile of a step are decoded; servers are told of urgency where ranks differ

Cause: nothing behind the adapter knew the rank of a route or an account, so all requests for a service were served alike. Servers admitted them alike as well. Change: routes and accounts carry their rank, routes their objective and longest pause, prompts the caller's estimate of the answer; RouteTable tells whether ranks compete for a service. Where they do, servers are told the rank as urgency; a caller's own urgency is never forwarded. Engine profiles carry what a running request adds to a step. Without differing ranks for a service nothing changes on the wire but that a caller's urgency is dropped.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -33,6 +33,10 @@
   layerMb: 1750,
   tokenMb: 0.845,
   stepMs: 0.85,
+  sequenceStepMs: 0.0034,
+  contextStepMs: 0.0045,
+  stepsPerPass: 2,
+  prefillChunkTokens: 512,
   readTokensPerMs: 196,
   activationBytes: 42_268,
   crossDomainMbps: 13_000,
@@ -93,6 +97,7 @@
     maxServers: 2,
     timeoutMs: 20_000,
     isPublic: true,
+    rank: 1,
     ...values,
   };
 }
--- a/features/core/deployment/deployment.feature
+++ b/features/core/deployment/deployment.feature
@@ -11,6 +11,18 @@
       | other | /x     | other/    |
       | none  | /a/x   | none      |
 
+  Scenario Outline: <case>
+    Given routes of the engine with ranks "<routes>" and accounts with ranks "<accounts>"
+    Then requests compete for the engine: "<competes>"
+
+    Examples: "-" is an account without a rank of its own; "none" is a deployment without accounts
+      | case                                             | routes | accounts | competes |
+      | routes of one rank do not compete                | 1 1    | none     | no       |
+      | routes of different ranks compete                | 0 2    | none     | yes      |
+      | accounts without a rank take that of the route   | 0 2    | - -      | yes      |
+      | a rank of all accounts replaces those of routes  | 0 2    | 1 1      | no       |
+      | an account that is more urgent than routes       | 1 1    | 0 -      | yes      |
+
   Scenario Outline: <case>
     When deployments of tickets "<arrivals>" arrive
     Then the deployment of ticket <current> is in effect
--- a/features/core/deployment/deployment.steps.ts
+++ b/features/core/deployment/deployment.steps.ts
@@ -31,6 +31,28 @@
   },
 );
 
+Given(
+  'routes of the engine with ranks {string} and accounts with ranks {string}',
+  function set(this: DeploymentWorld, routeRanks: string, accountRanks: string) {
+    const routes = routeRanks
+      .split(' ')
+      .map((rank, index) => route({ name: `route-${index}`, rank: Number(rank) }));
+    const accounts = accountRanks.split(' ').map((rank, index) => ({
+      name: `account-${index}`,
+      keys: [`key-${index}`],
+      ...(rank !== '-' && { rank: Number(rank) }),
+    }));
+    this.table = new RouteTable(deployment(routes, accountRanks === 'none' ? {} : { accounts }));
+  },
+);
+
+Then(
+  'requests compete for the engine: {string}',
+  function check(this: DeploymentWorld, competes: string) {
+    assert.equal(this.table.hasRanks('engine') ? 'yes' : 'no', competes);
+  },
+);
+
 When(
   'deployments of tickets {string} arrive',
   function run(this: DeploymentWorld, arrivals: string) {
--- a/src/core/deployment/Types.ts
+++ b/src/core/deployment/Types.ts
@@ -39,6 +39,15 @@
   readonly timeoutMs: number;
   /** Whether requests need no key. */
   readonly isPublic: boolean;
+  /** Rank of the route's requests, which the rank of their account replaces; 0 is the most urgent one. */
+  readonly rank: number;
+  /**
+   * Time to the answer within which callers are well served, in milliseconds; for streams, to the first event.
+   * Undefined if the operators state none.
+   */
+  readonly objectiveMs?: number;
+  /** Longest pause between two events of a stream that is on time, in milliseconds. */
+  readonly maxGapMs?: number;
 }
 
 /** One kind of accelerator that an engine runs on. */
@@ -62,6 +71,14 @@
   readonly tokenMb: number;
   /** Time of one decode step through all layers, in milliseconds. */
   readonly stepMs: number;
+  /** Time that each running request adds to a decode step through all layers, in milliseconds. */
+  readonly sequenceStepMs: number;
+  /** Time that 1,000 tokens of context of a running request add to such a step, in milliseconds. */
+  readonly contextStepMs: number;
+  /** Decode steps of one pass over all waiting work; a prompt is read between passes. */
+  readonly stepsPerPass: number;
+  /** Maximum number of prompt tokens that are read in one step. */
+  readonly prefillChunkTokens: number;
   /** Prefill rate through all layers, in prompt tokens per millisecond. */
   readonly readTokensPerMs: number;
   /** Activations that pass from one server to the next, in bytes per token. */
@@ -86,6 +103,8 @@
 export interface ClientAccount {
   readonly name: string;
   readonly keys: readonly string[];
+  /** Rank of the account's requests, which replaces the rank of their routes; 0 is the most urgent one. */
+  readonly rank?: number;
 }
 
 /** Bounds on what a caller may send. */
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -18,6 +18,7 @@
 import { SendTracker } from './SendTracker.js';
 import {
   CallFailure,
+  MAX_URGENCY,
   type AnswerHead,
   type Relay,
   type ServerCallListener,
@@ -159,7 +160,7 @@
     this.sentTo = server.record;
     serverLimits.recordSend(server.record);
     this.sendTracker.markInFlight();
-    const { request, account } = this.assigned;
+    const { request, account, rank, competes } = this.assigned;
     const { stages } = target;
     // A plain service has no stages, so a stage without layers counts the request at its server.
     const reservedStages =
@@ -186,6 +187,7 @@
         deadlineMs: Math.max(1, Math.floor(this.msLeft)),
         account,
         resumeAfter: this.resumeAfter,
+        ...(competes && { urgency: Math.min(rank, MAX_URGENCY) }),
       },
       this.whileCurrent(this.listener(target)),
     );
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -81,6 +81,10 @@
   readonly route: RequestRoute;
   readonly service: Service;
   readonly account: string | undefined;
+  /** Rank of the account, or else of the route; 0 is the most urgent one. */
+  readonly rank: number;
+  /** Whether requests of different ranks compete for the service. */
+  readonly competes: boolean;
   /** What may crash servers: the shared parts of the prompt, and the request's fingerprint. */
   readonly inputs: readonly string[];
   /**
--- a/src/core/relay/RelayDispatcher.ts
+++ b/src/core/relay/RelayDispatcher.ts
@@ -3,7 +3,12 @@
 import type { Refusal } from '../Outcome.js';
 import { Outcome, refusal, RefusalReason } from '../Outcome.js';
 import type { RouteTable } from '../deployment/RouteTable.js';
-import { RouteKind, type RequestRoute, type ServiceShare } from '../deployment/Types.js';
+import {
+  RouteKind,
+  type ClientAccount,
+  type RequestRoute,
+  type ServiceShare,
+} from '../deployment/Types.js';
 import { fingerprintOf } from '../quarantine/RequestFingerprint.js';
 import type { BaseRelay } from './BaseRelay.js';
 import { CallRelay } from './CallRelay.js';
@@ -25,7 +30,7 @@
 interface Destination {
   readonly table: RouteTable;
   readonly route: RequestRoute;
-  readonly account: string | undefined;
+  readonly account: ClientAccount | undefined;
 }
 
 function notRunRefusal(reason: RefusalReason, message: string): Refusal {
@@ -126,7 +131,7 @@
         'The API key is missing or unknown. Send "Authorization: Token KEY" with a valid key.',
       );
     }
-    return { table, route, account: account?.name };
+    return { table, route, account };
   }
 
   private assign(
@@ -142,9 +147,19 @@
       );
     }
     const endsAt = request.arrivedAt + Math.min(route.timeoutMs, request.deadlineMs);
-    const fingerprint = fingerprintOf(request, account);
+    const fingerprint = fingerprintOf(request, account?.name);
     const inputs = [...request.sharedPromptParts, fingerprint];
-    return { request, reply, route, service, account, inputs, endsAt };
+    return {
+      request,
+      reply,
+      route,
+      service,
+      account: account?.name,
+      rank: account?.rank ?? route.rank,
+      competes: table.hasRanks(service.name),
+      inputs,
+      endsAt,
+    };
   }
 
   private pickService(route: RequestRoute): string {
--- a/src/core/relay/Types.ts
+++ b/src/core/relay/Types.ts
@@ -20,6 +20,8 @@
   readonly promptTokens: number;
   /** Maximum number of tokens in the answer. */
   readonly maxAnswerTokens: number;
+  /** The caller's estimate of the number of tokens in the answer, which is often far off; undefined if it gives none. */
+  readonly expectedAnswerTokens?: number;
 }
 
 /** A caller's request after it has been read completely. */
@@ -113,8 +115,13 @@
   readonly deadlineMs: number;
   readonly account: string | undefined;
   readonly resumeAfter: string | undefined;
+  /** Urgency for the server, from 0, the first, to `MAX_URGENCY`; undefined if all requests have the same. */
+  readonly urgency?: number;
 }
 
+/** Urgency that a server assigns to the requests that it admits last. */
+export const MAX_URGENCY = 9;
+
 /** Receives the answer to one call. */
 export interface ServerCallListener {
   onHead(head: AnswerHead): void;
--- a/src/platform/DeploymentDecoder.ts
+++ b/src/platform/DeploymentDecoder.ts
@@ -14,6 +14,9 @@
   streaming: RouteKind.Streaming,
 };
 
+/** Rank of routes for which the operators state none. */
+const DEFAULT_RANK = 1;
+
 const ROUTE = z.object({
   name: z.string(),
   host: z.string(),
@@ -25,12 +28,28 @@
   attempts: z.number().default(1),
   public: z.boolean().default(false),
   resumable: z.boolean().default(false),
+  /** Rank of the requests: 0 is the most urgent one, although the name suggests that more is more urgent. */
+  priority: z.number().int().nonnegative().default(DEFAULT_RANK),
+  /** Time to the answer, or to a stream's first event, within which it is on time. */
+  slo_ms: z.number().positive().optional(),
+  /** Longest pause between events of a stream that is on time; not a target to aim at. */
+  target_itl_ms: z.number().positive().optional(),
 });
 
+/** Prompt tokens in one step, assumed where the operators state none. */
+const DEFAULT_PREFILL_CHUNK_TOKENS = 512;
+
 const ENGINE = z.object({
   /** KV cache bytes for each token, over all layers. */
   kv_token_bytes: z.number(),
   step_ms: z.number(),
+  /** Time that each request that is writing adds to a step. */
+  per_seq_ms: z.number().default(0),
+  /** Time that 1,000 tokens of context of a request that is writing add to a step. */
+  context_per_k: z.number().default(0),
+  steps_per_pass: z.number().default(1),
+  /** Maximum number of prompt tokens that are read in one step. */
+  chunk: z.number().positive().default(DEFAULT_PREFILL_CHUNK_TOKENS),
   /** Prompt tokens that a whole model processes per second. */
   read_per_s: z.number(),
   usual: z.object({ prompt: z.number(), answer: z.number() }).optional(),
@@ -71,6 +90,7 @@
       z.object({
         name: z.string(),
         api_keys: z.array(z.string()),
+        priority: z.number().int().nonnegative().optional(),
       }),
     )
     .optional(),
@@ -95,6 +115,9 @@
     maxServers: Math.max(1, wire.attempts),
     timeoutMs: wire.timeout_ms,
     isPublic: wire.public,
+    rank: wire.priority,
+    objectiveMs: wire.slo_ms,
+    maxGapMs: wire.target_itl_ms,
   };
 }
 
@@ -108,6 +131,10 @@
     layerMb: data.layer_size_mb,
     tokenMb: data.kv_token_bytes / BYTES_PER_MB,
     stepMs: data.step_ms,
+    sequenceStepMs: data.per_seq_ms,
+    contextStepMs: data.context_per_k,
+    stepsPerPass: data.steps_per_pass,
+    prefillChunkTokens: data.chunk,
     readTokensPerMs: data.read_per_s / 1000,
     activationBytes: data.activation_bytes,
     crossDomainMbps: data.cross_zone_mbps,
@@ -154,6 +181,7 @@
     accounts: data.tenants?.map((account) => ({
       name: account.name,
       keys: account.api_keys,
+      rank: account.priority,
     })),
     limits: {
       maxBodyBytes: data.limits.max_body_bytes,
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -70,7 +70,12 @@
 function readPrompt(request: IncomingMessage): PromptSize | undefined {
   const [prompt, answer] = (header(request, HEADER.tokens) ?? '').split(',').map(Number);
   if (!(prompt >= 0) || !(answer >= 0)) return undefined;
-  return { promptTokens: prompt, maxAnswerTokens: answer };
+  const estimate = Number(header(request, HEADER.answerEstimate));
+  return {
+    promptTokens: prompt,
+    maxAnswerTokens: answer,
+    ...(estimate > 0 && Number.isFinite(estimate) && { expectedAnswerTokens: estimate }),
+  };
 }
 
 /** Maximum number of prompt parts that are read from a request. */
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -34,6 +34,7 @@
   HEADER.deadlineMs,
   HEADER.stages,
   HEADER.lastEvent,
+  HEADER.urgency,
 ]);
 
 /**
@@ -53,12 +54,13 @@
 }
 
 function headersFor(call: ServerCall): string[] {
-  const { request, server, stages, account, resumeAfter } = call;
+  const { request, server, stages, account, resumeAfter, urgency } = call;
   const headers = endToEndHeaders(request.message.headers, EXCLUDED_HEADERS);
   headers.push(HEADER.expectedServer, server.id, HEADER.deadlineMs, String(call.deadlineMs));
   if (account !== undefined) headers.push(HEADER.account, account);
   if (stages.length > 0) headers.push(HEADER.stages, formatStages(stages));
   if (resumeAfter !== undefined) headers.push(HEADER.lastEvent, resumeAfter);
+  if (urgency !== undefined) headers.push(HEADER.urgency, String(urgency));
   const { length } = request.message.body;
   if (length > 0 || request.message.method === 'POST')
     headers.push('content-length', String(length));
--- a/src/platform/WireNames.ts
+++ b/src/platform/WireNames.ts
@@ -13,6 +13,10 @@
   notExecuted: 'x-not-executed',
   /** Number of prompt tokens and maximum number of answer tokens, separated by a comma. */
   tokens: 'x-token-count',
+  /** The caller's estimate of the number of answer tokens. */
+  answerEstimate: 'x-length-hint',
+  /** Urgency that a server is told, from 0, the first, to 9. Callers' values are not forwarded. */
+  urgency: 'x-request-urgency',
   /**
    * Parts of the prompt in order, as `ID:TOKENS` separated by commas. Despite its name, it lists the whole
    * prompt; the last part belongs to the request or its session alone.
