Limits: streams that wait for their first event are limited while callers leave without one

Change: StartWindows limits, for each service at each instance, the streams without a first event, once a caller has left after twice the objective. A stream over the limit is refused at once with a time to return.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -15,6 +15,7 @@
 import { Invariants } from '../../src/core/Invariant.js';
 import { RetryAfterEstimator } from '../../src/core/limits/RetryAfterEstimator.js';
 import { RetryBudget } from '../../src/core/limits/RetryBudget.js';
+import { StartWindows } from '../../src/core/limits/StartWindows.js';
 import { ServerLimits } from '../../src/core/limits/ServerLimits.js';
 import type { Clock, Random } from '../../src/ports/Types.js';
 import type { RelayCounters, RelayDependencies } from '../../src/core/relay/RelayDependencies.js';
@@ -207,6 +208,7 @@
         refillPerS: 0,
       })),
       serverLimits: this.serverLimits,
+      startWindows: new StartWindows(clock),
       quarantine,
       crashWitness: new CrashWitness({ directory, port: this.servers, quarantine, decisions }),
       counters: NO_OP_COUNTERS,
--- a/features/core/relay/relays.feature
+++ b/features/core/relay/relays.feature
@@ -129,3 +129,15 @@
       | the refusal is written   | non-idempotent | rejected | cut         |
       | another server is chosen | idempotent     | lost     | 502 unknown |
       | its crash is examined    | non-idempotent | lost     | 502 unknown |
+
+  # A service that is so far behind that callers leave: what is sent on would only lengthen its backlog.
+  Scenario Outline: <case>
+    Given 4 streams that wait for their first event, on a route with an objective of 500 ms
+    When <count> of their callers leave after <ms> ms
+    Then a further stream is "<outcome>"
+
+    Examples:
+      | case                                                | count | ms   | outcome     |
+      | a stream is refused while callers leave in vain     | 1     | 2000 | 503 not-run |
+      | it is sent once others have left their places       | 3     | 2000 | open        |
+      | callers who leave at once say nothing of the service | 1    | 100  | open        |
--- a/features/core/relay/relays.steps.ts
+++ b/features/core/relay/relays.steps.ts
@@ -19,6 +19,7 @@
   caller: FakeCaller;
   relay: Relay;
   dispatcher: RelayDispatcher;
+  waiting: Relay[];
 }
 
 const KINDS: Readonly<Record<string, RouteKind>> = {
@@ -324,3 +325,34 @@
     assert.deepEqual([...this.fixture.load.listOwnWork()], []);
   },
 );
+
+/** Objective of the route whose streams wait for their first event, in milliseconds. */
+const WAITING_OBJECTIVE_MS = 500;
+
+Given(
+  '{int} streams that wait for their first event, on a route with an objective of 500 ms',
+  function set(this: RelayWorld, count: number) {
+    startStream(this, true);
+    this.fixture.deployments.applyIfNewer(
+      deployment([route({ objectiveMs: WAITING_OBJECTIVE_MS })], { ticket: 2 }),
+    );
+    this.relay.cancel();
+    this.waiting = Array.from({ length: count }, () =>
+      this.dispatcher.accept(this.fixture.request(), new FakeCaller()),
+    );
+  },
+);
+
+When(
+  '{int} of their callers leave after {int} ms',
+  async function run(this: RelayWorld, count: number, ms: number) {
+    await this.fixture.clock.runUntil(this.fixture.clock.now() + ms);
+    for (const relay of this.waiting.slice(0, count)) relay.cancel();
+  },
+);
+
+Then('a further stream is {string}', function check(this: RelayWorld, outcome: string) {
+  this.caller = new FakeCaller();
+  this.dispatcher.accept(this.fixture.request(), this.caller);
+  assert.equal(this.caller.outcome, outcome);
+});
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -6,6 +6,7 @@
 import type { Invariants } from '../Invariant.js';
 import type { RetryLimiter } from '../limits/RetryBudget.js';
 import type { ServerLimits } from '../limits/ServerLimits.js';
+import type { StartWindows } from '../limits/StartWindows.js';
 import type { RetryAfterEstimator } from '../limits/RetryAfterEstimator.js';
 import type { RefusalReason, RetryReason } from '../Outcome.js';
 import type { CrashWitness } from '../quarantine/CrashWitness.js';
@@ -64,6 +65,7 @@
   readonly retryBudget: RetryLimiter;
   readonly retryAfterEstimator: RetryAfterEstimator;
   readonly serverLimits: ServerLimits;
+  readonly startWindows: StartWindows;
   readonly quarantine: Quarantine;
   readonly crashWitness: CrashWitness;
   readonly decisions: DecisionLog;
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -9,6 +9,7 @@
  */
 import type { Disposable } from '../../ports/Types.js';
 import { RefusalReason, RetryReason } from '../Outcome.js';
+import type { StartPlace } from '../limits/StartWindows.js';
 import { WorkReservation } from '../routing/WorkReservation.js';
 import { describeStages } from '../routing/StageText.js';
 import type { Stage } from '../routing/Types.js';
@@ -105,6 +106,8 @@
 
   private bufferedBytes = 0;
 
+  private startPlace: StartPlace | undefined;
+
   private readonly registration: Disposable = this.dependencies.streamRegistry.add(this);
 
   public get id(): string {
@@ -118,6 +121,18 @@
     return FIRST_EVENT_MS + this.reservedTokens * FIRST_EVENT_TOKEN_MS;
   }
 
+  public override start(): void {
+    const { route, service } = this.assigned;
+    if (route.objectiveMs !== undefined) {
+      this.startPlace = this.dependencies.startWindows.open(service.name, route.objectiveMs);
+      if (this.startPlace === undefined) {
+        this.guard(() => this.refuseNotRun(RefusalReason.Overloaded));
+        return;
+      }
+    }
+    super.start();
+  }
+
   public rerouteAround(servers: ReadonlySet<string>, reason: RetryReason): void {
     if (this.ended || this.rerouting || this.stages.length === 0) return;
     if (this.dependencies.clock.now() < this.nextRerouteAt) return;
@@ -175,9 +190,16 @@
 
   protected override finish(end: RelayEnd): void {
     this.registration.dispose();
+    if (end === RelayEnd.CallerGone) this.startPlace?.recordAbandonment();
+    this.startPlace?.dispose();
     super.finish(end);
   }
 
+  protected override expire(): void {
+    this.startPlace?.recordAbandonment();
+    super.expire();
+  }
+
   protected override finishRefused(sendRefusal: () => void): void {
     if (!this.answerBegun) {
       super.finishRefused(sendRefusal);
@@ -263,6 +285,7 @@
     const { request, reply, route } = this.assigned;
     reply.writeHead(this.head as AnswerHead);
     this.answerBegun = true;
+    this.startPlace?.recordFirstEvent();
     this.endPrefill();
     for (const { server } of this.stages) this.dependencies.directory.noteAcceptance(server);
     this.dependencies.counters.recordFirstByte(route.kind, this.lastEventAt - request.arrivedAt);
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -12,6 +12,7 @@
 import { RetryAfterEstimator } from '../core/limits/RetryAfterEstimator.js';
 import { MemoryBudget } from '../core/limits/MemoryBudget.js';
 import { SharedRetryBudget, type SharedRetryLimits } from '../core/limits/SharedRetryBudget.js';
+import { StartWindows, type StartWindowChange } from '../core/limits/StartWindows.js';
 import { ServerLimits, type ServerLimitChange } from '../core/limits/ServerLimits.js';
 import { PeerSharing } from '../core/peers/PeerSharing.js';
 import { decodePeerIdentity, InstanceRegistration } from '../core/peers/InstanceRegistration.js';
@@ -141,6 +142,8 @@
     () => this.sharing.knownInstances,
   );
 
+  private readonly startWindows = new StartWindows(this.clock);
+
   private readonly quarantine = new InputQuarantine(this.clock, () => this.sharing.probationTurn);
 
   private readonly silenceDetector: SilenceDetector;
@@ -208,6 +211,7 @@
       retryBudget: this.retryBudget,
       retryAfterEstimator: new RetryAfterEstimator(random),
       serverLimits: this.serverLimits,
+      startWindows: this.startWindows,
       quarantine: this.quarantine,
       crashWitness: new CrashWitness({
         directory,
@@ -317,6 +321,7 @@
     this.storeEra.onRise((rise) => this.handleRestoredStore(rise));
     deployments.onChange(() => this.ingress.applyLimits());
     this.serverLimits.onChange((change) => this.recordServerLimit(change));
+    this.startWindows.onChange((change) => this.recordStartWindow(change));
     this.quarantine.onChange((change) => this.recordQuarantine(change));
     this.addGauges();
   }
@@ -463,6 +468,14 @@
     this.log.record('server-limit', { server, perSecond, ownPerSecond, heardFrom: source });
   }
 
+  private recordStartWindow({ service, limit, waiting }: StartWindowChange): void {
+    this.log.record('start-window', {
+      service,
+      limit: Number.isFinite(limit) ? limit : 'none',
+      waiting,
+    });
+  }
+
   private recordQuarantine({ quarantined, isHeld, source }: QuarantineChange): void {
     const { part, crashes, lastCrashAt, heldUntil } = quarantined;
     const now = this.clock.now();
@@ -491,6 +504,7 @@
     metrics.addGauge('acaciadrum_live_instances', () => this.sharing.liveInstances);
     metrics.addGauge('acaciadrum_quarantined_parts', () => this.quarantine.size);
     metrics.addGauge('acaciadrum_limited_servers', () => this.serverLimits.size);
+    metrics.addGauge('acaciadrum_overloaded_services', () => this.startWindows.limitedServices);
     metrics.addGauge('acaciadrum_message_bytes', () => this.memory.used);
     metrics.addGauge('acaciadrum_evictions', () => this.memory.evictions);
     metrics.addGauge('acaciadrum_store_era', () => this.storeEra.current);
