Routing: instances share the links between failure domains

Change: DomainLinks gives each instance an even share of 0.6 of a link's time; an allowance for a transfer arises at that rate and lapses after 700 ms. The route search does not cross without one, reroutes included.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -25,6 +25,7 @@
 import { MemoryBudget } from '../../src/core/limits/MemoryBudget.js';
 import { CallFailure, type AnswerHead, type CallerRequest } from '../../src/core/relay/Types.js';
 import { EngineRoutes } from '../../src/core/routing/EngineRoutes.js';
+import { DomainLinks } from '../../src/core/routing/DomainLinks.js';
 import { ServerLoad } from '../../src/core/routing/ServerLoad.js';
 import { VirtualClock } from '../../src/fakes/VirtualClock.js';
 import { FakeServers } from './FakeServers.js';
@@ -126,6 +127,11 @@
 
 const NO_RANDOM: Random = { next: () => 0.5, id: () => 'id' };
 
+/** Links between failure domains, for a fleet of one instance. */
+export function domainLinks(clock: Clock, instances = 1): DomainLinks {
+  return new DomainLinks(clock, NO_RANDOM, () => instances);
+}
+
 /** Limits of servers, of which none is known yet, for a fleet of one instance. */
 export function unlimitedServers(clock: Clock): ServerLimits {
   return new ServerLimits(clock, NO_RANDOM, () => 1);
@@ -197,7 +203,7 @@
       decisions,
       random: NO_RANDOM,
       deployments: this.deployments,
-      routes: new EngineRoutes(directory, load, 'a', this.serverLimits),
+      routes: new EngineRoutes(directory, load, 'a', this.serverLimits, domainLinks(clock)),
       port: this.servers,
       streamRegistry: this.silenceDetector,
       retryAfterEstimator: new RetryAfterEstimator(NO_RANDOM),
--- a/features/core/routing/engine-routes.steps.ts
+++ b/features/core/routing/engine-routes.steps.ts
@@ -10,6 +10,7 @@
   ENGINE,
   ENGINE_SERVICE,
   backendServer,
+  domainLinks,
   RelayFixture,
   REFERENCE_FLEET,
   unlimitedServers,
@@ -36,11 +37,15 @@
   return world.fixture.directory.get(server)?.record.failureDomain ?? '';
 }
 
+function planner({ fixture }: RoutesWorld, domain: string): EngineRoutes {
+  const { directory, load } = fixture;
+  const clock = new VirtualClock();
+  return new EngineRoutes(directory, load, domain, unlimitedServers(clock), domainLinks(clock));
+}
+
 function start(world: RoutesWorld, count: number, domains: readonly string[]): void {
-  const { directory, load } = world.fixture;
-  const planners = domains.map(
-    (domain) => new EngineRoutes(directory, load, domain, unlimitedServers(new VirtualClock())),
-  );
+  const { load } = world.fixture;
+  const planners = domains.map((domain) => planner(world, domain));
   for (let index = 0; index < count; index += 1) {
     const stages = planners[index % planners.length].plan(REQUIREMENTS);
     if (stages === undefined) {
@@ -202,14 +207,8 @@
 
 When('the route is replanned without {string}', function run(this: RoutesWorld, lost: string) {
   const [kept] = this.routes;
-  const { directory, load } = this.fixture;
   const requirements = { ...REQUIREMENTS, tokens: 10, avoid: new Set([lost]), kept };
-  const stages = new EngineRoutes(
-    directory,
-    load,
-    'a',
-    unlimitedServers(new VirtualClock()),
-  ).planReroute(requirements, kept[0]);
+  const stages = planner(this, 'a').planReroute(requirements, kept[0]);
   assert.ok(stages);
   this.stages = [...stages];
 });
@@ -233,10 +232,7 @@
 );
 
 Then("a new request's route is {string}", function check(this: RoutesWorld, expected: string) {
-  const { directory, load } = this.fixture;
-  const stages = new EngineRoutes(directory, load, 'a', unlimitedServers(new VirtualClock())).plan(
-    REQUIREMENTS,
-  );
+  const stages = planner(this, 'a').plan(REQUIREMENTS);
   assert.equal(stages?.map(({ server }) => server).join(' '), expected);
 });
 
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -162,6 +162,7 @@
     this.sendTracker.markInFlight();
     const { request, account, rank, competes } = this.assigned;
     const { stages } = target;
+    this.recordTransfers(stages);
     // A plain service has no stages, so a stage without layers counts the request at its server.
     const reservedStages =
       stages.length > 0 ? stages : [{ server: target.server, address: '', from: 0, to: 0 }];
@@ -334,6 +335,13 @@
     });
   }
 
+  /** Counts the transfers between failure domains on a route that the request is about to take. */
+  protected recordTransfers(stages: readonly Stage[], before: readonly Stage[] = []): void {
+    const { engine } = this.assigned.service;
+    if (engine === undefined) return;
+    this.dependencies.routes.recordTransfers(this.routeRequirements(engine), stages, before);
+  }
+
   protected moveReservation(stages: readonly Stage[]): void {
     this.reservation?.reroute(stages);
   }
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -385,6 +385,7 @@
     const stages = this.dependencies.routes.planReroute(requirements, first);
     if (stages === undefined || !this.mayBeSent()) return;
     this.rerouting = true;
+    this.recordTransfers(stages, this.stages);
     const { epoch } = this;
     // Reserved from now on, so that streams rerouted together do not all choose the same servers.
     const reservation = new WorkReservation(
--- /dev/null
+++ b/src/core/routing/DomainLinks.ts
@@ -0,0 +1,118 @@
+/**
+ * Shares the links between failure domains among all instances.
+ *
+ * Answers a fleet that sends more activations between two failure domains than their link carries: a prompt
+ * takes tens of milliseconds of the link, transfers run one after another, and once they queue for longer than
+ * callers wait, everything that crosses is lost while servers stand idle. Each instance has an even share of
+ * the link's time. An allowance for one transfer arises at the rate of that share and soon lapses if it is not
+ * used; the instances' allowances arise at different times, so the link gets a steady rate although no instance
+ * asks another. A route that would need more goes elsewhere, or is not there.
+ */
+import type { Clock, Random } from '../../ports/Types.js';
+import type { EngineProfile } from '../deployment/Types.js';
+
+/** Share of a link's time that is given out; the rest is left for errors in the size of answers. */
+const USABLE_SHARE = 0.6;
+
+/**
+ * Time after which an allowance that is not used lapses, in milliseconds: instances that have been idle must
+ * not start more transfers together than callers can wait for.
+ */
+const ALLOWANCE_LIFETIME_MS = 700;
+
+/** Factor on the time of a transfer between failure domains, for its wait for other transfers on the link. */
+const CONTENTION_FACTOR = 3;
+
+/** Two failure domains, in the order of a transfer or not. */
+export interface DomainPair {
+  readonly from: string;
+  readonly to: string;
+}
+
+interface Link {
+  /** Allowances that have arisen so far; the fraction is the part of the next one. */
+  arisen: number;
+  /** Number of the last allowance that was used or passed over. */
+  used: number;
+  updatedAt: number;
+}
+
+/** Time that the activations of a number of tokens take on a link, in milliseconds. */
+function transferMs(engine: EngineProfile, tokens: number): number {
+  return (tokens * engine.activationBytes * 8) / (engine.crossDomainMbps * 1000);
+}
+
+function usualTokens({ usualPromptTokens, usualAnswerTokens }: EngineProfile): number {
+  return Math.max(1, usualPromptTokens + usualAnswerTokens);
+}
+
+export class DomainLinks {
+  private readonly links = new Map<string, Link>();
+
+  private withheldCount = 0;
+
+  /** @param countInstances - returns the number of instances that share each link */
+  public constructor(
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly countInstances: () => number,
+  ) {}
+
+  /** Number of times that a search found no allowance on a link. */
+  public get withheld(): number {
+    return this.withheldCount;
+  }
+
+  /**
+   * Prices a transfer between two failure domains.
+   * @param tokens - tokens of prompt and answer whose activations are transferred
+   * @returns the expected time with its wait for others, in milliseconds; Infinity without an allowance
+   */
+  public costMs(engine: EngineProfile, pair: DomainPair, tokens: number): number {
+    const usualMs = transferMs(engine, usualTokens(engine));
+    if (usualMs === 0) return 0;
+    const rate = this.ownRate(usualMs);
+    const link = this.current(pair, rate);
+    if (nextAllowance(link, rate) > link.arisen) {
+      this.withheldCount += 1;
+      return Infinity;
+    }
+    return CONTENTION_FACTOR * transferMs(engine, tokens);
+  }
+
+  /** Uses an allowance; a transfer of more tokens than usual uses up to several, one of fewer a part. */
+  public recordTransfer(engine: EngineProfile, pair: DomainPair, tokens: number): void {
+    const usual = usualTokens(engine);
+    const usualMs = transferMs(engine, usual);
+    if (usualMs === 0) return;
+    const rate = this.ownRate(usualMs);
+    const link = this.current(pair, rate);
+    link.used = nextAllowance(link, rate) + tokens / usual - 1;
+  }
+
+  /** Share of this instance, in usual transfers per millisecond. */
+  private ownRate(usualMs: number): number {
+    return USABLE_SHARE / usualMs / Math.max(1, this.countInstances());
+  }
+
+  /** Returns the link with its allowances as of now. Both directions share one. */
+  private current({ from, to }: DomainPair, rate: number): Link {
+    const key = from < to ? `${from}|${to}` : `${to}|${from}`;
+    const now = this.clock.now();
+    let link = this.links.get(key);
+    if (link === undefined) {
+      const saved = rate * ALLOWANCE_LIFETIME_MS;
+      link = { arisen: saved + this.random.next(), used: 0, updatedAt: now };
+      this.links.set(key, link);
+    }
+    link.arisen += rate * (now - link.updatedAt);
+    link.updatedAt = now;
+    return link;
+  }
+}
+
+/** Number of the next allowance that can be used, now or later. Those that lapsed are passed over. */
+function nextAllowance({ arisen, used }: Link, rate: number): number {
+  const firstValid = Math.ceil(arisen - rate * ALLOWANCE_LIFETIME_MS);
+  return Math.max(used + 1, firstValid);
+}
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -5,6 +5,7 @@
   type ServerDirectory,
 } from '../deployment/ServerDirectory.js';
 import type { Accelerator, EngineProfile, Service } from '../deployment/Types.js';
+import type { DomainLinks, DomainPair } from './DomainLinks.js';
 import { coversOnce, planCheapestRoute } from './RoutePlanner.js';
 import type { ServerLimits } from '../limits/ServerLimits.js';
 import type { ServerLoad } from './ServerLoad.js';
@@ -51,9 +52,6 @@
 /** Cost of a route that begins in a remote domain, in milliseconds: a partition would end the request. */
 const REMOTE_ENTRY_MS = 30;
 
-/** Factor on the time of a transfer between failure domains, for its wait for other transfers on the link. */
-const LINK_CONTENTION_FACTOR = 3;
-
 /** Time that one layer adds to a request, in milliseconds: prefill, and a share of the decode steps. */
 function layerMs(engine: EngineProfile, accelerator: Accelerator): number {
   const prefillMs = (engine.usualPromptTokens / engine.readTokensPerMs) * accelerator.readFactor;
@@ -61,15 +59,6 @@
   return (prefillMs + ANSWER_WEIGHT * stepsMs) / engine.layers;
 }
 
-/**
- * Cost of transferring the activations of `tokens` tokens between failure domains, in milliseconds, with
- * the wait for other transfers.
- */
-function crossDomainMs(engine: EngineProfile, tokens: number): number {
-  const bitsPerMs = engine.crossDomainMbps * 1000;
-  return (LINK_CONTENTION_FACTOR * tokens * engine.activationBytes * 8) / bitsPerMs;
-}
-
 /** KV cache that a server has memory for besides its layers, in tokens times layers. */
 function kvCacheCapacity(engine: EngineProfile, accelerator: Accelerator, layers: number): number {
   const freeMb = (accelerator.memoryMb - layers * engine.layerMb) * MEMORY_SHARE;
@@ -84,6 +73,7 @@
     private readonly load: ServerLoad,
     private readonly localDomain: string,
     private readonly serverLimits: ServerLimits,
+    private readonly links: DomainLinks,
   ) {
     directory.onChange(() => this.candidates.clear());
   }
@@ -138,7 +128,7 @@
       kept: requirements.kept,
       rebuildLayerMs: requirements.tokens / (engine.readTokensPerMs * engine.layers),
       costs: {
-        crossDomainMs: crossDomainMs(engine, requirements.tokens),
+        crossDomainMs: this.linkCosts(engine, requirements.tokens),
         remoteEntryMs: REMOTE_ENTRY_MS,
         serverMs: (id) => this.serverMs(id, engine),
       },
@@ -181,6 +171,45 @@
     return stages?.[0].server === first.server && stages[0].to === first.to ? stages : undefined;
   }
 
+  /**
+   * Records the transfers between failure domains of a request that is about to take a route.
+   * @param before - stages of the route that it leaves; links between them are not used again
+   */
+  public recordTransfers(
+    { engine, tokens }: RouteRequirements,
+    stages: readonly Stage[],
+    before: readonly Stage[] = [],
+  ): void {
+    for (const [index, { server }] of stages.entries()) {
+      const next = stages[index + 1]?.server;
+      if (next === undefined || before.some((_stage, at) => isLink(before, at, server, next)))
+        continue;
+      const pair = this.domainPair(server, next);
+      if (pair !== undefined) this.links.recordTransfer(engine, pair, tokens);
+    }
+  }
+
+  /** Returns the failure domains of two servers; undefined if it is the same one, or unknown. */
+  private domainPair(first: string, second: string): DomainPair | undefined {
+    const from = this.directory.get(first)?.record.failureDomain;
+    const to = this.directory.get(second)?.record.failureDomain;
+    return from === undefined || to === undefined || from === to ? undefined : { from, to };
+  }
+
+  /** Prepares the costs of links for one search, which asks for each of them many times. */
+  private linkCosts(engine: EngineProfile, tokens: number): (from: string, to: string) => number {
+    const costs = new Map<string, number>();
+    return (from, to) => {
+      const key = `${from}|${to}`;
+      let cost = costs.get(key);
+      if (cost === undefined) {
+        cost = this.links.costMs(engine, { from, to }, tokens);
+        costs.set(key, cost);
+      }
+      return cost;
+    };
+  }
+
   /**
    * Explains why no route was found.
    * @returns the layers that no usable server holds, and those that none has memory for
@@ -263,6 +292,11 @@
   };
 }
 
+/** Whether a route goes from one server to another at a stage. */
+function isLink(stages: readonly Stage[], at: number, from: string, to: string): boolean {
+  return stages[at].server === from && stages[at + 1]?.server === to;
+}
+
 /** Formats the layers that are not covered, for example `8-16,40-48`. */
 function describeGaps(covered: Uint8Array): string {
   const gaps: string[] = [];
--- a/src/core/routing/RoutePlanner.ts
+++ b/src/core/routing/RoutePlanner.ts
@@ -52,8 +52,8 @@
 interface Search extends RouteSearch {
   /** Cost of a stage with a number of layers, without rebuilding its KV cache, in milliseconds. */
   readonly stageMs: (candidate: Candidate, layers: number) => number;
-  /** Cost of a link between two failure domains, in milliseconds. */
-  readonly crossDomainMs: number;
+  /** Cost of a link between two failure domains, in milliseconds; Infinity if it must not be used. */
+  readonly crossDomainMs: (from: string, to: string) => number;
   /** Cost of a route that begins in a remote failure domain, in milliseconds. */
   readonly remoteEntryMs: number;
 }
@@ -61,7 +61,7 @@
 function toBusyTimeSearch(query: RouteQuery): Search {
   return {
     ...query,
-    crossDomainMs: CROSS_DOMAIN_LINK_MS,
+    crossDomainMs: () => CROSS_DOMAIN_LINK_MS,
     remoteEntryMs: CROSS_DOMAIN_LINK_MS,
     stageMs: (candidate, layers) =>
       layers * layerCost(candidate.layerMs, query.busyMs(candidate.server)) +
@@ -101,7 +101,8 @@
 
 function linkMs(search: Search, { candidate }: PartialRoute, toDomain: string): number {
   if (candidate === undefined) return toDomain === search.localDomain ? 0 : search.remoteEntryMs;
-  return candidate.failureDomain === toDomain ? 0 : search.crossDomainMs;
+  const from = candidate.failureDomain;
+  return from === toDomain ? 0 : search.crossDomainMs(from, toDomain);
 }
 
 function toRoute(last: PartialRoute, boundaries: readonly number[], end: number): Route {
--- a/src/core/routing/Types.ts
+++ b/src/core/routing/Types.ts
@@ -56,8 +56,8 @@
 
 /** Costs of a route in milliseconds, for engines whose profile states the time of their work. */
 export interface RouteCosts {
-  /** Transfer of a request's activations from one failure domain to another. */
-  readonly crossDomainMs: number;
+  /** Transfer of a request's activations from one failure domain to another; Infinity if there must be none. */
+  readonly crossDomainMs: (from: string, to: string) => number;
   /** Start in a remote failure domain: only the request's text and its answer pass between the domains. */
   readonly remoteEntryMs: number;
   /** Wait and use of memory at a server, independent of how many layers the stage runs. */
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -29,6 +29,7 @@
 import { SilenceDetector } from '../core/relay/SilenceDetector.js';
 import { RelayDispatcher } from '../core/relay/RelayDispatcher.js';
 import { EngineRoutes } from '../core/routing/EngineRoutes.js';
+import { DomainLinks } from '../core/routing/DomainLinks.js';
 import { ServerLoad } from '../core/routing/ServerLoad.js';
 import { Ingress } from '../platform/Ingress.js';
 import { Readiness } from '../platform/Readiness.js';
@@ -142,6 +143,12 @@
     () => this.sharing.knownInstances,
   );
 
+  private readonly domainLinks = new DomainLinks(
+    this.clock,
+    new SystemRandom(),
+    () => this.sharing.knownInstances,
+  );
+
   private readonly startWindows = new StartWindows(this.clock);
 
   private readonly quarantine = new InputQuarantine(this.clock, () => this.sharing.probationTurn);
@@ -204,7 +211,7 @@
       deployments,
       directory,
       load,
-      routes: new EngineRoutes(directory, load, failureDomain, this.serverLimits),
+      routes: new EngineRoutes(directory, load, failureDomain, this.serverLimits, this.domainLinks),
       port: servers,
       // The detector monitors the streams that the dispatcher registers with it.
       streamRegistry: this.silenceDetector,
@@ -505,6 +512,7 @@
     metrics.addGauge('acaciadrum_quarantined_parts', () => this.quarantine.size);
     metrics.addGauge('acaciadrum_limited_servers', () => this.serverLimits.size);
     metrics.addGauge('acaciadrum_overloaded_services', () => this.startWindows.limitedServices);
+    metrics.addGauge('acaciadrum_links_withheld', () => this.domainLinks.withheld);
     metrics.addGauge('acaciadrum_message_bytes', () => this.memory.used);
     metrics.addGauge('acaciadrum_evictions', () => this.memory.evictions);
     metrics.addGauge('acaciadrum_store_era', () => this.storeEra.current);
