--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -5,7 +5,7 @@
 import { Outcome, refusal, RefusalReason, type RetryReason } from '../Outcome.js';
 import type { ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { BackendServer, EngineProfile } from '../deployment/Types.js';
-import type { RouteRequirements } from '../routing/EngineRoutes.js';
+import type { NoRouteReason, RouteRequirements } from '../routing/EngineRoutes.js';
 import { describeStages } from '../routing/StageText.js';
 import { describeRevision } from '../store/Revision.js';
 import type { Stage } from '../routing/Types.js';
@@ -455,7 +455,7 @@
     return { part, crashes, lastCrashMsAgo: Math.round(clock.now() - lastCrashAt) };
   }
 
-  private explainNoRoute(): { missing?: string; full?: string } {
+  private explainNoRoute(): Partial<NoRouteReason> {
     const { service } = this.assigned;
     return service.engine === undefined
       ? {}
--- a/src/core/routing/DomainLinks.ts
+++ b/src/core/routing/DomainLinks.ts
@@ -69,17 +69,22 @@
    * @returns the expected time with its wait for others, in milliseconds; Infinity without an allowance
    */
   public costMs(engine: EngineProfile, pair: DomainPair, tokens: number): number {
-    const usualMs = transferMs(engine, usualTokens(engine));
-    if (usualMs === 0) return 0;
-    const rate = this.ownRate(usualMs);
-    const link = this.current(pair, rate);
-    if (nextAllowance(link, rate) > link.arisen) {
+    if (this.isWithheld(engine, pair)) {
       this.withheldCount += 1;
       return Infinity;
     }
     return CONTENTION_FACTOR * transferMs(engine, tokens);
   }
 
+  /** Whether this instance has no allowance on a link now. */
+  public isWithheld(engine: EngineProfile, pair: DomainPair): boolean {
+    const usualMs = transferMs(engine, usualTokens(engine));
+    if (usualMs === 0) return false;
+    const rate = this.ownRate(usualMs);
+    const link = this.current(pair, rate);
+    return nextAllowance(link, rate) > link.arisen;
+  }
+
   /** Uses an allowance; a transfer of more tokens than usual uses up to several, one of fewer a part. */
   public recordTransfer(engine: EngineProfile, pair: DomainPair, tokens: number): void {
     const usual = usualTokens(engine);
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -25,6 +25,13 @@
   readonly firstServers?: ReadonlySet<string>;
 }
 
+/** Why no route was found; empty texts where that is not the reason. */
+export interface NoRouteReason {
+  readonly missing: string;
+  readonly full: string;
+  readonly withheld: string;
+}
+
 /** Maximum number of stages; servers reject requests with more. */
 const MAX_STAGES = 32;
 
@@ -189,6 +196,15 @@
     }
   }
 
+  private withheldLinks(engine: EngineProfile, domains: readonly string[]): string[] {
+    const withheld: string[] = [];
+    for (const [index, from] of domains.entries()) {
+      for (const to of domains.slice(index + 1))
+        if (this.links.isWithheld(engine, { from, to })) withheld.push(`${from}|${to}`);
+    }
+    return withheld;
+  }
+
   /** Returns the failure domains of two servers; undefined if it is the same one, or unknown. */
   private domainPair(first: string, second: string): DomainPair | undefined {
     const from = this.directory.get(first)?.record.failureDomain;
@@ -212,21 +228,25 @@
 
   /**
    * Explains why no route was found.
-   * @returns the layers that no usable server holds, and those that none has memory for
+   * @returns the layers that no usable server holds, those that none has memory for, and the links between
+   * failure domains on which this instance has no allowance
    */
-  public explainNoRoute(requirements: RouteRequirements): { missing: string; full: string } {
-    const held = new Uint8Array(requirements.engine.layers);
-    const withMemory = new Uint8Array(requirements.engine.layers);
-    for (const { server, from, to } of this.candidatesOf(
-      requirements.service,
-      requirements.engine,
-    )) {
+  public explainNoRoute(requirements: RouteRequirements): NoRouteReason {
+    const { service, engine } = requirements;
+    const held = new Uint8Array(engine.layers);
+    const withMemory = new Uint8Array(engine.layers);
+    const domains = new Set<string>();
+    for (const { server, from, to, failureDomain } of this.candidatesOf(service, engine)) {
+      domains.add(failureDomain);
       if (requirements.avoid.has(server) || !this.directory.isUsable(server)) continue;
       held.fill(1, from, to);
-      if (this.canAccept(server, requirements.engine, requirements.tokens))
-        withMemory.fill(1, from, to);
+      if (this.canAccept(server, engine, requirements.tokens)) withMemory.fill(1, from, to);
     }
-    return { missing: describeGaps(held), full: describeGaps(withMemory) };
+    return {
+      missing: describeGaps(held),
+      full: describeGaps(withMemory),
+      withheld: this.withheldLinks(engine, [...domains]).join(','),
+    };
   }
 
   /** Expected wait at a server and the cost of memory that other requests will need, in milliseconds. */
