Server admission: one place decides whether a server may be given work now, and until when not

Cause: the choice of a plain server, the planner of routes and its explanation each put the question together from the directory and the limits; a further reason would have had to be added to each. Change: ServerAdmission answers it by a table of rules for leaving, suspect, limited, full and declining servers, by the role of the server in the request. No behaviour changes. Tests of routes take the admission of their fixture instead of limits on a clock of their own; what they check is the same.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -24,6 +24,7 @@
 import { MemoryBudget } from '../../src/core/limits/MemoryBudget.js';
 import { CallFailure, type AnswerHead, type CallerRequest } from '../../src/core/relay/Types.js';
 import { EngineRoutes } from '../../src/core/routing/EngineRoutes.js';
+import { ServerAdmission } from '../../src/core/routing/ServerAdmission.js';
 import { ServerLoad } from '../../src/core/routing/ServerLoad.js';
 import { VirtualClock } from '../../src/fakes/VirtualClock.js';
 import { FakeServers } from './FakeServers.js';
@@ -168,6 +169,8 @@
 
   public readonly serverLimits = unlimitedServers(this.clock);
 
+  public readonly admission = new ServerAdmission(this.clock, this.serverLimits);
+
   public readonly quarantine = new InputQuarantine(this.clock, () => ({ rank: 0, instances: 1 }));
 
   public readonly loggedDecisions: { event: string; fields: object }[] = [];
@@ -196,7 +199,7 @@
       decisions,
       random: NO_RANDOM,
       deployments: this.deployments,
-      routes: new EngineRoutes(directory, load, 'a', this.serverLimits),
+      routes: new EngineRoutes(directory, load, 'a', this.admission),
       port: this.servers,
       streamRegistry: this.silenceDetector,
       retryAfterEstimator: new RetryAfterEstimator(NO_RANDOM),
@@ -207,6 +210,7 @@
         refillPerS: 0,
       })),
       serverLimits: this.serverLimits,
+      admission: this.admission,
       quarantine,
       crashWitness: new CrashWitness({ directory, port: this.servers, quarantine, decisions }),
       counters: NO_OP_COUNTERS,
--- a/features/core/routing/engine-routes.steps.ts
+++ b/features/core/routing/engine-routes.steps.ts
@@ -5,14 +5,12 @@
 import { EngineRoutes, mergeRevisits } from '../../../src/core/routing/EngineRoutes.js';
 import { coversOnce } from '../../../src/core/routing/RoutePlanner.js';
 import type { Stage } from '../../../src/core/routing/Types.js';
-import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
 import {
   ENGINE,
   ENGINE_SERVICE,
   backendServer,
   RelayFixture,
   REFERENCE_FLEET,
-  unlimitedServers,
 } from '../FleetFixture.js';
 
 interface RoutesWorld {
@@ -37,10 +35,8 @@
 }
 
 function start(world: RoutesWorld, count: number, domains: readonly string[]): void {
-  const { directory, load } = world.fixture;
-  const planners = domains.map(
-    (domain) => new EngineRoutes(directory, load, domain, unlimitedServers(new VirtualClock())),
-  );
+  const { directory, load, admission } = world.fixture;
+  const planners = domains.map((domain) => new EngineRoutes(directory, load, domain, admission));
   for (let index = 0; index < count; index += 1) {
     const stages = planners[index % planners.length].plan(REQUIREMENTS);
     if (stages === undefined) {
@@ -202,14 +198,12 @@
 
 When('the route is replanned without {string}', function run(this: RoutesWorld, lost: string) {
   const [kept] = this.routes;
-  const { directory, load } = this.fixture;
+  const { directory, load, admission } = this.fixture;
   const requirements = { ...REQUIREMENTS, tokens: 10, avoid: new Set([lost]), kept };
-  const stages = new EngineRoutes(
-    directory,
-    load,
-    'a',
-    unlimitedServers(new VirtualClock()),
-  ).planReroute(requirements, kept[0]);
+  const stages = new EngineRoutes(directory, load, 'a', admission).planReroute(
+    requirements,
+    kept[0],
+  );
   assert.ok(stages);
   this.stages = [...stages];
 });
@@ -233,10 +227,8 @@
 );
 
 Then("a new request's route is {string}", function check(this: RoutesWorld, expected: string) {
-  const { directory, load } = this.fixture;
-  const stages = new EngineRoutes(directory, load, 'a', unlimitedServers(new VirtualClock())).plan(
-    REQUIREMENTS,
-  );
+  const { directory, load, admission } = this.fixture;
+  const stages = new EngineRoutes(directory, load, 'a', admission).plan(REQUIREMENTS);
   assert.equal(stages?.map(({ server }) => server).join(' '), expected);
 });
 
--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -16,6 +16,8 @@
   Leaving = 'leaving',
   /** It refused or dropped a connection, or went silent. */
   Suspect = 'suspect',
+  /** Its limit of requests a second allows no further request of this instance for now. */
+  Limited = 'limited',
   /** It rejected a request a moment ago. */
   Full = 'full',
   /** It rejected several requests in a row and accepted none in between. */
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -3,13 +3,13 @@
 import type { DecisionFields } from '../DecisionLog.js';
 import { InvariantKind } from '../Invariant.js';
 import { Outcome, refusal, RefusalReason, type RetryReason } from '../Outcome.js';
-import type { ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { BackendServer, EngineProfile } from '../deployment/Types.js';
 import type { RouteRequirements } from '../routing/EngineRoutes.js';
 import { describeStages } from '../routing/StageText.js';
 import { describeRevision } from '../store/Revision.js';
 import type { Stage } from '../routing/Types.js';
 import { choosePlainServer } from '../routing/PlainServerChoice.js';
+import { ServerRole } from '../routing/ServerAdmission.js';
 import { WorkReservation } from '../routing/WorkReservation.js';
 import { AnswerVerdict, judgeAnswer, type RepeatPolicy } from './AnswerGate.js';
 import { guardListener } from './ListenerGuard.js';
@@ -413,7 +413,7 @@
 
   protected refuse(reason: RefusalReason, outcome: Outcome, retryAfterMs: number): void {
     if (this.ended) return;
-    const { counters, decisions, directory, deployments } = this.dependencies;
+    const { counters, decisions, deployments } = this.dependencies;
     const { request, reply, service } = this.assigned;
     counters.countRefusal(reason);
     decisions.record('refuse', {
@@ -423,7 +423,7 @@
       service: service.name,
       sends: this.sendTracker.sendCount,
       avoided: [...this.avoidedServers].join(','),
-      servers: countUsable(directory, service.name),
+      servers: countUsable(this.dependencies, service.name),
       retryAfterMs: Math.round(retryAfterMs),
       ...(isQuarantine(reason) ? this.explainQuarantine() : this.explainNoRoute()),
       ticket: deployments.ticket,
@@ -469,12 +469,12 @@
   }
 
   private choosePlainTarget(): SendTarget | undefined {
-    const { directory, load, localDomain, serverLimits } = this.dependencies;
+    const { directory, load, localDomain, admission } = this.dependencies;
     const { name } = this.assigned.service;
     const server = choosePlainServer({
       directory,
       load,
-      serverLimits,
+      admission,
       service: name,
       localDomain,
       avoid: this.avoidedServers,
@@ -492,11 +492,11 @@
   return reason === RefusalReason.Quarantined || reason === RefusalReason.Withdrawn;
 }
 
-function countUsable(directory: ServerDirectory, service: string): number {
+function countUsable({ directory, admission }: RelayDependencies, service: string): number {
   let count = 0;
   for (const server of directory.all()) {
-    if (server.record.service === service && directory.avoidReason(server) === undefined)
-      count += 1;
+    if (server.record.service !== service) continue;
+    if (admission.obstacle(server, ServerRole.Later) === undefined) count += 1;
   }
   return count;
 }
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -11,6 +11,7 @@
 import type { CrashWitness } from '../quarantine/CrashWitness.js';
 import type { Quarantine } from '../quarantine/Types.js';
 import type { EngineRoutes } from '../routing/EngineRoutes.js';
+import type { ServerAdmission } from '../routing/ServerAdmission.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
 import type { Stage } from '../routing/Types.js';
 import type { CallerReply, CallerRequest, ServerPort } from './Types.js';
@@ -64,6 +65,7 @@
   readonly retryBudget: RetryLimiter;
   readonly retryAfterEstimator: RetryAfterEstimator;
   readonly serverLimits: ServerLimits;
+  readonly admission: ServerAdmission;
   readonly quarantine: Quarantine;
   readonly crashWitness: CrashWitness;
   readonly decisions: DecisionLog;
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -6,7 +6,7 @@
 } from '../deployment/ServerDirectory.js';
 import type { Accelerator, EngineProfile, Service } from '../deployment/Types.js';
 import { coversOnce, planCheapestRoute } from './RoutePlanner.js';
-import type { ServerLimits } from '../limits/ServerLimits.js';
+import { ServerRole, type ServerAdmission } from './ServerAdmission.js';
 import type { ServerLoad } from './ServerLoad.js';
 import type { Candidate, Stage } from './Types.js';
 
@@ -83,7 +83,7 @@
     private readonly directory: ServerDirectory,
     private readonly load: ServerLoad,
     private readonly localDomain: string,
-    private readonly serverLimits: ServerLimits,
+    private readonly admission: ServerAdmission,
   ) {
     directory.onChange(() => this.candidates.clear());
   }
@@ -95,7 +95,7 @@
    */
   public plan(requirements: RouteRequirements): readonly Stage[] | undefined {
     const { service, engine, avoid, tokens, firstServers } = requirements;
-    const all = this.firstStagesWithinLimits(this.candidatesOf(service, engine));
+    const all = this.withPossibleFirstStages(this.candidatesOf(service, engine));
     const candidates =
       firstServers === undefined
         ? all
@@ -110,16 +110,13 @@
     );
   }
 
-  /**
-   * Keeps servers whose limit allows no further request from being the first of a route. A limit counts the
-   * requests that a server receives, not those that pass through it later.
-   */
-  private firstStagesWithinLimits(candidates: readonly Candidate[]): readonly Candidate[] {
-    if (this.serverLimits.size === 0) return candidates;
+  /** Keeps servers that may not receive requests now from being the first of a route. */
+  private withPossibleFirstStages(candidates: readonly Candidate[]): readonly Candidate[] {
+    if (!this.admission.dependsOnRole) return candidates;
     return candidates.flatMap((candidate) => {
-      const record = this.directory.get(candidate.server)?.record;
-      if (candidate.from > 0 || record === undefined || this.serverLimits.allows(record))
-        return [candidate];
+      const server = this.directory.get(candidate.server);
+      if (candidate.from > 0 || server === undefined) return [candidate];
+      if (this.admission.accepts(server, ServerRole.First)) return [candidate];
       return candidate.to > 1 ? [{ ...candidate, from: 1 }] : [];
     });
   }
@@ -192,7 +189,7 @@
       requirements.service,
       requirements.engine,
     )) {
-      if (requirements.avoid.has(server) || !this.directory.isUsable(server)) continue;
+      if (requirements.avoid.has(server) || this.avoidReason(server) !== undefined) continue;
       held.fill(1, from, to);
       if (this.canAccept(server, requirements.engine, requirements.tokens))
         withMemory.fill(1, from, to);
@@ -214,14 +211,19 @@
   }
 
   private isDeclining(id: string): boolean {
+    return this.avoidReason(id) === AvoidReason.Declining;
+  }
+
+  /** Returns why a server is avoided on routes that begin elsewhere; undefined if it is not. */
+  private avoidReason(id: string): AvoidReason | undefined {
     const server = this.directory.get(id);
-    return server !== undefined && this.directory.avoidReason(server) === AvoidReason.Declining;
+    return server && this.admission.obstacle(server, ServerRole.Later)?.reason;
   }
 
   private canAccept(id: string, engine: EngineProfile, tokens: number): boolean {
     const server = this.directory.get(id);
     if (server === undefined) return false;
-    const reason = this.directory.avoidReason(server);
+    const reason = this.avoidReason(id);
     if (reason !== undefined && reason !== AvoidReason.Declining) return false;
     const { span, accelerator } = server.record;
     const kind = engine.accelerators.get(accelerator);
--- a/src/core/routing/PlainServerChoice.ts
+++ b/src/core/routing/PlainServerChoice.ts
@@ -1,6 +1,6 @@
 /** Chooses the server of a plain service. */
 import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
-import type { ServerLimits } from '../limits/ServerLimits.js';
+import { ServerRole, type ServerAdmission } from './ServerAdmission.js';
 import type { ServerLoad } from './ServerLoad.js';
 
 /** A remote server is used if the local servers are this much fuller, as a share of slots. */
@@ -16,7 +16,7 @@
 export interface PlainServerQuery {
   readonly directory: ServerDirectory;
   readonly load: ServerLoad;
-  readonly serverLimits: ServerLimits;
+  readonly admission: ServerAdmission;
   readonly service: string;
   readonly localDomain: string;
   /** Servers that must not be used. */
@@ -24,15 +24,14 @@
 }
 
 /**
- * Chooses the least filled server of a service that is neither leaving nor suspect and whose limit allows a
- * request, with a preference for the local failure domain and for servers that have not rejected requests
- * lately.
+ * Chooses the least filled server of a service that may be given a request, with a preference for the local
+ * failure domain and for servers that have not rejected requests lately.
  * @returns undefined if there is no such server
  */
 export function choosePlainServer({
   directory,
   load,
-  serverLimits,
+  admission,
   service,
   localDomain,
   avoid,
@@ -42,9 +41,10 @@
   for (const server of directory.all()) {
     const { record } = server;
     if (record.service !== service || avoid.has(record.id)) continue;
-    if (!directory.isWorking(record.id) || !serverLimits.allows(record)) continue;
+    if (!admission.accepts(server, ServerRole.First)) continue;
     const remoteCost = record.failureDomain === localDomain ? 0 : LOCAL_ADVANTAGE;
-    const decliningCost = directory.avoidReason(server) === undefined ? 0 : DECLINING_COST;
+    const decliningCost =
+      admission.obstacle(server, ServerRole.First) === undefined ? 0 : DECLINING_COST;
     const cost = load.requests(record.id) / Math.max(1, record.slots) + remoteCost + decliningCost;
     if (cost >= bestCost) continue;
     best = server;
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -28,6 +28,7 @@
 import { SilenceDetector } from '../core/relay/SilenceDetector.js';
 import { RelayDispatcher } from '../core/relay/RelayDispatcher.js';
 import { EngineRoutes } from '../core/routing/EngineRoutes.js';
+import { ServerAdmission } from '../core/routing/ServerAdmission.js';
 import { ServerLoad } from '../core/routing/ServerLoad.js';
 import { Ingress } from '../platform/Ingress.js';
 import { Readiness } from '../platform/Readiness.js';
@@ -141,6 +142,8 @@
     () => this.sharing.knownInstances,
   );
 
+  private readonly admission = new ServerAdmission(this.clock, this.serverLimits);
+
   private readonly quarantine = new InputQuarantine(this.clock, () => this.sharing.probationTurn);
 
   private readonly silenceDetector: SilenceDetector;
@@ -201,13 +204,14 @@
       deployments,
       directory,
       load,
-      routes: new EngineRoutes(directory, load, failureDomain, this.serverLimits),
+      routes: new EngineRoutes(directory, load, failureDomain, this.admission),
       port: servers,
       // The detector monitors the streams that the dispatcher registers with it.
       streamRegistry: this.silenceDetector,
       retryBudget: this.retryBudget,
       retryAfterEstimator: new RetryAfterEstimator(random),
       serverLimits: this.serverLimits,
+      admission: this.admission,
       quarantine: this.quarantine,
       crashWitness: new CrashWitness({
         directory,
