Servers that leave: known by any of their answers, also while the store and the hub are silent

Cause: nothing read the header Server-Leaving; an instance learnt of a leaving server from the store or a peer only. What callers saw: requests went to a leaving server long after its drain and were refused or cut with it. Change: NoticeDecoder (src/platform) reads the head of every answer of a server: to requests, whatever request the answer belongs to, to reports and to orders, also where the body is cut or no JSON. ServerNotices hands it to ServerDirectory.noteLeaving with the id and the incarnation that the call was sent to. The mark is part of the entry (saidLeaving), so that it ends with the process, digests carry it in the entry at any revision, and entries that do not say so neither end it nor bring the server back. An order that waited for a report is no longer sent to a server that left meanwhile. Why it works: all ways to a server ask ServerAdmission, which asks KnownServer.leaving, the one state.

--- a/features/core/deployment/deployment.feature
+++ b/features/core/deployment/deployment.feature
@@ -54,6 +54,16 @@
       | what was known before the copy is older than the copy                     | copy leaving                                    | 0    | yes    |
       | an entry that the copy lacks is kept until servers have written again     | outage unknown-in-copy                          | 1000 | yes    |
       | a restarted server is used                                                | leaving restarted                               | 0    | yes    |
+      | a server whose answer says that it is leaving gets no new work            | said-leaving                                    | 0    | no     |
+      | its entry does not undo what it said                                      | said-leaving ready                              | 0    | no     |
+      | an entry that expired and reappears does not undo what it said            | said-leaving removed ready                      | 0    | no     |
+      | an entry of the store after its return does not undo what it said         | said-leaving copy written-anew                  | 0    | no     |
+      | a new process of the server does                                          | said-leaving restarted                          | 0    | yes    |
+      | an answer of an earlier process says nothing of the new one               | restarted said-leaving                          | 0    | yes    |
+      | a peer passes on what a server said, at an older revision too             | ready told-leaving                              | 0    | no     |
+      | what a peer was told outlasts the next entry                              | told-leaving ready                              | 0    | no     |
+      | a peer's word about an earlier process says nothing of the new one        | restarted told-leaving                          | 0    | yes    |
+      | a server that said so is not forgotten while its entry stays              | said-leaving 31000 sweep ready                  | 0    | no     |
       | a server whose address was reused has ended                               | reused                                          | 0    | no     |
       | an older entry at its address changes nothing                             | reused-before                                   | 0    | yes    |
       | a suspicion expires                                                       | suspect                                         | 800  | yes    |
--- a/features/core/deployment/deployment.steps.ts
+++ b/features/core/deployment/deployment.steps.ts
@@ -88,6 +88,10 @@
   'unknown-in-copy': ({ directory }) => directory.replaceAll([], toRevision(1, 1)),
   removed: ({ directory }) => directory.remove('server', backendServer('other').revision),
   outage: ({ directory }) => directory.noteStoreUnavailable(),
+  'said-leaving': ({ directory }) => directory.noteLeaving('server', 1),
+  'told-leaving': ({ directory, first }) =>
+    directory.put({ ...first, leaving: true, saidLeaving: true }),
+  sweep: ({ directory }) => directory.sweep(),
   suspect: ({ directory }) => directory.suspect('server'),
   reused: ({ directory, first }) =>
     directory.put(backendServer('other', { address: first.address, incarnation: 2 })),
--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -197,6 +197,23 @@
   readonly body: string;
 }
 
+/** An answer to requests that do not run. */
+export interface Refusal {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+}
+
+/** A request as it arrived at a server. */
+export interface Arrival {
+  readonly id: string;
+  /** Time on the monotonic clock, in milliseconds. */
+  readonly at: number;
+  /** Whether its answer says that the server is leaving. */
+  readonly saidLeaving: boolean;
+  /** Whether its answer is a refusal. */
+  readonly wasRefused: boolean;
+}
+
 export class FakeBackendServer {
   public style = AnswerStyle.Whole;
 
@@ -220,6 +237,15 @@
   /** Requests a second that the server's answers name as its limit; none if undefined. */
   public requestLimit: number | undefined;
 
+  /** Whether all of the server's answers say that it is leaving. */
+  public saysLeaving = false;
+
+  /** Status of the answers that fail or turn requests away; undefined if requests run. */
+  public refusal: Refusal | undefined;
+
+  /** Times at which requests arrived, those that were turned away included, on the monotonic clock. */
+  public readonly arrivals: Arrival[] = [];
+
   /** Times of the crashes because of `crashingPart` on the monotonic clock, in milliseconds. */
   public readonly crashes: number[] = [];
 
@@ -328,6 +354,7 @@
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     let body = '';
     for await (const chunk of request) body += chunk;
+    if (this.saysLeaving) response.setHeader('server-leaving', '1');
     if (request.url === '/-/report') this.report(response);
     else if (request.url === '/-/order') this.order(response, body);
     else this.run(request, response, body);
@@ -380,6 +407,17 @@
       response.writeHead(421, { 'x-attempt-id': requestId }).end();
       return;
     }
+    this.arrivals.push({
+      id: requestId,
+      at: performance.now(),
+      saidLeaving: this.saysLeaving,
+      wasRefused: this.refusal !== undefined,
+    });
+    if (this.refusal !== undefined) {
+      const { status, headers: refusalHeaders } = this.refusal;
+      response.writeHead(status, { 'x-attempt-id': requestId, ...refusalHeaders }).end('refused');
+      return;
+    }
     if (this.style === AnswerStyle.Rejected) {
       this.rejected.set(request.socket, requestId);
       response.writeHead(503, { 'x-attempt-id': requestId, 'x-not-executed': '1' }).end();
--- a/src/adapters/http/HttpClient.ts
+++ b/src/adapters/http/HttpClient.ts
@@ -25,6 +25,8 @@
   readonly idleTimeoutMs?: number;
   /** Maximum size of the answer's body, in bytes. */
   readonly maxAnswerBytes?: number;
+  /** Called with the status and the headers, in lower case, as soon as they arrive, whatever follows. */
+  readonly onHead?: (status: number, headers: IncomingHttpHeaders) => void;
 }
 
 /** An answer whose body is in memory. */
@@ -141,6 +143,7 @@
       outgoing.on('error', fail);
       outgoing.on('response', (message) => {
         restartTimer();
+        call.onHead?.(message.statusCode ?? 0, message.headers);
         const countPart = (bytes: number): void => {
           share?.add(bytes);
           restartTimer();
--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -10,8 +10,8 @@
  */
 export enum AvoidReason {
   /**
-   * It announced that it is leaving, its entry in the store was removed, or another server now has its
-   * address.
+   * Its entry or an answer says that it is leaving, its entry in the store was removed, or another server now
+   * has its address.
    */
   Leaving = 'leaving',
   /** It refused or dropped a connection, or went silent. */
@@ -86,6 +86,11 @@
   return record.leaving && !leaving;
 }
 
+/** Returns the entry of a process that has said that it is leaving. */
+function withSaidLeaving(record: BackendServer): BackendServer {
+  return { ...record, leaving: true, saidLeaving: true };
+}
+
 export class ServerDirectory {
   private readonly known = new Map<string, KnownServer>();
 
@@ -131,7 +136,9 @@
       if (record.revision < this.completeRevision) this.remove(record.id, this.completeRevision);
       return true;
     }
-    if (!isNewer(record, server)) return false;
+    const beginsToLeave =
+      record.saidLeaving === true && this.noteLeaving(record.id, record.incarnation);
+    if (!isNewer(record, server)) return beginsToLeave;
     const isOfLaterEra = eraOf(record.revision) > eraOf(server.revision);
     server.revision = record.revision;
     server.missingSince = undefined;
@@ -143,9 +150,11 @@
     const isRestarted = record.incarnation !== server.record.incarnation;
     const remainsLeaving = isOfLaterEra && server.leaving && !isRestarted;
     if (server.record.address !== record.address) this.changeAddress(server, record.address);
-    server.record = record;
-    if (record.leaving && !server.leaving) server.leavingSince = this.clock.now();
-    server.leaving = record.leaving || remainsLeaving;
+    const saidLeaving = server.record.saidLeaving === true && !isRestarted;
+    server.record = saidLeaving ? withSaidLeaving(record) : record;
+    const isLeaving = server.record.leaving || remainsLeaving;
+    if (isLeaving && !server.leaving) server.leavingSince = this.clock.now();
+    server.leaving = isLeaving;
     if (isRestarted) {
       server.suspectUntil = 0;
       server.failures = 0;
@@ -156,6 +165,19 @@
     return true;
   }
 
+  /**
+   * Records that an answer of a server's process said that it is leaving. Only a new process ends that.
+   * @returns false if the process is not the known one, or said so before
+   */
+  public noteLeaving(id: string, incarnation: number): boolean {
+    const server = this.known.get(id);
+    if (server === undefined || server.record.incarnation !== incarnation) return false;
+    if (server.record.saidLeaving === true) return false;
+    server.record = withSaidLeaving(server.record);
+    if (!server.leaving) this.markLeaving(server);
+    return true;
+  }
+
   /** Applies the layers that a server itself reported, before its entry in the store shows them. */
   public applyReportedSpan(id: string, span: LayerSpan): void {
     const server = this.known.get(id);
@@ -211,6 +233,8 @@
       if (server.missingSince !== undefined && !server.leaving && now >= this.storeRecoveryUntil)
         this.markLeaving(server);
       if (!server.leaving || now - server.leavingSince < REMOVE_AFTER_MS) continue;
+      // Its entry would bring a server back that only its own answers call leaving.
+      if (server.record.saidLeaving === true && server.missingSince === undefined) continue;
       this.known.delete(id);
       if (this.byAddress.get(server.record.address) === server)
         this.byAddress.delete(server.record.address);
--- a/src/core/deployment/Types.ts
+++ b/src/core/deployment/Types.ts
@@ -148,6 +148,11 @@
   readonly address: string;
   readonly failureDomain: string;
   readonly leaving: boolean;
+  /**
+   * Whether an answer of this process has said that it is leaving; only a new process ends that. Entries in the
+   * store do not say so, digests of peers do.
+   */
+  readonly saidLeaving?: true;
   /** Maximum number of requests that the server runs concurrently. */
   readonly slots: number;
   /** Kind of accelerator; empty for plain services. */
--- a/src/core/placement/PlacementDriver.ts
+++ b/src/core/placement/PlacementDriver.ts
@@ -243,7 +243,7 @@
       order.done = true;
       // The store may be unavailable; the server's entry would say the same.
       this.dependencies.directory.applyReportedSpan(record.id, order.span);
-    } else if (this.dependencies.lease.heldFence > 0) this.send(server, order);
+    } else if (this.dependencies.lease.heldFence > 0 && !server.leaving) this.send(server, order);
   }
 
   private async send(server: KnownServer, order: LastOrder): Promise<void> {
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -13,8 +13,10 @@
   type ServerCallListener,
   type ServerConnection,
 } from '../core/relay/Types.js';
+import { AnsweredCall, type NoticeListener } from '../core/deployment/ServerNotices.js';
 import type { Stage } from '../core/routing/Types.js';
 import type { ServerAgent } from './ServerAgent.js';
+import { decodeNotice } from './NoticeDecoder.js';
 import { areSendable, isFinalStatus } from './HeaderText.js';
 import { endToEndHeaders, HEADER, MISDIRECTED } from './WireNames.js';
 
@@ -130,6 +132,7 @@
     private readonly call: ServerCall,
     private readonly listener: ServerCallListener,
     agent: ServerAgent,
+    private readonly notices: NoticeListener,
     private readonly onFinish: (call: OpenCall) => void,
   ) {
     const { message } = call.request;
@@ -225,6 +228,13 @@
   private readAnswer(answer: IncomingMessage): void {
     if (this.isFinished) return;
     const head = toHead(answer);
+    const { server, request } = this.call;
+    // An answer that belongs to another request still comes from this server.
+    this.notices.handleNotice(server, {
+      ...decodeNotice(head.status, answer.headers),
+      call: AnsweredCall.Request,
+      requestId: request.id,
+    });
     if (!this.belongsToCall(answer)) {
       this.fail(CallFailure.MismatchedAnswer);
       this.outgoing.destroy();
--- a/src/platform/ServerClient.ts
+++ b/src/platform/ServerClient.ts
@@ -1,7 +1,7 @@
 /** Client of the backend servers: forwards requests, sends orders and fetches reports. */
 import { connect } from 'node:net';
 import { z } from 'zod';
-import { hostAndPort, type HttpClient } from '../adapters/http/HttpClient.js';
+import { hostAndPort, type HttpCall, type HttpClient } from '../adapters/http/HttpClient.js';
 import {
   OrderAnswer,
   type OrderPort,
@@ -17,8 +17,10 @@
   type ServerConnection,
   type ServerPort,
 } from '../core/relay/Types.js';
+import { AnsweredCall, type NoticeListener } from '../core/deployment/ServerNotices.js';
 import type { ListenPort } from '../core/quarantine/Types.js';
 import type { Stage } from '../core/routing/Types.js';
+import { decodeNotice } from './NoticeDecoder.js';
 import { formatStages, OpenCall } from './OpenCall.js';
 import { ServerAgent } from './ServerAgent.js';
 import { decodeSpan } from './ServerEntryDecoder.js';
@@ -32,6 +34,13 @@
   blocked: z.array(z.object({ id: z.string(), address: z.string() })).default([]),
 });
 
+type ControlCall = AnsweredCall.Order | AnsweredCall.Report;
+
+const CONTROL_CALLS: Readonly<Record<ControlCall, Pick<HttpCall, 'method' | 'path'>>> = {
+  [AnsweredCall.Order]: { method: 'POST', path: PATH.order },
+  [AnsweredCall.Report]: { method: 'GET', path: PATH.report },
+};
+
 /** Interval at which open calls are checked for bytes that belong to no answer, in milliseconds. */
 const FRAMING_CHECK_MS = 250;
 
@@ -47,7 +56,11 @@
     for (const call of this.openCalls) call.checkFraming();
   }, FRAMING_CHECK_MS).unref();
 
-  public constructor(private readonly http: HttpClient) {}
+  /** @param notices - receives what the answers to all calls say of their servers */
+  public constructor(
+    private readonly http: HttpClient,
+    private readonly notices: NoticeListener,
+  ) {}
 
   public dispose(): void {
     clearInterval(this.framingTimer);
@@ -55,7 +68,9 @@
   }
 
   public call(call: ServerCall, listener: ServerCallListener): ServerConnection {
-    const open = new OpenCall(call, listener, this.agent, (ended) => this.openCalls.delete(ended));
+    const open = new OpenCall(call, listener, this.agent, this.notices, (ended) =>
+      this.openCalls.delete(ended),
+    );
     this.openCalls.add(open);
     return open;
   }
@@ -64,14 +79,7 @@
     const { address, span, ordersAccepted, id } = order;
     try {
       const { status } = await this.http.json(
-        {
-          address,
-          method: 'POST',
-          path: PATH.order,
-          headers: { [HEADER.expectedServer]: id },
-          timeoutMs,
-          maxAnswerBytes: MAX_CONTROL_BYTES,
-        },
+        this.controlCall(AnsweredCall.Order, id, address, timeoutMs),
         {
           operation: 'place',
           source: span.from,
@@ -97,14 +105,7 @@
   ): Promise<RerouteAnswer> {
     try {
       const { status, value } = await this.http.json<{ address?: string }>(
-        {
-          address,
-          method: 'POST',
-          path: PATH.order,
-          headers: { [HEADER.expectedServer]: id },
-          timeoutMs,
-          maxAnswerBytes: MAX_CONTROL_BYTES,
-        },
+        this.controlCall(AnsweredCall.Order, id, address, timeoutMs),
         { operation: 'repath', id: requestId, path: formatStages(stages) },
       );
       if (status === 200 || status === 202) return { status: RerouteStatus.Accepted };
@@ -116,6 +117,27 @@
     }
   }
 
+  /** Describes an order or a request for a report, whose answer may also say something of its server. */
+  private controlCall(
+    call: ControlCall,
+    id: string,
+    address: string,
+    timeoutMs: number,
+  ): Omit<HttpCall, 'body'> {
+    const process = this.notices.processOf(id);
+    return {
+      ...CONTROL_CALLS[call],
+      address,
+      headers: { [HEADER.expectedServer]: id },
+      timeoutMs,
+      maxAnswerBytes: MAX_CONTROL_BYTES,
+      onHead: (status, headers) => {
+        if (process?.address === address)
+          this.notices.handleNotice(process, { ...decodeNotice(status, headers), call });
+      },
+    };
+  }
+
   public isListening(address: string, timeoutMs: number): Promise<boolean> {
     return new Promise((resolve) => {
       const socket = connect({ ...hostAndPort(address), timeout: timeoutMs });
@@ -135,14 +157,9 @@
     timeoutMs: number,
   ): Promise<ServerReport | undefined> {
     try {
-      const { status, value } = await this.http.json<unknown>({
-        address,
-        method: 'GET',
-        path: PATH.report,
-        headers: { [HEADER.expectedServer]: id },
-        timeoutMs,
-        maxAnswerBytes: MAX_CONTROL_BYTES,
-      });
+      const { status, value } = await this.http.json<unknown>(
+        this.controlCall(AnsweredCall.Report, id, address, timeoutMs),
+      );
       const parsed = REPORT.safeParse(value);
       if (status !== 200 || !parsed.success) return undefined;
       const { data } = parsed;
--- a/src/platform/WireNames.ts
+++ b/src/platform/WireNames.ts
@@ -29,6 +29,8 @@
   lastEvent: 'last-event-id',
   /** Requests a second that the server takes from all instances together, while it names them. */
   requestLimit: 'server-limit',
+  /** `1` in all answers of a server that is leaving. */
+  leaving: 'server-leaving',
   /** Number of times that the store has come back from a copy; in all of its answers. */
   storeEra: 'store-era',
 } as const;
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -7,6 +7,7 @@
 import { SystemRandom } from '../adapters/SystemRandom.js';
 import { Deployments } from '../core/deployment/Deployments.js';
 import { ServerDirectory } from '../core/deployment/ServerDirectory.js';
+import { ServerNotices } from '../core/deployment/ServerNotices.js';
 import { Invariants } from '../core/Invariant.js';
 import { LeaseKeeper } from '../core/leases/LeaseKeeper.js';
 import { RetryAfterEstimator } from '../core/limits/RetryAfterEstimator.js';
@@ -185,7 +186,7 @@
     const { clock, deployments, directory, load } = this;
     this.memory = new MemoryBudget(clock, messageBytes(settings.machine));
     this.http = new HttpClient(this.memory);
-    const servers = new ServerClient(this.http);
+    const servers = new ServerClient(this.http, new ServerNotices({ directory, decisions: log }));
     this.servers = servers;
     const { failureDomain, bounds, instance } = settings;
     const random = new SystemRandom();
