Pauses that servers ask for: a 503 with Retry-After holds this instance's work back

Cause: nothing read Retry-After in answers of servers; a rejection counted as a full memory for 150 ms. What callers saw: requests went on to a server that wanted none, were refused there, and used up their servers and retries; refusals told them to return before any server would take them. Change: NoticeDecoder reads the header (seconds with fractions, or a date against that of the answer; other texts count as no pause), ServerNotices applies it to the process that the call was sent to, and HeldServers keeps the latest end by process, 300 s at most. The server that answered receives no requests; the one at fault, which At-Server may name instead, is not passed through either. ServerAdmission has it as one more rule, and tells when a service can be used again: callers are refused at once with that time. A rejection with a pause counts neither as full nor as declining. Orders wait for the end, too; reports that running streams need do not. Tests: FakeBackendServer records all arrivals and can refuse by status and headers; nothing that stood in the tests before checks less. Why it works: every way to a server asks ServerAdmission, and the head is read before the relay acts on it.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -15,6 +15,7 @@
 import { Invariants } from '../../src/core/Invariant.js';
 import { RetryAfterEstimator } from '../../src/core/limits/RetryAfterEstimator.js';
 import { RetryBudget } from '../../src/core/limits/RetryBudget.js';
+import { HeldServers } from '../../src/core/limits/HeldServers.js';
 import { ServerLimits } from '../../src/core/limits/ServerLimits.js';
 import type { Clock, Random } from '../../src/ports/Types.js';
 import type { RelayCounters, RelayDependencies } from '../../src/core/relay/RelayDependencies.js';
@@ -169,7 +170,9 @@
 
   public readonly serverLimits = unlimitedServers(this.clock);
 
-  public readonly admission = new ServerAdmission(this.clock, this.serverLimits);
+  public readonly heldServers = new HeldServers(this.clock);
+
+  public readonly admission = new ServerAdmission(this.clock, this.serverLimits, this.heldServers);
 
   public readonly quarantine = new InputQuarantine(this.clock, () => ({ rank: 0, instances: 1 }));
 
--- a/features/core/placement/placement-driver.steps.ts
+++ b/features/core/placement/placement-driver.steps.ts
@@ -60,6 +60,7 @@
       port,
       decisions: fixture.dependencies.decisions,
       failureDomain: 'a',
+      admission: fixture.admission,
     }).start();
   },
 );
--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -243,6 +243,9 @@
   /** Status of the answers that fail or turn requests away; undefined if requests run. */
   public refusal: Refusal | undefined;
 
+  /** Beginning of the ids of the requests that are refused; others run. */
+  public refusedPrefix = '';
+
   /** Times at which requests arrived, those that were turned away included, on the monotonic clock. */
   public readonly arrivals: Arrival[] = [];
 
@@ -407,14 +410,15 @@
       response.writeHead(421, { 'x-attempt-id': requestId }).end();
       return;
     }
+    const refusal = requestId.startsWith(this.refusedPrefix) ? this.refusal : undefined;
     this.arrivals.push({
       id: requestId,
       at: performance.now(),
       saidLeaving: this.saysLeaving,
-      wasRefused: this.refusal !== undefined,
+      wasRefused: refusal !== undefined,
     });
-    if (this.refusal !== undefined) {
-      const { status, headers: refusalHeaders } = this.refusal;
+    if (refusal !== undefined) {
+      const { status, headers: refusalHeaders } = refusal;
       response.writeHead(status, { 'x-attempt-id': requestId, ...refusalHeaders }).end('refused');
       return;
     }
--- a/features/platform/RouterFixture.ts
+++ b/features/platform/RouterFixture.ts
@@ -52,6 +52,8 @@
   readonly isComplete: boolean;
   readonly retryAfter: string | undefined;
   readonly ms: number;
+  /** Time of the answer on the monotonic clock, in milliseconds. */
+  readonly at: number;
 }
 
 /** Sends one request over a connection of its own. */
@@ -64,8 +66,10 @@
 ): Promise<ReceivedStatus> {
   const sentAt = performance.now();
   return new Promise((resolve) => {
-    const finish = (status: number, isComplete: boolean, retryAfter?: string): void =>
-      resolve({ status, isComplete, retryAfter, ms: performance.now() - sentAt });
+    const finish = (status: number, isComplete: boolean, retryAfter?: string): void => {
+      const at = performance.now();
+      resolve({ status, isComplete, retryAfter, ms: at - sentAt, at });
+    };
     const outgoing = httpRequest(
       {
         ...hostAndPort(address),
--- a/features/platform/server-leaving.steps.ts
+++ b/features/platform/server-leaving.steps.ts
@@ -110,12 +110,13 @@
     service: string,
     instances: string,
   ) {
-    const routers = instances.split(' and ').map((number) => this.fleetRouters[Number(number) - 1]);
+    const numbers = instances.split(' and ').map(Number);
     const startedAt = performance.now();
     const pending: Promise<ReceivedStatus>[] = [];
     for (let count = 0; performance.now() < startedAt + seconds * 1000; count += 1) {
-      const { callers } = routers[count % routers.length];
-      pending.push(send(callers, `r${count}`, service));
+      const number = numbers[count % numbers.length];
+      const { callers } = this.fleetRouters[number - 1];
+      pending.push(send(callers, `instance-${number}-${count}`, service));
       await pause(Math.max(0, startedAt + ((count + 1) * 1000) / rate - performance.now()));
     }
     this.received = await Promise.all(pending);
--- a/features/platform/server-notices.steps.ts
+++ b/features/platform/server-notices.steps.ts
@@ -76,12 +76,13 @@
 
 Given(
   'a server whose answers are {string} with {string}',
-  async function set(this: NoticeWorld, answer: string, header: string) {
+  async function set(this: NoticeWorld, answer: string, headers: string) {
     const [status, body] = answer.split(' ');
+    const head = headers.split('; ').join('\r\n');
     this.noticeServer = createServer((socket) => {
       socket.on('error', () => {});
       socket.once('data', () =>
-        socket.end(`HTTP/1.1 ${status} Status\r\n${header}\r\n${ANSWERS[body]}`),
+        socket.end(`HTTP/1.1 ${status} Status\r\n${head}\r\n${ANSWERS[body]}`),
       );
     });
     await new Promise<void>((resolve) => {
@@ -119,6 +120,12 @@
   assert.equal(this.notices[0].notice.isLeaving, false);
 });
 
+Then('it has asked for a pause of {string} ms', function check(this: NoticeWorld, ms: string) {
+  const [{ notice }] = this.notices;
+  assert.equal(notice.status, 503);
+  assert.equal(notice.pauseMs, ms === 'none' ? undefined : Number(ms));
+});
+
 After(function stop(this: NoticeWorld) {
   this.noticeServer?.close();
 });
--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -16,6 +16,8 @@
   Leaving = 'leaving',
   /** It refused or dropped a connection, or went silent. */
   Suspect = 'suspect',
+  /** It turned a request of this instance away and asked for a pause. */
+  HeldBack = 'held-back',
   /** Its limit of requests a second allows no further request of this instance for now. */
   Limited = 'limited',
   /** It rejected a request a moment ago. */
@@ -308,6 +310,13 @@
     return this.byAddress.get(address);
   }
 
+  /** Number of known servers that are leaving or gone. */
+  public get leavingCount(): number {
+    let count = 0;
+    for (const { leaving } of this.known.values()) if (leaving) count += 1;
+    return count;
+  }
+
   public all(): IterableIterator<KnownServer> {
     return this.known.values();
   }
--- a/src/core/placement/PlacementDriver.ts
+++ b/src/core/placement/PlacementDriver.ts
@@ -10,6 +10,7 @@
 import type { Deployments } from '../deployment/Deployments.js';
 import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { EngineProfile, LayerSpan } from '../deployment/Types.js';
+import type { ServerAdmission } from '../routing/ServerAdmission.js';
 import type { LeaseState } from './OrderDriver.js';
 import { planPlacement, type Assignment } from './PlacementPlanner.js';
 import { OrderAnswer, type OrderPort, type ReportPort } from './Types.js';
@@ -22,6 +23,7 @@
   readonly port: OrderPort & ReportPort;
   readonly decisions: DecisionLog;
   readonly failureDomain: string;
+  readonly admission: ServerAdmission;
 }
 
 /** Time between rounds while orders are open or servers change, in milliseconds. */
@@ -190,7 +192,7 @@
 
   private startOrder({ id, span }: Assignment): void {
     const server = this.dependencies.directory.get(id);
-    if (server === undefined) return;
+    if (server === undefined || !this.dependencies.admission.mayBeOrdered(server)) return;
     const { incarnation } = server.record;
     let order = this.lastOrders.get(id);
     if (order?.incarnation !== incarnation) {
@@ -222,7 +224,8 @@
       const open = this.openOrder(record.id, record.incarnation);
       if (open === undefined || open.isAwaitingAnswer) continue;
       if (sameSpan(record.span, open.span)) open.done = true;
-      else if (now >= open.nextCheckAt) this.checkReport(server, open);
+      else if (now >= open.nextCheckAt && this.dependencies.admission.mayBeOrdered(server))
+        this.checkReport(server, open);
     }
   }
 
@@ -243,7 +246,12 @@
       order.done = true;
       // The store may be unavailable; the server's entry would say the same.
       this.dependencies.directory.applyReportedSpan(record.id, order.span);
-    } else if (this.dependencies.lease.heldFence > 0 && !server.leaving) this.send(server, order);
+    } else if (this.mayOrder(server)) this.send(server, order);
+  }
+
+  private mayOrder(server: KnownServer): boolean {
+    const { lease, admission } = this.dependencies;
+    return lease.heldFence > 0 && admission.mayBeOrdered(server);
   }
 
   private async send(server: KnownServer, order: LastOrder): Promise<void> {
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -7,9 +7,8 @@
 import type { RouteRequirements } from '../routing/EngineRoutes.js';
 import { describeStages } from '../routing/StageText.js';
 import { describeRevision } from '../store/Revision.js';
-import type { Stage } from '../routing/Types.js';
+import { ServerRole, type Stage } from '../routing/Types.js';
 import { choosePlainServer } from '../routing/PlainServerChoice.js';
-import { ServerRole } from '../routing/ServerAdmission.js';
 import { WorkReservation } from '../routing/WorkReservation.js';
 import { AnswerVerdict, judgeAnswer, type RepeatPolicy } from './AnswerGate.js';
 import { guardListener } from './ListenerGuard.js';
@@ -43,6 +42,9 @@
  */
 const MIN_QUARANTINE_DELAY_MS = 2000;
 
+/** Time over which callers return after the end of a pause of servers, in milliseconds. */
+const RETURN_SPREAD_MS = 500;
+
 export abstract class BaseRelay implements Relay {
   protected readonly sendTracker: SendTracker;
 
@@ -303,6 +305,13 @@
     this.dependencies.serverLimits.recordAnswer(this.sentTo, requestsPerSecond);
   }
 
+  /** Records that a server turned the request away. One that asked for a pause is neither full nor declining. */
+  protected noteRejection(id: string): void {
+    const { directory, admission } = this.dependencies;
+    const server = directory.get(id);
+    if (server !== undefined && !admission.isHeldBack(server)) directory.noteRejection(id);
+  }
+
   /** Whether the request may be sent, resumed or rerouted to further servers, as far as its inputs go. */
   protected mayBeSent(): boolean {
     const { quarantine } = this.dependencies;
@@ -373,7 +382,16 @@
     retryAfterEstimator.record(true, now);
     const { request } = this.assigned;
     const msLeft = request.arrivedAt + request.deadlineMs - now;
-    this.refuse(reason, Outcome.NotRun, retryAfterEstimator.delayMs(msLeft, now));
+    const delayMs = this.pauseMs ?? retryAfterEstimator.delayMs(msLeft, now);
+    this.refuse(reason, Outcome.NotRun, delayMs);
+  }
+
+  /** Time until the service can be used again, in milliseconds, if servers asked for a pause; with some spread. */
+  private get pauseMs(): number | undefined {
+    const { admission, clock, directory, random } = this.dependencies;
+    const { name, engine } = this.assigned.service;
+    const until = admission.heldUntil(directory.all(), name, engine?.layers ?? 0);
+    return until && until - clock.now() + random.next() * RETURN_SPREAD_MS;
   }
 
   /** Disposes the call and the work reservation of the last send. */
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -318,7 +318,7 @@
     const { directory, decisions } = this.dependencies;
     const blamed = this.serverAt(head.blamedAddress) ?? target.server;
     if (head.misdirected) directory.clearSpan(blamed);
-    else directory.noteRejection(blamed);
+    else this.noteRejection(blamed);
     decisions.record('turned-away', {
       id: this.id,
       server: target.server,
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -6,9 +6,9 @@
 } from '../deployment/ServerDirectory.js';
 import type { Accelerator, EngineProfile, Service } from '../deployment/Types.js';
 import { coversOnce, planCheapestRoute } from './RoutePlanner.js';
-import { ServerRole, type ServerAdmission } from './ServerAdmission.js';
+import type { ServerAdmission } from './ServerAdmission.js';
 import type { ServerLoad } from './ServerLoad.js';
-import type { Candidate, Stage } from './Types.js';
+import { ServerRole, type Candidate, type Stage } from './Types.js';
 
 /** What a route has to satisfy. */
 export interface RouteRequirements {
--- a/src/core/routing/PlainServerChoice.ts
+++ b/src/core/routing/PlainServerChoice.ts
@@ -1,7 +1,8 @@
 /** Chooses the server of a plain service. */
 import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
-import { ServerRole, type ServerAdmission } from './ServerAdmission.js';
+import type { ServerAdmission } from './ServerAdmission.js';
 import type { ServerLoad } from './ServerLoad.js';
+import { ServerRole } from './Types.js';
 
 /** A remote server is used if the local servers are this much fuller, as a share of slots. */
 const LOCAL_ADVANTAGE = 0.3;
--- a/src/core/routing/Types.ts
+++ b/src/core/routing/Types.ts
@@ -68,3 +68,11 @@
 export interface PricedRouteQuery extends RouteSearch {
   readonly costs: RouteCosts;
 }
+
+/** How a server takes part in a request. */
+export enum ServerRole {
+  /** Receives the request: the server of a plain service, or the first one of a route. */
+  First = 'first',
+  /** Serves layers of a route that begins at another server. */
+  Later = 'later',
+}
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -228,14 +228,9 @@
   private readAnswer(answer: IncomingMessage): void {
     if (this.isFinished) return;
     const head = toHead(answer);
-    const { server, request } = this.call;
-    // An answer that belongs to another request still comes from this server.
-    this.notices.handleNotice(server, {
-      ...decodeNotice(head.status, answer.headers),
-      call: AnsweredCall.Request,
-      requestId: request.id,
-    });
-    if (!this.belongsToCall(answer)) {
+    const belongsToCall = this.belongsToCall(answer);
+    this.notify(head, answer, belongsToCall);
+    if (!belongsToCall) {
       this.fail(CallFailure.MismatchedAnswer);
       this.outgoing.destroy();
       return;
@@ -259,6 +254,23 @@
     this.listener.onHead(head);
   }
 
+  /**
+   * Passes on what an answer says of its server. One to another request says whether the server is leaving, but
+   * a pause that it asks for began earlier.
+   */
+  private notify({ status, blamedAddress }: AnswerHead, answer: IncomingMessage, isOwn: boolean) {
+    const { server, request, stages } = this.call;
+    const notice = decodeNotice(status, answer.headers);
+    const blamed = stages.find(({ address }) => address === blamedAddress)?.server;
+    this.notices.handleNotice(server, {
+      ...notice,
+      pauseMs: isOwn ? notice.pauseMs : undefined,
+      call: AnsweredCall.Request,
+      requestId: request.id,
+      ...(blamed !== undefined && blamed !== server.id && { blamedServer: blamed }),
+    });
+  }
+
   /**
    * Whether an answer is the one to this call. On a connection that was used before, an answer without an id may
    * be a late or repeated one to an earlier call, whatever it says.
--- a/src/platform/WireNames.ts
+++ b/src/platform/WireNames.ts
@@ -29,6 +29,8 @@
   lastEvent: 'last-event-id',
   /** Requests a second that the server takes from all instances together, while it names them. */
   requestLimit: 'server-limit',
+  /** Seconds, possibly with a fraction, for which a server that answers 503 wants nothing from this instance. */
+  retryAfter: 'retry-after',
   /** `1` in all answers of a server that is leaving. */
   leaving: 'server-leaving',
   /** Number of times that the store has come back from a copy; in all of its answers. */
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -12,6 +12,7 @@
 import { LeaseKeeper } from '../core/leases/LeaseKeeper.js';
 import { RetryAfterEstimator } from '../core/limits/RetryAfterEstimator.js';
 import { MemoryBudget } from '../core/limits/MemoryBudget.js';
+import { HeldServers } from '../core/limits/HeldServers.js';
 import { SharedRetryBudget, type SharedRetryLimits } from '../core/limits/SharedRetryBudget.js';
 import { ServerLimits, type ServerLimitChange } from '../core/limits/ServerLimits.js';
 import { PeerSharing } from '../core/peers/PeerSharing.js';
@@ -143,7 +144,9 @@
     () => this.sharing.knownInstances,
   );
 
-  private readonly admission = new ServerAdmission(this.clock, this.serverLimits);
+  private readonly heldServers = new HeldServers(this.clock);
+
+  private readonly admission = new ServerAdmission(this.clock, this.serverLimits, this.heldServers);
 
   private readonly quarantine = new InputQuarantine(this.clock, () => this.sharing.probationTurn);
 
@@ -186,7 +189,10 @@
     const { clock, deployments, directory, load } = this;
     this.memory = new MemoryBudget(clock, messageBytes(settings.machine));
     this.http = new HttpClient(this.memory);
-    const servers = new ServerClient(this.http, new ServerNotices({ directory, decisions: log }));
+    const servers = new ServerClient(
+      this.http,
+      new ServerNotices({ directory, heldServers: this.heldServers, decisions: log }),
+    );
     this.servers = servers;
     const { failureDomain, bounds, instance } = settings;
     const random = new SystemRandom();
@@ -257,6 +263,7 @@
       port: servers,
       decisions: log,
       failureDomain,
+      admission: this.admission,
     });
     const self = {
       instance,
@@ -496,6 +503,8 @@
     metrics.addGauge('acaciadrum_live_instances', () => this.sharing.liveInstances);
     metrics.addGauge('acaciadrum_quarantined_parts', () => this.quarantine.size);
     metrics.addGauge('acaciadrum_limited_servers', () => this.serverLimits.size);
+    metrics.addGauge('acaciadrum_held_servers', () => this.heldServers.size);
+    metrics.addGauge('acaciadrum_leaving_servers', () => this.directory.leavingCount);
     metrics.addGauge('acaciadrum_message_bytes', () => this.memory.used);
     metrics.addGauge('acaciadrum_evictions', () => this.memory.evictions);
     metrics.addGauge('acaciadrum_store_era', () => this.storeEra.current);
