Standstill: an instance that was paused asks what changed before it gives out work again

What callers saw: requests were sent to servers whose drain was over, 11 to 75 ms before the news. Change: StandstillGuard finds a gap of 500 ms or more in the clock, by a timer that fires late or by the work itself, whichever comes first, and asks: the hub by a digest of its own, a hub the hubs of other domains, and the store where it is followed. First sends and what may be sent again wait in order for the first answer, 400 ms at most; reroutes are put off. Events and whole answers do not wait. Why it works: every send of a waking process passes the guard, which reads the clock itself and so needs no timer to have fired; answers to questions from before the standstill do not count.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -27,6 +27,7 @@
 import { EngineRoutes } from '../../src/core/routing/EngineRoutes.js';
 import { ServerAdmission } from '../../src/core/routing/ServerAdmission.js';
 import { ServerLoad } from '../../src/core/routing/ServerLoad.js';
+import { StandstillGuard } from '../../src/core/standstill/StandstillGuard.js';
 import { VirtualClock } from '../../src/fakes/VirtualClock.js';
 import { FakeServers } from './FakeServers.js';
 
@@ -170,6 +171,13 @@
 
   public readonly serverLimits = unlimitedServers(this.clock);
 
+  /** Notices no standstill unless it is started; nobody answers it. */
+  public readonly standstill = new StandstillGuard({
+    clock: this.clock,
+    decisions: { record: () => {} },
+    ask: () => new Promise(() => {}),
+  });
+
   public readonly heldServers = new HeldServers(this.clock);
 
   public readonly admission = new ServerAdmission(this.clock, this.serverLimits, this.heldServers);
@@ -214,6 +222,7 @@
       })),
       serverLimits: this.serverLimits,
       admission: this.admission,
+      standstill: this.standstill,
       quarantine,
       crashWitness: new CrashWitness({ directory, port: this.servers, quarantine, decisions }),
       counters: NO_OP_COUNTERS,
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -204,6 +204,20 @@
     return this.digestFor(peer, work);
   }
 
+  /**
+   * Asks the hubs what has changed, whatever digests are open, and applies the first answers.
+   * @throws AggregateError if none answers
+   */
+  public async ask(): Promise<void> {
+    const { port, self } = this.dependencies;
+    const asked = this.table.informants().map(async (peer) => {
+      const isLocal = peer.identity.failureDomain === self.failureDomain;
+      const work = isLocal ? this.work.ownWork() : this.work.domainWork();
+      this.applyDigest(await port.send(peer.identity.address, this.digestFor(peer, work)));
+    });
+    await Promise.any(asked);
+  }
+
   private runRound(): void {
     const now = this.dependencies.clock.now();
     this.updateTotals(now);
--- a/src/core/peers/PeerTable.ts
+++ b/src/core/peers/PeerTable.ts
@@ -120,6 +120,26 @@
     return hub;
   }
 
+  /**
+   * Returns the peers that tell what is new: the first choice as hub of the local failure domain, or, if that is
+   * this instance, those of the others. How they answered lately does not count: after a standstill of this
+   * instance, that says nothing.
+   */
+  public informants(): Peer[] {
+    const choices = new Map<string, Peer>();
+    for (const peer of this.peers.values()) {
+      const { failureDomain } = peer.identity;
+      const best = choices.get(failureDomain);
+      if (best === undefined || isPreferredHub(peer.identity, best.identity))
+        choices.set(failureDomain, peer);
+    }
+    const local = choices.get(this.self.failureDomain);
+    // Hubs of other domains would send all that they know to an instance that is no hub.
+    if (local !== undefined && !isPreferredHub(this.self, local.identity)) return [local];
+    choices.delete(this.self.failureDomain);
+    return [...choices.values()];
+  }
+
   /** Returns the hub of the local failure domain; undefined when it is this instance. */
   public localHub(now: number): Peer | undefined {
     const hub = this.hubOf(this.self.failureDomain, now);
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -221,9 +221,21 @@
   /** Drops what arrives for a send that has been given up for another one, or after the end of the request. */
   private whileCurrent(listener: ServerCallListener): ServerCallListener {
     const { sendCount } = this.sendTracker;
-    return guardListener(listener, (step) => {
+    const guarded = guardListener(listener, (step) => {
       if (!this.ended && this.sendTracker.sendCount === sendCount) this.guard(step);
     });
+    const { standstill } = this.dependencies;
+    let isRejected = false;
+    return {
+      ...guarded,
+      onHead: (head) => {
+        isRejected = head.notExecuted;
+        guarded.onHead(head);
+      },
+      // These may send the request to another server.
+      onEnd: () => (isRejected ? standstill.whenInformed(guarded.onEnd) : guarded.onEnd()),
+      onFailure: (failure) => standstill.whenInformed(() => guarded.onFailure(failure)),
+    };
   }
 
   /** Runs a step of the request. An exception ends this request and no other. */
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -14,6 +14,7 @@
 import type { ServerAdmission } from '../routing/ServerAdmission.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
 import type { Stage } from '../routing/Types.js';
+import type { StandstillGuard } from '../standstill/StandstillGuard.js';
 import type { CallerReply, CallerRequest, ServerPort } from './Types.js';
 
 /** A stream that is monitored for silence. */
@@ -66,6 +67,7 @@
   readonly retryAfterEstimator: RetryAfterEstimator;
   readonly serverLimits: ServerLimits;
   readonly admission: ServerAdmission;
+  readonly standstill: StandstillGuard;
   readonly quarantine: Quarantine;
   readonly crashWitness: CrashWitness;
   readonly decisions: DecisionLog;
--- a/src/core/relay/RelayDispatcher.ts
+++ b/src/core/relay/RelayDispatcher.ts
@@ -76,7 +76,10 @@
     const relay = new RELAYS[assigned.route.kind](this.dependencies, assigned);
     this.running.add(relay);
     relay.onEnd((ended) => this.running.delete(ended));
-    relay.start();
+    this.dependencies.standstill.whenInformed(() => {
+      // Its caller may have gone while it waited.
+      if (this.running.has(relay)) relay.start();
+    });
     return relay;
   }
 
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -120,7 +120,8 @@
 
   public rerouteAround(servers: ReadonlySet<string>, reason: RetryReason): void {
     if (this.ended || this.rerouting || this.stages.length === 0) return;
-    if (this.dependencies.clock.now() < this.nextRerouteAt) return;
+    const { clock, standstill } = this.dependencies;
+    if (clock.now() < this.nextRerouteAt || standstill.isBehind) return;
     this.guard(() => this.moveOff(servers, reason));
   }
 
--- a/src/core/store/FeedFollower.ts
+++ b/src/core/store/FeedFollower.ts
@@ -2,6 +2,7 @@
 import type { ChangeFeed, StoreEntries } from '../../ports/ChangeFeed.js';
 import type { Clock } from '../../ports/Types.js';
 import type { DecisionLog } from '../DecisionLog.js';
+import { Failure, FailureKind } from '../Failure.js';
 import { describeRevision, type Revision } from './Revision.js';
 
 /** Receives the entries of a followed table. */
@@ -70,6 +71,25 @@
     this.isActive = false;
   }
 
+  /**
+   * Reads what has changed by a call of its own, whatever call is in progress.
+   * @throws as the feed does, and Failure of kind `PlatformUnavailable` if the table is not followed
+   */
+  public async readNow(): Promise<void> {
+    const { feed, listener, name } = this.dependencies;
+    const changes =
+      this.isActive && this.revision !== undefined
+        ? await feed.changesSince(this.revision, 0)
+        : undefined;
+    if (changes === undefined)
+      throw new Failure(
+        FailureKind.PlatformUnavailable,
+        `Table ${name} is not followed here, or its history is lost. Ask a peer for the changes.`,
+      );
+    // The revision stays, so that the call in progress tells the same once more, which changes nothing.
+    if (changes.entries.length > 0) listener.onChanges(changes);
+  }
+
   private async run(): Promise<void> {
     this.isRunning = true;
     while (this.isActive) {
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -32,6 +32,7 @@
 import { EngineRoutes } from '../core/routing/EngineRoutes.js';
 import { ServerAdmission } from '../core/routing/ServerAdmission.js';
 import { ServerLoad } from '../core/routing/ServerLoad.js';
+import { StandstillGuard } from '../core/standstill/StandstillGuard.js';
 import { Ingress } from '../platform/Ingress.js';
 import { Readiness } from '../platform/Readiness.js';
 import { ServerClient } from '../platform/ServerClient.js';
@@ -152,6 +153,8 @@
 
   private readonly silenceDetector: SilenceDetector;
 
+  private readonly standstill: StandstillGuard;
+
   private readonly dispatcher: RelayDispatcher;
 
   private readonly ingress: Ingress;
@@ -205,6 +208,11 @@
       decisions: log,
       rerouteLeavingAfterMs: bounds.drainMs * REROUTE_DRAIN_FRACTION,
     });
+    this.standstill = new StandstillGuard({
+      clock,
+      decisions: log,
+      ask: () => Promise.any([this.sharing.ask(), this.storeFollower.readServersNow()]),
+    });
     this.dispatcher = new RelayDispatcher({
       clock,
       random,
@@ -219,6 +227,7 @@
       retryAfterEstimator: new RetryAfterEstimator(random),
       serverLimits: this.serverLimits,
       admission: this.admission,
+      standstill: this.standstill,
       quarantine: this.quarantine,
       crashWitness: new CrashWitness({
         directory,
@@ -353,6 +362,7 @@
         this.peers.listen(address),
       ),
     ]);
+    this.standstill.start();
     this.sharing.start();
     this.registration.start();
     this.knowledge.start();
@@ -407,6 +417,7 @@
   /** Closes everything immediately; requests in progress are aborted. */
   public dispose(): void {
     this.attempt('sweep', () => this.sweepTimer?.dispose());
+    this.attempt('standstill', () => this.standstill.dispose());
     this.attempt('dispatcher', () => this.dispatcher.dispose());
     this.attempt('silence', () => this.silenceDetector.dispose());
     this.attempt('placement', () => this.placement.dispose());
--- a/src/router/StoreTablesFollower.ts
+++ b/src/router/StoreTablesFollower.ts
@@ -98,6 +98,11 @@
     this.instanceFollower.stop();
   }
 
+  /** Reads what has changed of the servers, if this instance follows the store; rejects otherwise. */
+  public readServersNow(): Promise<void> {
+    return this.serverFollower.readNow();
+  }
+
   private applyDeployments({ entries }: StoreEntries<Deployment>): void {
     const { deployments, decisions } = this.dependencies;
     for (const { key, value, revision: changedAt } of entries) {
