--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -16,6 +16,7 @@
 import { RetryAfterEstimator } from '../../src/core/limits/RetryAfterEstimator.js';
 import { RetryBudget } from '../../src/core/limits/RetryBudget.js';
 import { StartWindows } from '../../src/core/limits/StartWindows.js';
+import { HeldServers } from '../../src/core/limits/HeldServers.js';
 import { ServerLimits } from '../../src/core/limits/ServerLimits.js';
 import type { Clock, Random } from '../../src/ports/Types.js';
 import type { RelayCounters, RelayDependencies } from '../../src/core/relay/RelayDependencies.js';
@@ -26,7 +27,9 @@
 import { CallFailure, type AnswerHead, type CallerRequest } from '../../src/core/relay/Types.js';
 import { EngineRoutes } from '../../src/core/routing/EngineRoutes.js';
 import { DomainLinks } from '../../src/core/routing/DomainLinks.js';
+import { ServerAdmission } from '../../src/core/routing/ServerAdmission.js';
 import { ServerLoad } from '../../src/core/routing/ServerLoad.js';
+import { StandstillGuard } from '../../src/core/standstill/StandstillGuard.js';
 import { VirtualClock } from '../../src/fakes/VirtualClock.js';
 import { FakeServers } from './FakeServers.js';
 
@@ -175,6 +178,17 @@
 
   public readonly serverLimits = unlimitedServers(this.clock);
 
+  /** Notices no standstill unless it is started; nobody answers it. */
+  public readonly standstill = new StandstillGuard({
+    clock: this.clock,
+    decisions: { record: () => {} },
+    ask: () => new Promise(() => {}),
+  });
+
+  public readonly heldServers = new HeldServers(this.clock);
+
+  public readonly admission = new ServerAdmission(this.clock, this.serverLimits, this.heldServers);
+
   public readonly quarantine = new InputQuarantine(this.clock, () => ({ rank: 0, instances: 1 }));
 
   public readonly loggedDecisions: { event: string; fields: object }[] = [];
@@ -203,7 +217,7 @@
       decisions,
       random: NO_RANDOM,
       deployments: this.deployments,
-      routes: new EngineRoutes(directory, load, 'a', this.serverLimits, domainLinks(clock)),
+      routes: new EngineRoutes(directory, load, 'a', this.admission, domainLinks(clock)),
       port: this.servers,
       streamRegistry: this.silenceDetector,
       retryAfterEstimator: new RetryAfterEstimator(NO_RANDOM),
@@ -215,6 +229,8 @@
       })),
       serverLimits: this.serverLimits,
       startWindows: new StartWindows(clock),
+      admission: this.admission,
+      standstill: this.standstill,
       quarantine,
       crashWitness: new CrashWitness({ directory, port: this.servers, quarantine, decisions }),
       counters: NO_OP_COUNTERS,
--- a/features/core/limits/start-windows.feature
+++ b/features/core/limits/start-windows.feature
@@ -2,7 +2,7 @@
 
   Scenario Outline: <case>
     Given a service whose objective is 500 ms
-    When "<steps>" happen
+    When streams "<steps>"
     Then <limit> streams may wait
 
     Examples: "open" takes a place, "first" and "left" end the oldest one, a number is a pause in milliseconds
--- a/features/core/limits/start-windows.steps.ts
+++ b/features/core/limits/start-windows.steps.ts
@@ -30,7 +30,7 @@
   left: ({ places }) => places.shift()?.recordAbandonment(),
 };
 
-When('{string} happen', async function run(this: WindowsWorld, steps: string) {
+When('streams {string}', async function run(this: WindowsWorld, steps: string) {
   for (const step of steps.split(' ')) {
     const [name, times = '1'] = step.split('*');
     const handler = STEPS[name];
--- a/features/core/routing/domain-links.steps.ts
+++ b/features/core/routing/domain-links.steps.ts
@@ -10,7 +10,6 @@
   ENGINE,
   ENGINE_SERVICE,
   RelayFixture,
-  unlimitedServers,
 } from '../FleetFixture.js';
 
 interface LinksWorld {
@@ -84,7 +83,7 @@
 });
 
 When('more streams begin at once than the link may carry', function run(this: LinksWorld) {
-  const { directory, load, clock } = new RelayFixture();
+  const { directory, load, clock, admission } = new RelayFixture();
   const half = ENGINE.layers / 2;
   for (const [id, failureDomain, from] of [
     ['s1', 'a', 0],
@@ -93,13 +92,7 @@
     const span = { from, to: from + half };
     directory.put(backendServer(id, { failureDomain, accelerator: 'whole', span }));
   }
-  const routes = new EngineRoutes(
-    directory,
-    load,
-    'a',
-    unlimitedServers(clock),
-    domainLinks(clock),
-  );
+  const routes = new EngineRoutes(directory, load, 'a', admission, domainLinks(clock));
   const requirements = {
     service: ENGINE_SERVICE,
     engine: ENGINE,
--- a/features/core/routing/engine-routes.steps.ts
+++ b/features/core/routing/engine-routes.steps.ts
@@ -5,7 +5,6 @@
 import { EngineRoutes, mergeRevisits } from '../../../src/core/routing/EngineRoutes.js';
 import { coversOnce } from '../../../src/core/routing/RoutePlanner.js';
 import type { Stage } from '../../../src/core/routing/Types.js';
-import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
 import {
   ENGINE,
   ENGINE_SERVICE,
@@ -13,7 +12,6 @@
   domainLinks,
   RelayFixture,
   REFERENCE_FLEET,
-  unlimitedServers,
 } from '../FleetFixture.js';
 
 interface RoutesWorld {
@@ -38,9 +36,8 @@
 }
 
 function planner({ fixture }: RoutesWorld, domain: string): EngineRoutes {
-  const { directory, load } = fixture;
-  const clock = new VirtualClock();
-  return new EngineRoutes(directory, load, domain, unlimitedServers(clock), domainLinks(clock));
+  const { directory, load, admission } = fixture;
+  return new EngineRoutes(directory, load, domain, admission, domainLinks(fixture.clock));
 }
 
 function start(world: RoutesWorld, count: number, domains: readonly string[]): void {
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -3,12 +3,11 @@
 import type { DecisionFields } from '../DecisionLog.js';
 import { InvariantKind } from '../Invariant.js';
 import { Outcome, refusal, RefusalReason, type RetryReason } from '../Outcome.js';
-import type { ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { BackendServer, EngineProfile } from '../deployment/Types.js';
 import type { NoRouteReason, RouteRequirements } from '../routing/EngineRoutes.js';
 import { describeStages } from '../routing/StageText.js';
 import { describeRevision } from '../store/Revision.js';
-import type { Stage } from '../routing/Types.js';
+import { ServerRole, type Stage } from '../routing/Types.js';
 import { choosePlainServer } from '../routing/PlainServerChoice.js';
 import { WorkReservation } from '../routing/WorkReservation.js';
 import { AnswerVerdict, judgeAnswer, type RepeatPolicy } from './AnswerGate.js';
@@ -43,6 +42,9 @@
  */
 const MIN_QUARANTINE_DELAY_MS = 2000;
 
+/** Time over which callers return after the end of a pause of servers, in milliseconds. */
+const RETURN_SPREAD_MS = 500;
+
 export abstract class BaseRelay implements Relay {
   protected readonly sendTracker: SendTracker;
 
@@ -220,9 +222,21 @@
   /** Drops what arrives for a send that has been given up for another one, or after the end of the request. */
   private whileCurrent(listener: ServerCallListener): ServerCallListener {
     const { sendCount } = this.sendTracker;
-    return guardListener(listener, (step) => {
+    const guarded = guardListener(listener, (step) => {
       if (!this.ended && this.sendTracker.sendCount === sendCount) this.guard(step);
     });
+    const { standstill } = this.dependencies;
+    let isRejected = false;
+    return {
+      ...guarded,
+      onHead: (head) => {
+        isRejected = head.notExecuted;
+        guarded.onHead(head);
+      },
+      // These may send the request to another server.
+      onEnd: () => (isRejected ? standstill.whenInformed(guarded.onEnd) : guarded.onEnd()),
+      onFailure: (failure) => standstill.whenInformed(() => guarded.onFailure(failure)),
+    };
   }
 
   /** Runs a step of the request. An exception ends this request and no other. */
@@ -304,6 +318,13 @@
     this.dependencies.serverLimits.recordAnswer(this.sentTo, requestsPerSecond);
   }
 
+  /** Records that a server turned the request away. One that asked for a pause is neither full nor declining. */
+  protected noteRejection(id: string): void {
+    const { directory, admission } = this.dependencies;
+    const server = directory.get(id);
+    if (server !== undefined && !admission.isHeldBack(server)) directory.noteRejection(id);
+  }
+
   /** Whether the request may be sent, resumed or rerouted to further servers, as far as its inputs go. */
   protected mayBeSent(): boolean {
     const { quarantine } = this.dependencies;
@@ -381,7 +402,16 @@
     retryAfterEstimator.record(true, now);
     const { request } = this.assigned;
     const msLeft = request.arrivedAt + request.deadlineMs - now;
-    this.refuse(reason, Outcome.NotRun, retryAfterEstimator.delayMs(msLeft, now));
+    const delayMs = this.pauseMs ?? retryAfterEstimator.delayMs(msLeft, now);
+    this.refuse(reason, Outcome.NotRun, delayMs);
+  }
+
+  /** Time until the service can be used again, in milliseconds, if servers asked for a pause; with some spread. */
+  private get pauseMs(): number | undefined {
+    const { admission, clock, directory, random } = this.dependencies;
+    const { name, engine } = this.assigned.service;
+    const until = admission.heldUntil(directory.all(), name, engine?.layers ?? 0);
+    return until && until - clock.now() + random.next() * RETURN_SPREAD_MS;
   }
 
   /** Disposes the call and the work reservation of the last send. */
@@ -421,7 +451,7 @@
 
   protected refuse(reason: RefusalReason, outcome: Outcome, retryAfterMs: number): void {
     if (this.ended) return;
-    const { counters, decisions, directory, deployments } = this.dependencies;
+    const { counters, decisions, deployments } = this.dependencies;
     const { request, reply, service } = this.assigned;
     counters.countRefusal(reason);
     decisions.record('refuse', {
@@ -431,7 +461,7 @@
       service: service.name,
       sends: this.sendTracker.sendCount,
       avoided: [...this.avoidedServers].join(','),
-      servers: countUsable(directory, service.name),
+      servers: countUsable(this.dependencies, service.name),
       retryAfterMs: Math.round(retryAfterMs),
       ...(isQuarantine(reason) ? this.explainQuarantine() : this.explainNoRoute()),
       ticket: deployments.ticket,
@@ -477,12 +507,12 @@
   }
 
   private choosePlainTarget(): SendTarget | undefined {
-    const { directory, load, localDomain, serverLimits } = this.dependencies;
+    const { directory, load, localDomain, admission } = this.dependencies;
     const { name } = this.assigned.service;
     const server = choosePlainServer({
       directory,
       load,
-      serverLimits,
+      admission,
       service: name,
       localDomain,
       avoid: this.avoidedServers,
@@ -500,11 +530,11 @@
   return reason === RefusalReason.Quarantined || reason === RefusalReason.Withdrawn;
 }
 
-function countUsable(directory: ServerDirectory, service: string): number {
+function countUsable({ directory, admission }: RelayDependencies, service: string): number {
   let count = 0;
   for (const server of directory.all()) {
-    if (server.record.service === service && directory.avoidReason(server) === undefined)
-      count += 1;
+    if (server.record.service !== service) continue;
+    if (admission.obstacle(server, ServerRole.Later) === undefined) count += 1;
   }
   return count;
 }
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -12,8 +12,10 @@
 import type { CrashWitness } from '../quarantine/CrashWitness.js';
 import type { Quarantine } from '../quarantine/Types.js';
 import type { EngineRoutes } from '../routing/EngineRoutes.js';
+import type { ServerAdmission } from '../routing/ServerAdmission.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
 import type { Stage } from '../routing/Types.js';
+import type { StandstillGuard } from '../standstill/StandstillGuard.js';
 import type { CallerReply, CallerRequest, ServerPort } from './Types.js';
 
 /** A stream that is monitored for silence. */
@@ -66,6 +68,8 @@
   readonly retryAfterEstimator: RetryAfterEstimator;
   readonly serverLimits: ServerLimits;
   readonly startWindows: StartWindows;
+  readonly admission: ServerAdmission;
+  readonly standstill: StandstillGuard;
   readonly quarantine: Quarantine;
   readonly crashWitness: CrashWitness;
   readonly decisions: DecisionLog;
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -135,7 +135,8 @@
 
   public rerouteAround(servers: ReadonlySet<string>, reason: RetryReason): void {
     if (this.ended || this.rerouting || this.stages.length === 0) return;
-    if (this.dependencies.clock.now() < this.nextRerouteAt) return;
+    const { clock, standstill } = this.dependencies;
+    if (clock.now() < this.nextRerouteAt || standstill.isBehind) return;
     this.guard(() => this.moveOff(servers, reason));
   }
 
@@ -341,7 +342,7 @@
     const { directory, decisions } = this.dependencies;
     const blamed = this.serverAt(head.blamedAddress) ?? target.server;
     if (head.misdirected) directory.clearSpan(blamed);
-    else directory.noteRejection(blamed);
+    else this.noteRejection(blamed);
     decisions.record('turned-away', {
       id: this.id,
       server: target.server,
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -13,8 +13,10 @@
   type ServerCallListener,
   type ServerConnection,
 } from '../core/relay/Types.js';
+import { AnsweredCall, type NoticeListener } from '../core/deployment/ServerNotices.js';
 import type { Stage } from '../core/routing/Types.js';
 import type { ServerAgent } from './ServerAgent.js';
+import { decodeNotice } from './NoticeDecoder.js';
 import { areSendable, isFinalStatus } from './HeaderText.js';
 import { endToEndHeaders, HEADER, MISDIRECTED } from './WireNames.js';
 
@@ -130,6 +132,7 @@
     private readonly call: ServerCall,
     private readonly listener: ServerCallListener,
     agent: ServerAgent,
+    private readonly notices: NoticeListener,
     private readonly onFinish: (call: OpenCall) => void,
   ) {
     const { message } = call.request;
@@ -225,7 +228,9 @@
   private readAnswer(answer: IncomingMessage): void {
     if (this.isFinished) return;
     const head = toHead(answer);
-    if (!this.belongsToCall(answer)) {
+    const belongsToCall = this.belongsToCall(answer);
+    this.notify(head, answer, belongsToCall);
+    if (!belongsToCall) {
       this.fail(CallFailure.MismatchedAnswer);
       this.outgoing.destroy();
       return;
@@ -249,6 +254,23 @@
     this.listener.onHead(head);
   }
 
+  /**
+   * Passes on what an answer says of its server. One to another request says whether the server is leaving, but
+   * a pause that it asks for began earlier.
+   */
+  private notify({ status, blamedAddress }: AnswerHead, answer: IncomingMessage, isOwn: boolean) {
+    const { server, request, stages } = this.call;
+    const notice = decodeNotice(status, answer.headers);
+    const blamed = stages.find(({ address }) => address === blamedAddress)?.server;
+    this.notices.handleNotice(server, {
+      ...notice,
+      pauseMs: isOwn ? notice.pauseMs : undefined,
+      call: AnsweredCall.Request,
+      requestId: request.id,
+      ...(blamed !== undefined && blamed !== server.id && { blamedServer: blamed }),
+    });
+  }
+
   /**
    * Whether an answer is the one to this call. On a connection that was used before, an answer without an id may
    * be a late or repeated one to an earlier call, whatever it says.
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -7,10 +7,12 @@
 import { SystemRandom } from '../adapters/SystemRandom.js';
 import { Deployments } from '../core/deployment/Deployments.js';
 import { ServerDirectory } from '../core/deployment/ServerDirectory.js';
+import { ServerNotices } from '../core/deployment/ServerNotices.js';
 import { Invariants } from '../core/Invariant.js';
 import { LeaseKeeper } from '../core/leases/LeaseKeeper.js';
 import { RetryAfterEstimator } from '../core/limits/RetryAfterEstimator.js';
 import { MemoryBudget } from '../core/limits/MemoryBudget.js';
+import { HeldServers } from '../core/limits/HeldServers.js';
 import { SharedRetryBudget, type SharedRetryLimits } from '../core/limits/SharedRetryBudget.js';
 import { StartWindows, type StartWindowChange } from '../core/limits/StartWindows.js';
 import { ServerLimits, type ServerLimitChange } from '../core/limits/ServerLimits.js';
@@ -30,7 +32,9 @@
 import { RelayDispatcher } from '../core/relay/RelayDispatcher.js';
 import { EngineRoutes } from '../core/routing/EngineRoutes.js';
 import { DomainLinks } from '../core/routing/DomainLinks.js';
+import { ServerAdmission } from '../core/routing/ServerAdmission.js';
 import { ServerLoad } from '../core/routing/ServerLoad.js';
+import { StandstillGuard } from '../core/standstill/StandstillGuard.js';
 import { Ingress } from '../platform/Ingress.js';
 import { Readiness } from '../platform/Readiness.js';
 import { ServerClient } from '../platform/ServerClient.js';
@@ -150,11 +154,16 @@
   );
 
   private readonly startWindows = new StartWindows(this.clock);
+  private readonly heldServers = new HeldServers(this.clock);
+
+  private readonly admission = new ServerAdmission(this.clock, this.serverLimits, this.heldServers);
 
   private readonly quarantine = new InputQuarantine(this.clock, () => this.sharing.probationTurn);
 
   private readonly silenceDetector: SilenceDetector;
 
+  private readonly standstill: StandstillGuard;
+
   private readonly dispatcher: RelayDispatcher;
 
   private readonly ingress: Ingress;
@@ -192,7 +201,10 @@
     const { clock, deployments, directory, load } = this;
     this.memory = new MemoryBudget(clock, messageBytes(settings.machine));
     this.http = new HttpClient(this.memory);
-    const servers = new ServerClient(this.http);
+    const servers = new ServerClient(
+      this.http,
+      new ServerNotices({ directory, heldServers: this.heldServers, decisions: log }),
+    );
     this.servers = servers;
     const { failureDomain, bounds, instance } = settings;
     const random = new SystemRandom();
@@ -205,13 +217,18 @@
       decisions: log,
       rerouteLeavingAfterMs: bounds.drainMs * REROUTE_DRAIN_FRACTION,
     });
+    this.standstill = new StandstillGuard({
+      clock,
+      decisions: log,
+      ask: () => Promise.any([this.sharing.ask(), this.storeFollower.readServersNow()]),
+    });
     this.dispatcher = new RelayDispatcher({
       clock,
       random,
       deployments,
       directory,
       load,
-      routes: new EngineRoutes(directory, load, failureDomain, this.serverLimits, this.domainLinks),
+      routes: new EngineRoutes(directory, load, failureDomain, this.admission, this.domainLinks),
       port: servers,
       // The detector monitors the streams that the dispatcher registers with it.
       streamRegistry: this.silenceDetector,
@@ -219,6 +236,8 @@
       retryAfterEstimator: new RetryAfterEstimator(random),
       serverLimits: this.serverLimits,
       startWindows: this.startWindows,
+      admission: this.admission,
+      standstill: this.standstill,
       quarantine: this.quarantine,
       crashWitness: new CrashWitness({
         directory,
@@ -263,6 +282,7 @@
       port: servers,
       decisions: log,
       failureDomain,
+      admission: this.admission,
     });
     const self = {
       instance,
@@ -353,6 +373,7 @@
         this.peers.listen(address),
       ),
     ]);
+    this.standstill.start();
     this.sharing.start();
     this.registration.start();
     this.knowledge.start();
@@ -407,6 +428,7 @@
   /** Closes everything immediately; requests in progress are aborted. */
   public dispose(): void {
     this.attempt('sweep', () => this.sweepTimer?.dispose());
+    this.attempt('standstill', () => this.standstill.dispose());
     this.attempt('dispatcher', () => this.dispatcher.dispose());
     this.attempt('silence', () => this.silenceDetector.dispose());
     this.attempt('placement', () => this.placement.dispose());
@@ -513,6 +535,8 @@
     metrics.addGauge('acaciadrum_limited_servers', () => this.serverLimits.size);
     metrics.addGauge('acaciadrum_overloaded_services', () => this.startWindows.limitedServices);
     metrics.addGauge('acaciadrum_links_withheld', () => this.domainLinks.withheld);
+    metrics.addGauge('acaciadrum_held_servers', () => this.heldServers.size);
+    metrics.addGauge('acaciadrum_leaving_servers', () => this.directory.leavingCount);
     metrics.addGauge('acaciadrum_message_bytes', () => this.memory.used);
     metrics.addGauge('acaciadrum_evictions', () => this.memory.evictions);
     metrics.addGauge('acaciadrum_store_era', () => this.storeEra.current);
