--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -154,6 +154,7 @@
   );
 
   private readonly startWindows = new StartWindows(this.clock);
+
   private readonly heldServers = new HeldServers(this.clock);
 
   private readonly admission = new ServerAdmission(this.clock, this.serverLimits, this.heldServers);
