Hostile clients: tests of a router process, failing on the code as it stands

Cause: clients outside the limits can make a router process hold connections, heads and requests sent ahead without a bound. Change: hostile-clients.feature plays 30 crowds against a process of its own with the flags of the deploy file, on a machine of 250 MB and 600 (4100) descriptors; it checks that the process lives, its peak memory and descriptors, and that an ordinary request and a probe are answered while the crowd stays. RouterProcess takes flags and tells its open descriptors; a fake server can stop before a body.

--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -73,6 +73,7 @@
 const LARGE_ANSWERS: Readonly<Record<string, number>> = {
   whole: LARGE_ANSWER_BYTES,
   'stops inside': 7_500_000,
+  'stops before its body': 0,
 };
 
 /** Sends a large answer, or the first part of it and then nothing. */
--- /dev/null
+++ b/features/platform/hostile-clients.steps.ts
@@ -0,0 +1,165 @@
+import assert from 'node:assert/strict';
+import { get } from 'node:http';
+import { mkdtempSync, readFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { After, Given, Then, When, type World } from '@cucumber/cucumber';
+import { RouterProcess } from '../soak/RouterProcess.js';
+import { FakeBackendServer } from './FakeBackendServer.js';
+import { FakeStore } from './FakeStore.js';
+import { DOORS, HostileCrowd, MAX_BODY_BYTES } from './HostileCrowd.js';
+import { pause } from './Ports.js';
+import { sendRequest } from './RouterFixture.js';
+import { configuration } from './SampleConfiguration.js';
+
+interface HostileWorld extends World {
+  hostileStore: FakeStore;
+  victims: FakeBackendServer[];
+  hostileRouter: RouterProcess;
+  crowd: HostileCrowd;
+  descriptorSampler: NodeJS.Timeout;
+  mostDescriptors: number;
+  peakMemoryMb: number;
+}
+
+const READY_MS = 15_000;
+
+/** Time for which a crowd acts before an ordinary request comes, in milliseconds. */
+const CROWD_MS = 2500;
+
+/** Time for which an ordinary caller repeats its request, in milliseconds. */
+const ORDINARY_MS = 15_000;
+
+const SAMPLE_MS = 20;
+
+const STEP_LIMIT_MS = 60_000;
+
+/** Returns the flags of Node with which the platform runs the router. */
+function deployedFlags(): string[] {
+  const deployed = readFileSync('deploy/system.toml', 'utf8');
+  const run = /^run = "node (.*) target\/router\.mjs"$/m.exec(deployed);
+  assert.ok(run !== null, 'deploy/system.toml names no command of the router');
+  return run[1].split(' ');
+}
+
+function probe(address: string): Promise<number> {
+  return new Promise((resolve) => {
+    const request = get(
+      `http://${address}/-/readyz`,
+      { agent: false, timeout: 1000 },
+      ({ statusCode = 0 }) => resolve(statusCode),
+    );
+    request.on('timeout', () => request.destroy());
+    request.on('error', () => resolve(0));
+  });
+}
+
+async function isServed({ hostileRouter }: HostileWorld): Promise<boolean> {
+  const { status, isComplete } = await sendRequest(
+    hostileRouter.callersAddress,
+    'ordinary',
+    '/read/',
+    {},
+  );
+  return status === 200 && isComplete && (await probe(hostileRouter.listeners.readiness)) === 200;
+}
+
+async function waitUntilServed(world: HostileWorld, limitMs: number): Promise<void> {
+  const endsAt = performance.now() + limitMs;
+  while (!(await isServed(world))) {
+    assert.ok(world.hostileRouter.isRunning, 'the process has ended');
+    assert.ok(performance.now() < endsAt, 'no ordinary request was answered');
+    await pause(100);
+  }
+}
+
+function sample(world: HostileWorld): void {
+  const { hostileRouter } = world;
+  if (!hostileRouter.isRunning) return;
+  world.mostDescriptors = Math.max(world.mostDescriptors, hostileRouter.openDescriptors);
+  try {
+    world.peakMemoryMb = Math.max(world.peakMemoryMb, hostileRouter.peakMemoryMb || 0);
+  } catch {
+    // The process has ended; the last sample stays.
+  }
+}
+
+Given(
+  'a router process on a machine of {int} MB and {int} descriptors',
+  { timeout: STEP_LIMIT_MS },
+  async function set(this: HostileWorld, memoryMb: number, descriptors: number) {
+    const store = new FakeStore();
+    const storeAddress = await store.listen();
+    const base = configuration(1);
+    store.put('op', 'config', {
+      ...base,
+      limits: { ...base.limits, max_body_bytes: MAX_BODY_BYTES },
+    });
+    this.hostileStore = store;
+    this.victims = [
+      new FakeBackendServer('plain-1', 'plain', 'a', '', store),
+      new FakeBackendServer('plain-2', 'plain', 'a', '', store),
+    ];
+    for (const server of this.victims) await server.listen();
+    this.crowd = new HostileCrowd();
+    const folder = mkdtempSync(path.join(tmpdir(), 'hostile-'));
+    this.hostileRouter = new RouterProcess('router-1', 'a', folder);
+    await this.hostileRouter.configure(storeAddress, [], {
+      processorShare: 0.675,
+      processorSpeed: 1,
+      linkMbps: 1000,
+      memoryMb,
+      descriptors,
+    });
+    this.hostileRouter.start(deployedFlags());
+    await waitUntilServed(this, READY_MS);
+    this.mostDescriptors = 0;
+    this.peakMemoryMb = 0;
+    this.descriptorSampler = setInterval(() => sample(this), SAMPLE_MS);
+  },
+);
+
+When(
+  /^(\d+ )?clients at "(.+)" (connect|send|stop)( .+)$/,
+  { timeout: STEP_LIMIT_MS },
+  async function run(
+    this: HostileWorld,
+    count: string | null,
+    doorName: string,
+    verb: string,
+    rest: string,
+  ) {
+    const door = DOORS[doorName];
+    const address = this.hostileRouter.listeners[door.listener];
+    await this.crowd.begin(verb + rest, door, address, Number(count ?? 0));
+    await pause(CROWD_MS);
+  },
+);
+
+Then(
+  'an ordinary request and a readiness probe are answered, while the crowd stays',
+  { timeout: STEP_LIMIT_MS },
+  async function check(this: HostileWorld) {
+    await waitUntilServed(this, ORDINARY_MS);
+  },
+);
+
+Then(
+  'the process runs on, and never had more than {int} MB or {int} descriptors',
+  function check(this: HostileWorld, memoryMb: number, descriptors: number) {
+    sample(this);
+    assert.ok(this.hostileRouter.isRunning, 'the process has ended');
+    assert.ok(this.peakMemoryMb > 0 && this.peakMemoryMb <= memoryMb, `${this.peakMemoryMb} MB`);
+    assert.ok(this.mostDescriptors <= descriptors, `${this.mostDescriptors} descriptors`);
+  },
+);
+
+After(async function stop(this: HostileWorld) {
+  if (this.hostileRouter === undefined) return;
+  this.log(`${Math.round(this.peakMemoryMb)} MB, ${this.mostDescriptors} descriptors`);
+  clearInterval(this.descriptorSampler);
+  this.crowd.dispose();
+  await this.hostileRouter.dispose();
+  for (const server of this.victims) server.stop();
+  this.hostileStore.close();
+});
--- a/features/soak/RouterProcess.ts
+++ b/features/soak/RouterProcess.ts
@@ -1,14 +1,21 @@
 /** One router instance in a process of its own. */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { createWriteStream, readFileSync, writeFileSync, type WriteStream } from 'node:fs';
+import {
+  createWriteStream,
+  readdirSync,
+  readFileSync,
+  writeFileSync,
+  type WriteStream,
+} from 'node:fs';
 import { once } from 'node:events';
 import path from 'node:path';
 import { stringify } from 'yaml';
-import type { RouterSettings } from '../../src/router/Settings.js';
 import { freeAddress } from '../platform/Ports.js';
 
 const PROGRAM = 'dist/src/router/main.js';
 
+const DEFAULT_FLAGS: readonly string[] = ['--max-old-space-size=200'];
+
 /** Time within which an instance must exit after SIGTERM before it is killed, in seconds. */
 export const STOP_GRACE_S = 5;
 
@@ -51,7 +58,7 @@
   public async configure(
     storeAddress: string,
     seeds: readonly string[],
-    machine?: RouterSettings['machine'],
+    machine?: Readonly<Record<string, number>>,
   ): Promise<void> {
     this.callersAddress = await freeAddress();
     this.peersAddress = await freeAddress();
@@ -98,8 +105,20 @@
     return this.child !== undefined;
   }
 
-  public start(): void {
-    const child = spawn(process.execPath, ['--max-old-space-size=200', PROGRAM], {
+  /** Number of open descriptors of the process; 0 if it does not run. */
+  public get openDescriptors(): number {
+    if (this.child?.pid === undefined) return 0;
+    try {
+      return readdirSync(`/proc/${this.child.pid}/fd`).length;
+    } catch {
+      // The process is ending.
+      return 0;
+    }
+  }
+
+  /** @param flags - flags of Node */
+  public start(flags: readonly string[] = DEFAULT_FLAGS): void {
+    const child = spawn(process.execPath, [...flags, PROGRAM], {
       env: { PATH: process.env.PATH ?? '', ACACIADRUM_CONFIG: this.settingsFile },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
