Hostile clients: tests of callers inside the limits that must not meet a bound

Cause: a bound against hostile clients may meet lawful ones: heads of very many fields, slow bodies, requests sent ahead, hundreds of callers behind one balancer address that keep their connections. Change: five such cases in hostile-clients.feature; each answer is complete, servers get the last header, no connection is closed. Of a legal head of 16000 bytes with fields of 4 bytes, Node's server keeps the first 2000 fields; the server never got the last header.

--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -259,6 +259,7 @@
     private readonly accelerator: string,
     private readonly store: FakeStore,
   ) {
+    this.server.maxHeadersCount = 0;
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
       socket.once('close', () => this.sockets.delete(socket));
--- a/features/platform/hostile-clients.feature
+++ b/features/platform/hostile-clients.feature
@@ -60,3 +60,23 @@
       | door    | way                                                             |
       | a route | send heads of very many short fields, and stop inside the body  |
       | a route | send heads of very many short fields, and stop before their end |
+
+  # Guards against a bound that meets callers inside the limits.
+  Scenario Outline: A caller inside the limits <request>
+    Given a router process on a machine of 250 MB and 600 descriptors
+    When a caller <request>
+    Then <answers> answers come, all complete, and servers got each request whole
+    And no connection was closed to stay within a bound
+
+    Examples:
+      | request                                                  | answers |
+      | sends a head of 16000 bytes in very short fields         | 1       |
+      | sends a body in chunks of one byte                       | 1       |
+      | sends a byte of its body now and then                    | 1       |
+      | sends 8 requests ahead and reads all answers             | 8       |
+
+  Scenario: Hundreds of callers behind one address keep their connections
+    Given a router process on a machine of 250 MB and 4100 descriptors
+    When 800 callers send a request, wait for 2 seconds and send another one on the same connections
+    Then 1600 answers come, all complete, and servers got each request whole
+    And no connection was closed to stay within a bound
--- a/features/platform/hostile-clients.steps.ts
+++ b/features/platform/hostile-clients.steps.ts
@@ -8,6 +8,7 @@
 import { FakeBackendServer } from './FakeBackendServer.js';
 import { FakeStore } from './FakeStore.js';
 import { DOORS, HostileCrowd, MAX_BODY_BYTES } from './HostileCrowd.js';
+import { LAST_HEADER, LawfulCaller, REQUESTS } from './LawfulCaller.js';
 import { pause } from './Ports.js';
 import { sendRequest } from './RouterFixture.js';
 import { configuration } from './SampleConfiguration.js';
@@ -20,6 +21,7 @@
   descriptorSampler: NodeJS.Timeout;
   mostDescriptors: number;
   peakMemoryMb: number;
+  callers: LawfulCaller[];
 }
 
 const READY_MS = 15_000;
@@ -102,6 +104,7 @@
     ];
     for (const server of this.victims) await server.listen();
     this.crowd = new HostileCrowd();
+    this.callers = [];
     const folder = mkdtempSync(path.join(tmpdir(), 'hostile-'));
     this.hostileRouter = new RouterProcess('router-1', 'a', folder);
     await this.hostileRouter.configure(storeAddress, [], {
@@ -154,11 +157,61 @@
   },
 );
 
+When(
+  /^a caller (sends .+)$/,
+  { timeout: STEP_LIMIT_MS },
+  async function run(this: HostileWorld, request: string) {
+    for (const victim of this.victims) victim.runs.length = 0;
+    const caller = new LawfulCaller(this.hostileRouter.callersAddress);
+    this.callers.push(caller);
+    await caller.send(REQUESTS[request]);
+  },
+);
+
+When(
+  '{int} callers send a request, wait for {int} seconds and send another one on the same connections',
+  { timeout: STEP_LIMIT_MS },
+  async function run(this: HostileWorld, count: number, seconds: number) {
+    for (const victim of this.victims) victim.runs.length = 0;
+    for (let number = 0; number < count; number += 1) {
+      this.callers.push(new LawfulCaller(this.hostileRouter.callersAddress));
+      await this.callers[number].sendShort(`first-${number}`);
+      await pause(1);
+    }
+    await pause(seconds * 1000);
+    for (const [number, caller] of this.callers.entries()) {
+      await caller.sendShort(`second-${number}`);
+      await pause(1);
+    }
+  },
+);
+
+Then(
+  '{int} answers come, all complete, and servers got each request whole',
+  { timeout: STEP_LIMIT_MS },
+  async function check(this: HostileWorld, count: number) {
+    const answers = (): number => this.callers.reduce((sum, caller) => sum + caller.answers, 0);
+    const endsAt = performance.now() + ORDINARY_MS;
+    while (answers() < count && performance.now() < endsAt) await pause(100);
+    assert.equal(answers(), count);
+    const runs = this.victims.flatMap((victim) => victim.runs);
+    assert.equal(runs.filter(({ headers }) => headers[LAST_HEADER] === '1').length, count);
+  },
+);
+
+Then('no connection was closed to stay within a bound', async function check(this: HostileWorld) {
+  const response = await fetch(`http://${this.hostileRouter.listeners.metrics}/metrics`);
+  const text = await response.text();
+  assert.ok(text.includes('acaciadrum_open_requests'));
+  assert.ok(!text.includes('acaciadrum_connections_closed_total'), text);
+});
+
 After(async function stop(this: HostileWorld) {
   if (this.hostileRouter === undefined) return;
   this.log(`${Math.round(this.peakMemoryMb)} MB, ${this.mostDescriptors} descriptors`);
   clearInterval(this.descriptorSampler);
   this.crowd.dispose();
+  for (const caller of this.callers) caller.dispose();
   await this.hostileRouter.dispose();
   for (const server of this.victims) server.stop();
   this.hostileStore.close();
