Router: connections, heads and requests sent ahead are bounded

Cause: clients could open connections until the descriptors were spent at each of the four listeners; Node parses all requests that it has read and each went to a server at once; heads were not counted in the memory of messages. Change: each listener has a ConnectionBudget, from machine.descriptors. ConnectionGuard closes a connection with more than 16 unanswered requests and counts heads that are not complete; complete heads count in the memory budget, apart from bodies. Requests sent ahead go to servers one at a time. Heads are bounded by max_header_bytes, not by a number of fields, so that legal heads reach servers whole. Heads that take too long are looked for every 5 s, not 30. Peers' connections are accepted by a listener of our own, which hands them to gRPC. acaciadrum_connections, acaciadrum_connections_closed_total and connection-closed lines tell of it. ingress.steps.ts: the constructor's new dependencies. FleetFixture: the new limit.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -115,6 +115,7 @@
     ]),
     accounts: undefined,
     limits: {
+      maxHeaderBytes: 16_384,
       maxBodyBytes: 1_000_000,
       headerTimeoutMs: 3000,
       idleTimeoutMs: 15_000,
--- a/features/platform/ingress.steps.ts
+++ b/features/platform/ingress.steps.ts
@@ -4,6 +4,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
 import { SystemClock } from '../../src/adapters/SystemClock.js';
+import { ConnectionBudget } from '../../src/core/limits/ConnectionBudget.js';
 import { MemoryBudget } from '../../src/core/limits/MemoryBudget.js';
 import { Ingress } from '../../src/platform/Ingress.js';
 import { pause } from './Ports.js';
@@ -30,6 +31,8 @@
   world.testedIngress = new Ingress({
     clock: new SystemClock(),
     memory: new MemoryBudget(new SystemClock(), 1e8),
+    connections: new ConnectionBudget(new SystemClock(), 100),
+    onConnectionEnd: (end) => world.errors.push(end),
     isLeaving: () => world.isLeaving,
     judgeHead: () => undefined,
     refuse: (_request, reply, refused) => reply.refuse(refused),
--- a/src/adapters/grpc/SharingService.ts
+++ b/src/adapters/grpc/SharingService.ts
@@ -19,6 +19,7 @@
 import type { DeploymentUpdate } from '../../core/deployment/DeploymentUpdate.js';
 import type { FetchedUpdate, PeerDigest, PeerPort } from '../../core/peers/Types.js';
 import { DigestStream, type NumberedDigest } from './DigestStream.js';
+import { PeerListener, type PeerListenerDependencies } from './PeerListener.js';
 import { decodeUpdate, encodeUpdate } from './UpdateEncoding.js';
 
 /** Maximum message size, in bytes. */
@@ -100,10 +101,24 @@
 export class SharingService implements PeerPort {
   private readonly connections = new Map<string, PeerConnection>();
 
-  private server: Server;
+  private readonly server: Server;
 
-  public constructor(private readonly handler: SharingHandler) {
+  private readonly listener: PeerListener;
+
+  /**
+   * @param handler - answers peers
+   * @param listenerDependencies - bounds the connections of peers; if undefined, all are kept
+   */
+  public constructor(
+    private readonly handler: SharingHandler,
+    listenerDependencies?: PeerListenerDependencies,
+  ) {
     this.server = this.createServer();
+    const injector = this.server.createConnectionInjector(ServerCredentials.createInsecure());
+    this.listener = new PeerListener(
+      (socket) => injector.injectConnection(socket),
+      listenerDependencies,
+    );
   }
 
   private createServer(): Server {
@@ -132,21 +147,11 @@
   }
 
   public listen(address: string): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.bindAsync(address, ServerCredentials.createInsecure(), (error) => {
-        if (error === null) {
-          resolve();
-          return;
-        }
-        // A server that could not bind an address fails for that address ever after.
-        this.server.forceShutdown();
-        this.server = this.createServer();
-        reject(error);
-      });
-    });
+    return this.listener.listen(address);
   }
 
   public dispose(): void {
+    this.listener.dispose();
     this.server.forceShutdown();
     for (const { digests } of this.connections.values()) digests.close('this instance stops');
   }
--- a/src/core/deployment/Types.ts
+++ b/src/core/deployment/Types.ts
@@ -109,6 +109,8 @@
 
 /** Bounds on what a caller may send. */
 export interface CallerLimits {
+  /** Size of a request's head. */
+  readonly maxHeaderBytes: number;
   readonly maxBodyBytes: number;
   /** Time in which a request's head must arrive, in milliseconds. */
   readonly headerTimeoutMs: number;
--- a/src/platform/DeploymentDecoder.ts
+++ b/src/platform/DeploymentDecoder.ts
@@ -76,11 +76,15 @@
   inference_engine: z.unknown().optional(),
 });
 
+/** Size of a head where the operators state none, in bytes. */
+const DEFAULT_HEADER_BYTES = 16_384;
+
 const CONFIGURATION = z.object({
   version: z.number(),
   routes: z.array(ROUTE),
   services: z.array(SERVICE),
   limits: z.object({
+    max_header_bytes: z.number().positive().default(DEFAULT_HEADER_BYTES),
     max_body_bytes: z.number(),
     header_timeout_ms: z.number(),
     idle_timeout_ms: z.number(),
@@ -184,6 +188,7 @@
       rank: account.priority,
     })),
     limits: {
+      maxHeaderBytes: data.limits.max_header_bytes,
       maxBodyBytes: data.limits.max_body_bytes,
       headerTimeoutMs: data.limits.header_timeout_ms,
       idleTimeoutMs: data.limits.idle_timeout_ms,
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -1,12 +1,14 @@
 /** HTTP server that accepts callers' requests from the platform's load balancer. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
+import { Server as NetServer, type AddressInfo } from 'node:net';
+import { ConnectionGuard, type ConnectionEndListener } from '../adapters/http/ConnectionGuard.js';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
+import type { ConnectionBudget } from '../core/limits/ConnectionBudget.js';
 import type { MemoryBudget } from '../core/limits/MemoryBudget.js';
 import type { MemoryShare } from '../core/limits/MemoryShare.js';
 import type { Refusal } from '../core/Outcome.js';
 import type { CallerLimits } from '../core/deployment/Types.js';
-import type { CallerReply, CallerRequest, PromptSize, Relay } from '../core/relay/Types.js';
+import type { CallerReply, CallerRequest, Relay } from '../core/relay/Types.js';
 import type { Clock } from '../ports/Types.js';
 import { HttpReply } from './HttpReply.js';
 import {
@@ -16,12 +18,13 @@
   UNEXPECTED_ERROR,
 } from './IngressRefusals.js';
 import { areSendable } from './HeaderText.js';
+import { header, headBytes, readKey, readPrompt, readPromptParts } from './RequestHead.js';
+import { RequestMemory } from './RequestMemory.js';
 import { endToEndHeaders, HEADER } from './WireNames.js';
 
-const KEY_SCHEME = 'token ';
-
 /** Limits that apply until the operator's configuration has been read. */
 const DEFAULT_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
   maxBodyBytes: 4_194_304,
   headerTimeoutMs: 3000,
   idleTimeoutMs: 15_000,
@@ -37,9 +40,14 @@
 /** Length of the accept queue: after a network cut, all callers of a failure domain may connect at once. */
 const BACKLOG = 1024;
 
+/** Interval at which Node looks for heads that take too long, in milliseconds. */
+const HEAD_CHECK_MS = 5000;
+
 export interface IngressDependencies {
   readonly clock: Clock;
   readonly memory: MemoryBudget;
+  /** Bounds the callers' connections. */
+  readonly connections: ConnectionBudget;
   accept(request: CallerRequest, reply: CallerReply): Relay;
   /** Returns the refusal of a request if its head decides it. */
   judgeHead(request: CallerRequest): Refusal | undefined;
@@ -50,68 +58,42 @@
    * one to another instance.
    */
   isLeaving(): boolean;
+  /** Called for each connection that is closed to stay within a bound. */
+  readonly onConnectionEnd: ConnectionEndListener;
   /** Records an unexpected error that ended a request before it was accepted. */
   handleError(id: string, error: Error): void;
   /** The operator's limits; undefined until they are known. */
   limits(): CallerLimits | undefined;
 }
 
-function header(request: IncomingMessage, name: string): string | undefined {
-  const value = request.headers[name];
-  return typeof value === 'string' ? value : undefined;
-}
-
-function readKey(request: IncomingMessage): string | undefined {
-  const value = header(request, 'authorization');
-  if (value === undefined || !value.toLowerCase().startsWith(KEY_SCHEME)) return undefined;
-  return value.slice(KEY_SCHEME.length).trim();
-}
-
-function readPrompt(request: IncomingMessage): PromptSize | undefined {
-  const [prompt, answer] = (header(request, HEADER.tokens) ?? '').split(',').map(Number);
-  if (!(prompt >= 0) || !(answer >= 0)) return undefined;
-  const estimate = Number(header(request, HEADER.answerEstimate));
-  return {
-    promptTokens: prompt,
-    maxAnswerTokens: answer,
-    ...(estimate > 0 && Number.isFinite(estimate) && { expectedAnswerTokens: estimate }),
-  };
-}
-
-/** Maximum number of prompt parts that are read from a request. */
-const MAX_PROMPT_PARTS = 32;
-
-/** Returns the ids of the prompt's parts: the last one, which no other caller's request has, and the others. */
-function readPromptParts(
-  request: IncomingMessage,
-): Pick<CallerRequest, 'sharedPromptParts' | 'ownPromptPart'> {
-  const value = header(request, HEADER.promptParts);
-  if (value === undefined) return { sharedPromptParts: [], ownPromptPart: undefined };
-  const ids = value.split(',', MAX_PROMPT_PARTS).map((part) => part.split(':', 1)[0].trim());
-  return {
-    sharedPromptParts: ids.slice(0, -1).filter((id) => id !== ''),
-    ownPromptPart: ids.at(-1),
-  };
+/**
+ * Takes a step once a response is the next one on its connection, so that requests that were sent ahead go to
+ * servers one at a time.
+ */
+function onceNext(response: ServerResponse, step: () => void): void {
+  if (response.socket === null) response.once('socket', step);
+  else step();
 }
 
 export class Ingress {
   private readonly server: Server;
 
-  private openRequests = 0;
+  private readonly guard: ConnectionGuard;
 
-  /** Requests whose answers have not been written, by connection. */
-  private readonly requestsOf = new Map<Socket, number>();
+  private openRequests = 0;
 
   public constructor(private readonly dependencies: IngressDependencies) {
     this.server = createServer(
-      { keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs },
+      {
+        keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs,
+        connectionsCheckingInterval: HEAD_CHECK_MS,
+      },
       (request, response) => this.receive(request, response),
     );
-    this.server.on('connection', (socket: Socket) => {
-      this.requestsOf.set(socket, 0);
-      socket.once('close', () => this.requestsOf.delete(socket));
-    });
+    this.guard = new ConnectionGuard(this.server, dependencies);
     this.server.requestTimeout = 0;
+    // The size of a head bounds its fields. With a bound on their number, Node would omit the others.
+    this.server.maxHeadersCount = 0;
     this.applyLimits();
   }
 
@@ -122,7 +104,9 @@
 
   /** Applies the operator's current header and idle timeouts, also to connections that are already open. */
   public applyLimits(): void {
-    const { headerTimeoutMs, idleTimeoutMs } = this.limits;
+    const { headerTimeoutMs, idleTimeoutMs, maxHeaderBytes } = this.limits;
+    // Node reads this option for each connection, though its types declare it only for the constructor.
+    Object.assign(this.server, { maxHeaderSize: maxHeaderBytes });
     this.server.headersTimeout = headerTimeoutMs;
     this.server.keepAliveTimeout = idleTimeoutMs;
   }
@@ -150,11 +134,13 @@
   public stopListening(): void {
     // Unlike this one, the method of the HTTP server closes the connections that Node counts as idle.
     NetServer.prototype.close.call(this.server);
-    for (const [socket, requests] of this.requestsOf) if (requests === 0) socket.destroy();
+    for (const socket of this.guard.sockets)
+      if (this.guard.openRequests(socket) === 0) socket.destroy();
   }
 
   /** Closes the server and every connection, including those with requests in progress. */
   public close(): void {
+    this.guard.dispose();
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -163,39 +149,39 @@
     return this.dependencies.limits() ?? DEFAULT_LIMITS;
   }
 
-  private countRequest(socket: Socket, change: number): void {
-    this.openRequests += change;
-    const count = this.requestsOf.get(socket);
-    if (count !== undefined) this.requestsOf.set(socket, count + change);
-  }
-
   private receive(request: IncomingMessage, response: ServerResponse): void {
     // The connection was ended after the previous answer; this request crossed that and cannot be answered.
     if (request.socket.writableEnded) {
       request.socket.destroy();
       return;
     }
-    this.countRequest(request.socket, 1);
     let relay: Relay | undefined;
     const reply = new HttpReply(response, () => this.dependencies.isLeaving());
-    const memory = this.dependencies.memory.open({
-      allowanceBytes: 0,
-      onEvict: () => {
-        if (relay === undefined) this.rejectBody(request, response, memory, MEMORY_EXHAUSTED);
-        else relay.evict();
-      },
+    const kept = new RequestMemory(this.dependencies.memory, () => {
+      if (relay === undefined) this.rejectBody(request, response, kept.message, MEMORY_EXHAUSTED);
+      else relay.evict();
+      // An answer behind that of an earlier request would wait, and keep its request in memory.
+      if (response.socket === null) request.socket.destroy();
     });
+    const memory = kept.message;
+    const release = (): void => {
+      this.openRequests -= 1;
+      kept.dispose();
+      if (!response.writableFinished) relay?.cancel();
+    };
+    if (!this.guard.admit(request, response, release)) {
+      kept.dispose();
+      return;
+    }
+    this.openRequests += 1;
     // A write fails if the caller disconnects meanwhile; `close` follows and ends the request.
     response.on('error', () => undefined);
-    response.once('close', () => {
-      this.countRequest(request.socket, -1);
-      memory.dispose();
-      if (!response.writableFinished) relay?.cancel();
-    });
     response.once('finish', () => {
       // The head may have been sent before the stop began, without `connection: close`.
       if (this.dependencies.isLeaving()) request.socket.end();
     });
+    kept.addHead(headBytes(request));
+    if (response.headersSent || response.destroyed) return;
     if (!areSendable(request.rawHeaders)) {
       this.rejectBody(request, response, memory, INVALID_HEADERS);
       return;
@@ -220,17 +206,20 @@
         chunks.push(chunk);
         memory.add(chunk.length);
       } else {
+        for (const { length } of chunks) memory.remove(length);
         chunks = [];
-        memory.dispose();
       }
     });
     request.on('error', () => response.destroy());
     request.on('end', () => {
       if (response.destroyed || response.headersSent) return;
       memory.settle();
-      if (refused === undefined)
-        relay = this.accept(this.decode(request, Buffer.concat(chunks, size), memory), reply);
-      else this.dependencies.refuse(this.decode(request, NO_BODY, memory), reply, refused);
+      if (refused === undefined) {
+        const decoded = this.decode(request, Buffer.concat(chunks, size), memory);
+        onceNext(response, () => {
+          if (!response.headersSent && !response.destroyed) relay = this.accept(decoded, reply);
+        });
+      } else this.dependencies.refuse(this.decode(request, NO_BODY, memory), reply, refused);
       chunks = [];
     });
   }
--- a/src/platform/Readiness.ts
+++ b/src/platform/Readiness.ts
@@ -1,5 +1,10 @@
 /** Serves the platform's readiness probe. */
 import { createServer, type Server } from 'node:http';
+import {
+  ConnectionGuard,
+  type ConnectionGuardDependencies,
+} from '../adapters/http/ConnectionGuard.js';
+import { PROBE_SERVER_OPTIONS } from '../adapters/http/ProbeServer.js';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
 import { PATH } from './WireNames.js';
 
@@ -7,12 +12,16 @@
 export class Readiness {
   private readonly server: Server;
 
-  public constructor(isReady: () => boolean) {
-    this.server = createServer((request, response) => {
+  private readonly guard: ConnectionGuard;
+
+  public constructor(isReady: () => boolean, dependencies: ConnectionGuardDependencies) {
+    this.server = createServer(PROBE_SERVER_OPTIONS, (request, response) => {
+      if (!this.guard.admit(request, response)) return;
       if (request.url !== PATH.ready) response.writeHead(404);
       else response.writeHead(isReady() ? 200 : 503);
       response.end();
     });
+    this.guard = new ConnectionGuard(this.server, dependencies);
   }
 
   public listen(address: string): Promise<void> {
@@ -23,6 +32,7 @@
   }
 
   public close(): void {
+    this.guard.dispose();
     this.server.close();
     this.server.closeAllConnections();
   }
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -1,6 +1,7 @@
 /** Connects the core of one router instance to the platform, and owns every listener and timer. */
 import { SharingService } from '../adapters/grpc/SharingService.js';
 import { listenWithRetry } from '../adapters/ListenRetry.js';
+import type { ConnectionGuardDependencies } from '../adapters/http/ConnectionGuard.js';
 import { HttpClient } from '../adapters/http/HttpClient.js';
 import type { StructuredLog } from '../adapters/logs/StructuredLog.js';
 import { SystemClock } from '../adapters/SystemClock.js';
@@ -35,6 +36,7 @@
 import { StoreClient } from '../platform/StoreClient.js';
 import type { QuarantineChange } from '../core/quarantine/Types.js';
 import type { Disposable } from '../ports/Types.js';
+import { connectionBudgets, Listener, type ConnectionBudgets } from './ConnectionBudgets.js';
 import { RouterMetrics } from './RouterMetrics.js';
 import type { RouterSettings } from './Settings.js';
 import { StoreTablesFollower } from './StoreTablesFollower.js';
@@ -149,17 +151,15 @@
 
   private readonly ingress: Ingress;
 
-  private readonly readiness = new Readiness(() => this.isReady);
+  private readonly connections: ConnectionBudgets;
+
+  private readonly readiness: Readiness;
 
   private readonly lease: LeaseKeeper;
 
   private readonly placement: PlacementDriver;
 
-  private readonly peers = new SharingService({
-    receiveDigest: (digest) => this.sharing.receiveDigest(digest),
-    updateSince: (ticket) => this.deployments.updateSince(ticket),
-    handleFailure: ({ message }) => this.log.record('digest-rejected', { error: message }),
-  });
+  private readonly peers: SharingService;
 
   private readonly sharing: PeerSharing;
 
@@ -181,6 +181,17 @@
   ) {
     const { clock, deployments, directory, load } = this;
     this.memory = new MemoryBudget(clock, messageBytes(settings.machine));
+    this.connections = connectionBudgets(clock, settings.machine);
+    this.readiness = new Readiness(() => this.isReady, this.protection(Listener.Readiness));
+    this.metrics.protect(this.protection(Listener.Metrics));
+    this.peers = new SharingService(
+      {
+        receiveDigest: (digest) => this.sharing.receiveDigest(digest),
+        updateSince: (ticket) => deployments.updateSince(ticket),
+        handleFailure: ({ message }) => log.record('digest-rejected', { error: message }),
+      },
+      this.protection(Listener.Peers),
+    );
     this.http = new HttpClient(this.memory);
     const servers = new ServerClient(this.http);
     this.servers = servers;
@@ -223,7 +234,7 @@
     });
     this.ingress = new Ingress({
       clock,
-      memory: this.memory,
+      ...this.protection(Listener.Callers),
       accept: (request, reply) => this.dispatcher.accept(request, reply),
       judgeHead: (request) => this.dispatcher.judgeHead(request),
       refuse: (request, reply, refused) => this.dispatcher.refuse(request, reply, refused),
@@ -476,6 +487,24 @@
     });
   }
 
+  /** Returns what keeps the clients of a listener within bounds. */
+  private protection(listener: Listener): ConnectionGuardDependencies {
+    return {
+      connections: this.connections[listener],
+      memory: this.memory,
+      onConnectionEnd: (reason, peer) => {
+        this.metrics.countConnectionEnd(listener, reason);
+        this.log.record('connection-closed', {
+          listener,
+          reason,
+          peer,
+          open: this.connections[listener].size,
+          limit: this.connections[listener].limit,
+        });
+      },
+    };
+  }
+
   private waitUntil(isDone: () => boolean, endsAt: number): Promise<void> {
     return new Promise((resolve) => {
       const check = (): void => {
@@ -493,6 +522,10 @@
     metrics.addGauge('acaciadrum_limited_servers', () => this.serverLimits.size);
     metrics.addGauge('acaciadrum_message_bytes', () => this.memory.used);
     metrics.addGauge('acaciadrum_evictions', () => this.memory.evictions);
+    for (const listener of Object.values(Listener)) {
+      const connections = this.connections[listener];
+      metrics.addGauge(`acaciadrum_connections{listener="${listener}"}`, () => connections.size);
+    }
     metrics.addGauge('acaciadrum_store_era', () => this.storeEra.current);
     metrics.addGauge('acaciadrum_ticket', () => this.deployments.ticket);
     metrics.addGauge('acaciadrum_open_requests', () => this.dispatcher.active);
--- a/src/router/RouterMetrics.ts
+++ b/src/router/RouterMetrics.ts
@@ -3,7 +3,13 @@
 // The package's index also loads its log writer, which sets up number formats of the locale.
 import { build } from 'hdr-histogram-js/dist/HistogramBuilder.js';
 import type { Histogram } from 'hdr-histogram-js';
+import {
+  ConnectionGuard,
+  type ConnectionGuardDependencies,
+} from '../adapters/http/ConnectionGuard.js';
+import type { ConnectionEnd } from '../adapters/http/GuardedConnection.js';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
+import { PROBE_SERVER_OPTIONS } from '../adapters/http/ProbeServer.js';
 import type { RefusalReason, RetryReason } from '../core/Outcome.js';
 import type { RelayCounters, RelayEnd } from '../core/relay/RelayDependencies.js';
 
@@ -19,7 +25,10 @@
 
   private readonly gauges = new Map<string, () => number>();
 
-  private readonly server: Server = createServer((_request, response) => {
+  private guard: ConnectionGuard | undefined;
+
+  private readonly server: Server = createServer(PROBE_SERVER_OPTIONS, (request, response) => {
+    if (this.guard?.admit(request, response) === false) return;
     response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
     response.end(this.text());
   });
@@ -36,6 +45,11 @@
     this.count(`acaciadrum_request_errors_total{kind="${kind}"}`);
   }
 
+  /** @param listener - name of the listener whose connection was closed */
+  public countConnectionEnd(listener: string, end: ConnectionEnd): void {
+    this.count(`acaciadrum_connections_closed_total{listener="${listener}",reason="${end}"}`);
+  }
+
   public countRetry(reason: RetryReason): void {
     this.count(`acaciadrum_retries_total{reason="${reason}"}`);
   }
@@ -57,6 +71,11 @@
     this.gauges.set(name, read);
   }
 
+  /** Keeps what clients of the metrics make the process hold within bounds. */
+  public protect(dependencies: ConnectionGuardDependencies): void {
+    this.guard = new ConnectionGuard(this.server, dependencies);
+  }
+
   public listen(address: string): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
@@ -65,6 +84,7 @@
   }
 
   public close(): void {
+    this.guard?.dispose();
     this.server.close();
     this.server.closeAllConnections();
   }
--- a/src/router/Settings.ts
+++ b/src/router/Settings.ts
@@ -36,6 +36,8 @@
       processorSpeed: z.number().positive().default(1),
       /** Memory at which the process is killed, in megabytes. */
       memoryMb: z.number().positive().optional(),
+      /** Descriptors that the process may have open, files among them. */
+      descriptors: z.number().int().positive().optional(),
       /** Bandwidth of the machine's link, in megabits per second. */
       linkMbps: z.number().positive(),
     })
