ConnectionBudget: a vain search is not repeated for 50 ms, and probes stall sooner

Cause: with all connections moving on, each newcomer cost a search of all connections. A crowd that connects anew could keep readiness probes out for a second at a time. Change: after a search that found nothing, newcomers are turned away for 50 ms without another one. Connections to readiness and metrics, which are answered at once, may end after 250 ms without progress.

--- a/features/core/limits/connection-budget.feature
+++ b/features/core/limits/connection-budget.feature
@@ -18,4 +18,6 @@
       | an idle one goes if all others move on          | a@p a:idle b@p c@p d@p wait b:500 c:500 d:500 e@p             | a     |          |
       | a peer beyond its share goes first              | a@q wait b@p c@p d@p wait e@p                                 | b     |          |
       | one peer alone has no share                     | a@p a:awaited b@p b:awaited c@p c:awaited d@p d:awaited e@p   |       | e        |
+      | a search that found nothing is not repeated yet | a@p b@p c@p d@p wait a:500 b:500 c:500 d:500 e@p f@p          |       | e f      |
+      | a later search finds one that has stopped       | a@p b@p c@p d@p wait a:500 b:500 c:500 d:500 e@p wait f@p     | a     | e        |
       | all are new, so the newcomer is turned away     | a@p b@p c@p d@p moment e@q f@q                                |       | e f      |
--- a/src/core/limits/ConnectionBudget.ts
+++ b/src/core/limits/ConnectionBudget.ts
@@ -7,15 +7,18 @@
  */
 import type { Clock, Disposable } from '../../ports/Types.js';
 
-/** A connection that has moved less than `PROGRESS_BYTES` for this long does not move on, in milliseconds. */
-const STALLED_MS = 1000;
+/** Time for which a connection may move less than `PROGRESS_BYTES` and still moves on, in milliseconds. */
+const DEFAULT_STALLED_MS = 1000;
 
-/** Bytes within `STALLED_MS` that count as moving on. */
+/** Bytes within that time that count as moving on. */
 const PROGRESS_BYTES = 128;
 
 /** Fraction of the limit that is freed at once, so that a crowd of newcomers does not cost a search for each. */
 const FREED_FRACTION = 0.05;
 
+/** Time without another search after one that found nothing, in milliseconds: newcomers may come in thousands. */
+const SEARCH_PAUSE_MS = 50;
+
 /** What a connection is doing; the order of the values is the order in which connections end. */
 export enum ConnectionPhase {
   /** A message has begun, or none ever came. */
@@ -61,14 +64,20 @@
 export class ConnectionBudget {
   private readonly connections = new Set<OpenConnection>();
 
+  private searchAgainAt = -Infinity;
+
   private evictedCount = 0;
 
   private rejectedCount = 0;
 
-  /** @param limit - connections that may be open at the same time */
+  /**
+   * @param limit - connections that may be open at the same time
+   * @param stalledMs - time without progress after which a connection may end, in milliseconds
+   */
   public constructor(
     private readonly clock: Clock,
     public readonly limit: number,
+    private readonly stalledMs = DEFAULT_STALLED_MS,
   ) {}
 
   public get size(): number {
@@ -102,8 +111,12 @@
   }
 
   private makeRoom(): void {
+    const now = this.clock.now();
+    if (now < this.searchAgainAt) return;
     const count = Math.max(1, Math.floor(this.limit * FREED_FRACTION));
-    for (const { connection } of this.findCandidates().slice(0, count)) {
+    const candidates = this.findCandidates();
+    if (candidates.length === 0) this.searchAgainAt = now + SEARCH_PAUSE_MS;
+    for (const { connection } of candidates.slice(0, count)) {
       this.connections.delete(connection);
       this.evictedCount += 1;
       connection.holder.onEvict();
@@ -137,6 +150,6 @@
       connection.markBytes = movedBytes;
       connection.markedAt = now;
     }
-    return now - connection.markedAt < STALLED_MS;
+    return now - connection.markedAt < this.stalledMs;
   }
 }
--- a/src/router/ConnectionBudgets.ts
+++ b/src/router/ConnectionBudgets.ts
@@ -28,6 +28,15 @@
   [Listener.Peers]: 0.07,
 };
 
+/**
+ * Time without progress after which a connection of a listener may end, in milliseconds, where it is not the usual
+ * one. Probes and metrics are answered at once.
+ */
+const STALLED_MS: Readonly<Partial<Record<Listener, number>>> = {
+  [Listener.Readiness]: 250,
+  [Listener.Metrics]: 250,
+};
+
 export type ConnectionBudgets = Readonly<Record<Listener, ConnectionBudget>>;
 
 /** @param machine - what the machine can carry, as its settings state it */
@@ -37,7 +46,11 @@
 ): ConnectionBudgets {
   const sockets = Math.max(0, (machine?.descriptors ?? DEFAULT_DESCRIPTORS) - FILE_DESCRIPTORS);
   const open = (listener: Listener): ConnectionBudget =>
-    new ConnectionBudget(clock, Math.max(1, Math.floor(sockets * SHARES[listener])));
+    new ConnectionBudget(
+      clock,
+      Math.max(1, Math.floor(sockets * SHARES[listener])),
+      STALLED_MS[listener],
+    );
   return {
     [Listener.Callers]: open(Listener.Callers),
     [Listener.Readiness]: open(Listener.Readiness),
