--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -73,6 +73,7 @@
 const LARGE_ANSWERS: Readonly<Record<string, number>> = {
   whole: LARGE_ANSWER_BYTES,
   'stops inside': 7_500_000,
+  'stops before its body': 0,
 };
 
 /** Sends a large answer, or the first part of it and then nothing. */
@@ -287,6 +288,7 @@
     private readonly accelerator: string,
     private readonly store: FakeStore,
   ) {
+    this.server.maxHeadersCount = 0;
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
       socket.once('close', () => this.sockets.delete(socket));
