--- a/features/core/limits/connection-budget.feature
+++ b/features/core/limits/connection-budget.feature
@@ -3,7 +3,7 @@
 
   Scenario Outline: <load>
     Given a listener that keeps 4 connections
-    When "<events>" happen
+    When the connections do "<events>"
     Then "<ended>" end, and "<rejected>" are turned away
 
     Examples: NAME@PEER connects; "NAME:BYTES" moves bytes, "NAME:PHASE" begins a phase; "wait" lets 2 s pass, "moment" 0.2 s
--- a/features/core/limits/connection-budget.steps.ts
+++ b/features/core/limits/connection-budget.steps.ts
@@ -57,7 +57,7 @@
   else connection.movedBytes += Number(what);
 }
 
-When('{string} happen', async function run(this: ConnectionWorld, events: string) {
+When('the connections do {string}', async function run(this: ConnectionWorld, events: string) {
   for (const event of events.split(' ')) {
     if (event in PAUSES_MS) {
       await this.clock.runUntil(this.clock.now() + PAUSES_MS[event]);
