--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -188,7 +188,11 @@
 
   public readonly heldServers = new HeldServers(this.clock);
 
-  public readonly admission = new ServerAdmission(this.clock, this.serverLimits, this.heldServers);
+  public readonly serverAdmission = new ServerAdmission(
+    this.clock,
+    this.serverLimits,
+    this.heldServers,
+  );
 
   public readonly quarantine = new InputQuarantine(this.clock, () => ({ rank: 0, instances: 1 }));
 
@@ -218,7 +222,7 @@
       decisions,
       random: NO_RANDOM,
       deployments: this.deployments,
-      routes: new EngineRoutes(directory, load, 'a', this.admission, domainLinks(clock)),
+      routes: new EngineRoutes(directory, load, 'a', this.serverAdmission, domainLinks(clock)),
       port: this.servers,
       streamRegistry: this.silenceDetector,
       retryAfterEstimator: new RetryAfterEstimator(NO_RANDOM),
@@ -230,7 +234,7 @@
       })),
       serverLimits: this.serverLimits,
       startWindows: new StartWindows(clock),
-      admission: this.admission,
+      serverAdmission: this.serverAdmission,
       standstill: this.standstill,
       quarantine,
       crashWitness: new CrashWitness({ directory, port: this.servers, quarantine, decisions }),
--- a/features/core/limits/held-servers.steps.ts
+++ b/features/core/limits/held-servers.steps.ts
@@ -62,11 +62,11 @@
 });
 
 function accepting(world: HeldWorld, ids: readonly string[], role: ServerRole): string {
-  const { directory, admission } = world.heldFixture;
+  const { directory, serverAdmission } = world.heldFixture;
   return ids
     .filter((id) => {
       const server = directory.get(id);
-      return server !== undefined && admission.accepts(server, role);
+      return server !== undefined && serverAdmission.accepts(server, role);
     })
     .join(' ');
 }
@@ -82,8 +82,8 @@
 );
 
 Then('orders to hold layers can go to {string}', function check(this: HeldWorld, servers: string) {
-  const { directory, admission } = this.heldFixture;
-  const ids = [...directory.all()].filter((server) => admission.mayBeOrdered(server));
+  const { directory, serverAdmission } = this.heldFixture;
+  const ids = [...directory.all()].filter((server) => serverAdmission.mayBeOrdered(server));
   assert.equal(ids.map(({ record }) => record.id).join(' '), servers);
 });
 
@@ -96,14 +96,14 @@
     spans: string,
     expected: string,
   ) {
-    const { clock, directory, admission } = this.heldFixture;
+    const { clock, directory, serverAdmission } = this.heldFixture;
     await clock.runUntil(clock.now() + ms);
     for (const [index, text] of spans.split(' ').entries()) {
       const [from, to] = text.split('-').map(Number);
       if (service === 'engine') directory.applyReportedSpan(IDS[index], { from, to });
     }
     const layers = service === 'engine' ? 80 : 0;
-    const until = admission.heldUntil(directory.all(), 'engine', layers);
+    const until = serverAdmission.heldUntil(directory.all(), 'engine', layers);
     const held = until === undefined ? 'none' : String(until - clock.now());
     assert.equal(held, expected);
   },
--- a/features/core/placement/placement-driver.steps.ts
+++ b/features/core/placement/placement-driver.steps.ts
@@ -60,7 +60,7 @@
       port,
       decisions: fixture.dependencies.decisions,
       failureDomain: 'a',
-      admission: fixture.admission,
+      serverAdmission: fixture.serverAdmission,
     }).start();
   },
 );
--- a/features/core/routing/domain-links.steps.ts
+++ b/features/core/routing/domain-links.steps.ts
@@ -83,7 +83,7 @@
 });
 
 When('more streams begin at once than the link may carry', function run(this: LinksWorld) {
-  const { directory, load, clock, admission } = new RelayFixture();
+  const { directory, load, clock, serverAdmission } = new RelayFixture();
   const half = ENGINE.layers / 2;
   for (const [id, failureDomain, from] of [
     ['s1', 'a', 0],
@@ -92,7 +92,7 @@
     const span = { from, to: from + half };
     directory.put(backendServer(id, { failureDomain, accelerator: 'whole', span }));
   }
-  const routes = new EngineRoutes(directory, load, 'a', admission, domainLinks(clock));
+  const routes = new EngineRoutes(directory, load, 'a', serverAdmission, domainLinks(clock));
   const requirements = {
     service: ENGINE_SERVICE,
     engine: ENGINE,
--- a/features/core/routing/engine-routes.steps.ts
+++ b/features/core/routing/engine-routes.steps.ts
@@ -36,8 +36,8 @@
 }
 
 function planner({ fixture }: RoutesWorld, domain: string): EngineRoutes {
-  const { directory, load, admission } = fixture;
-  return new EngineRoutes(directory, load, domain, admission, domainLinks(fixture.clock));
+  const { directory, load, serverAdmission } = fixture;
+  return new EngineRoutes(directory, load, domain, serverAdmission, domainLinks(fixture.clock));
 }
 
 function start(world: RoutesWorld, count: number, domains: readonly string[]): void {
--- a/src/core/placement/PlacementDriver.ts
+++ b/src/core/placement/PlacementDriver.ts
@@ -23,7 +23,7 @@
   readonly port: OrderPort & ReportPort;
   readonly decisions: DecisionLog;
   readonly failureDomain: string;
-  readonly admission: ServerAdmission;
+  readonly serverAdmission: ServerAdmission;
 }
 
 /** Time between rounds while orders are open or servers change, in milliseconds. */
@@ -192,7 +192,7 @@
 
   private startOrder({ id, span }: Assignment): void {
     const server = this.dependencies.directory.get(id);
-    if (server === undefined || !this.dependencies.admission.mayBeOrdered(server)) return;
+    if (server === undefined || !this.dependencies.serverAdmission.mayBeOrdered(server)) return;
     const { incarnation } = server.record;
     let order = this.lastOrders.get(id);
     if (order?.incarnation !== incarnation) {
@@ -224,7 +224,7 @@
       const open = this.openOrder(record.id, record.incarnation);
       if (open === undefined || open.isAwaitingAnswer) continue;
       if (sameSpan(record.span, open.span)) open.done = true;
-      else if (now >= open.nextCheckAt && this.dependencies.admission.mayBeOrdered(server))
+      else if (now >= open.nextCheckAt && this.dependencies.serverAdmission.mayBeOrdered(server))
         this.checkReport(server, open);
     }
   }
@@ -250,8 +250,8 @@
   }
 
   private mayOrder(server: KnownServer): boolean {
-    const { lease, admission } = this.dependencies;
-    return lease.heldFence > 0 && admission.mayBeOrdered(server);
+    const { lease, serverAdmission } = this.dependencies;
+    return lease.heldFence > 0 && serverAdmission.mayBeOrdered(server);
   }
 
   private async send(server: KnownServer, order: LastOrder): Promise<void> {
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -320,9 +320,9 @@
 
   /** Records that a server turned the request away. One that asked for a pause is neither full nor declining. */
   protected noteRejection(id: string): void {
-    const { directory, admission } = this.dependencies;
+    const { directory, serverAdmission } = this.dependencies;
     const server = directory.get(id);
-    if (server !== undefined && !admission.isHeldBack(server)) directory.noteRejection(id);
+    if (server !== undefined && !serverAdmission.isHeldBack(server)) directory.noteRejection(id);
   }
 
   /** Whether the request may be sent, resumed or rerouted to further servers, as far as its inputs go. */
@@ -408,9 +408,9 @@
 
   /** Time until the service can be used again, in milliseconds, if servers asked for a pause; with some spread. */
   private get pauseMs(): number | undefined {
-    const { admission, clock, directory, random } = this.dependencies;
+    const { serverAdmission, clock, directory, random } = this.dependencies;
     const { name, engine } = this.assigned.service;
-    const until = admission.heldUntil(directory.all(), name, engine?.layers ?? 0);
+    const until = serverAdmission.heldUntil(directory.all(), name, engine?.layers ?? 0);
     return until && until - clock.now() + random.next() * RETURN_SPREAD_MS;
   }
 
@@ -507,12 +507,12 @@
   }
 
   private choosePlainTarget(): SendTarget | undefined {
-    const { directory, load, localDomain, admission } = this.dependencies;
+    const { directory, load, localDomain, serverAdmission } = this.dependencies;
     const { name } = this.assigned.service;
     const server = choosePlainServer({
       directory,
       load,
-      admission,
+      serverAdmission,
       service: name,
       localDomain,
       avoid: this.avoidedServers,
@@ -530,11 +530,11 @@
   return reason === RefusalReason.Quarantined || reason === RefusalReason.Withdrawn;
 }
 
-function countUsable({ directory, admission }: RelayDependencies, service: string): number {
+function countUsable({ directory, serverAdmission }: RelayDependencies, service: string): number {
   let count = 0;
   for (const server of directory.all()) {
     if (server.record.service !== service) continue;
-    if (admission.obstacle(server, ServerRole.Later) === undefined) count += 1;
+    if (serverAdmission.obstacle(server, ServerRole.Later) === undefined) count += 1;
   }
   return count;
 }
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -68,7 +68,7 @@
   readonly retryAfterEstimator: RetryAfterEstimator;
   readonly serverLimits: ServerLimits;
   readonly startWindows: StartWindows;
-  readonly admission: ServerAdmission;
+  readonly serverAdmission: ServerAdmission;
   readonly standstill: StandstillGuard;
   readonly quarantine: Quarantine;
   readonly crashWitness: CrashWitness;
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -79,7 +79,7 @@
     private readonly directory: ServerDirectory,
     private readonly load: ServerLoad,
     private readonly localDomain: string,
-    private readonly admission: ServerAdmission,
+    private readonly serverAdmission: ServerAdmission,
     private readonly links: DomainLinks,
   ) {
     directory.onChange(() => this.candidates.clear());
@@ -109,11 +109,11 @@
 
   /** Keeps servers that may not receive requests now from being the first of a route. */
   private withPossibleFirstStages(candidates: readonly Candidate[]): readonly Candidate[] {
-    if (!this.admission.dependsOnRole) return candidates;
+    if (!this.serverAdmission.dependsOnRole) return candidates;
     return candidates.flatMap((candidate) => {
       const server = this.directory.get(candidate.server);
       if (candidate.from > 0 || server === undefined) return [candidate];
-      if (this.admission.accepts(server, ServerRole.First)) return [candidate];
+      if (this.serverAdmission.accepts(server, ServerRole.First)) return [candidate];
       return candidate.to > 1 ? [{ ...candidate, from: 1 }] : [];
     });
   }
@@ -266,7 +266,7 @@
   /** Returns why a server is avoided on routes that begin elsewhere; undefined if it is not. */
   private avoidReason(id: string): AvoidReason | undefined {
     const server = this.directory.get(id);
-    return server && this.admission.obstacle(server, ServerRole.Later)?.reason;
+    return server && this.serverAdmission.obstacle(server, ServerRole.Later)?.reason;
   }
 
   private canAccept(id: string, engine: EngineProfile, tokens: number): boolean {
--- a/src/core/routing/PlainServerChoice.ts
+++ b/src/core/routing/PlainServerChoice.ts
@@ -17,7 +17,7 @@
 export interface PlainServerQuery {
   readonly directory: ServerDirectory;
   readonly load: ServerLoad;
-  readonly admission: ServerAdmission;
+  readonly serverAdmission: ServerAdmission;
   readonly service: string;
   readonly localDomain: string;
   /** Servers that must not be used. */
@@ -32,7 +32,7 @@
 export function choosePlainServer({
   directory,
   load,
-  admission,
+  serverAdmission,
   service,
   localDomain,
   avoid,
@@ -42,10 +42,10 @@
   for (const server of directory.all()) {
     const { record } = server;
     if (record.service !== service || avoid.has(record.id)) continue;
-    if (!admission.accepts(server, ServerRole.First)) continue;
+    if (!serverAdmission.accepts(server, ServerRole.First)) continue;
     const remoteCost = record.failureDomain === localDomain ? 0 : LOCAL_ADVANTAGE;
     const decliningCost =
-      admission.obstacle(server, ServerRole.First) === undefined ? 0 : DECLINING_COST;
+      serverAdmission.obstacle(server, ServerRole.First) === undefined ? 0 : DECLINING_COST;
     const cost = load.requests(record.id) / Math.max(1, record.slots) + remoteCost + decliningCost;
     if (cost >= bestCost) continue;
     best = server;
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -159,7 +159,11 @@
 
   private readonly heldServers = new HeldServers(this.clock);
 
-  private readonly admission = new ServerAdmission(this.clock, this.serverLimits, this.heldServers);
+  private readonly serverAdmission = new ServerAdmission(
+    this.clock,
+    this.serverLimits,
+    this.heldServers,
+  );
 
   private readonly quarantine = new InputQuarantine(this.clock, () => this.sharing.probationTurn);
 
@@ -240,7 +244,13 @@
       deployments,
       directory,
       load,
-      routes: new EngineRoutes(directory, load, failureDomain, this.admission, this.domainLinks),
+      routes: new EngineRoutes(
+        directory,
+        load,
+        failureDomain,
+        this.serverAdmission,
+        this.domainLinks,
+      ),
       port: servers,
       // The detector monitors the streams that the dispatcher registers with it.
       streamRegistry: this.silenceDetector,
@@ -248,7 +258,7 @@
       retryAfterEstimator: new RetryAfterEstimator(random),
       serverLimits: this.serverLimits,
       startWindows: this.startWindows,
-      admission: this.admission,
+      serverAdmission: this.serverAdmission,
       standstill: this.standstill,
       quarantine: this.quarantine,
       crashWitness: new CrashWitness({
@@ -294,7 +304,7 @@
       port: servers,
       decisions: log,
       failureDomain,
-      admission: this.admission,
+      serverAdmission: this.serverAdmission,
     });
     const self = {
       instance,
