--- a/src/core/admission/Admission.ts
+++ b/src/core/admission/Admission.ts
@@ -2,13 +2,7 @@
 import PQueue from 'p-queue';
 import { Outcome, refusal, RefusalReason, type Refusal } from '../Outcome.js';
 import { FairQueue, type FairQueueOptions } from './FairQueue.js';
-
-/** Limits of one pipeline's queue. */
-export interface AdmissionBounds {
-  readonly maxEntries: number;
-  /** Maximum total size of the waiting requests. */
-  readonly maxBytes: number;
-}
+import { QueueSpace, type QueueBounds } from './QueueSpace.js';
 
 /** A request that asks for admission. */
 export interface AdmissionRequest {
@@ -55,9 +49,7 @@
 export class Admission {
   private readonly queue: PQueue<FairQueue, FairQueueOptions>;
 
-  private readonly waitingIds = new Set<string>();
-
-  private bytes = 0;
+  private readonly space: QueueSpace;
 
   /** Work of the waiting requests by account, in tokens. */
   private readonly backlog = new Map<string, Backlog>();
@@ -71,15 +63,16 @@
 
   public constructor(
     concurrency: number,
-    private readonly bounds: AdmissionBounds,
+    bounds: QueueBounds,
     private readonly now: () => number,
   ) {
+    this.space = new QueueSpace(bounds);
     this.queue = new PQueue<FairQueue, FairQueueOptions>({ concurrency, queueClass: FairQueue });
   }
 
   /** Number of waiting requests. */
   public get waiting(): number {
-    return this.waitingIds.size;
+    return this.space.size;
   }
 
   /** Number of running requests. */
@@ -117,7 +110,7 @@
     run: () => Promise<void>,
     onLate: (refused: Refusal) => void,
   ): Refusal | undefined {
-    if (this.isFull(request)) {
+    if (!this.space.fits(request.bytes)) {
       return refusal(
         Outcome.NotRun,
         RefusalReason.QueueFull,
@@ -129,8 +122,7 @@
     if (this.now() + wait + this.runMs(request.cost) > request.deadline) {
       return unreachableRefusal(wait);
     }
-    this.waitingIds.add(request.id);
-    this.bytes += request.bytes;
+    this.space.add(request.id, request.bytes);
     this.addBacklog(request, request.cost);
     const { id, account, weight, priority, deadline, cost } = request;
     this.queue.add(() => this.run(request, run, onLate), {
@@ -188,13 +180,6 @@
     else this.backlog.set(account, { cost: left, weight });
   }
 
-  private isFull(request: AdmissionRequest): boolean {
-    return (
-      this.waitingIds.size >= this.bounds.maxEntries ||
-      this.bytes + request.bytes > this.bounds.maxBytes
-    );
-  }
-
   private async run(
     request: AdmissionRequest,
     run: () => Promise<void>,
@@ -218,8 +203,7 @@
    * @returns false if it was withdrawn before
    */
   private removeWaiting(request: AdmissionRequest): boolean {
-    if (!this.waitingIds.delete(request.id)) return false;
-    this.bytes -= request.bytes;
+    if (!this.space.delete(request.id)) return false;
     this.addBacklog(request, -request.cost);
     return true;
   }
--- a/src/core/admission/FairQueue.ts
+++ b/src/core/admission/FairQueue.ts
@@ -75,6 +75,40 @@
     return entry.run;
   }
 
+  /** Returns the id of the entry that `dequeue` takes next. */
+  public peek(): string | undefined {
+    return this.nextAccount()?.entries[0]?.id;
+  }
+
+  /** Returns the id of the last entry of the account with the most entries, which is missed least. */
+  public last(): string | undefined {
+    let longest: AccountQueue | undefined;
+    for (const account of this.accounts.values()) {
+      if (longest === undefined || account.entries.length > longest.entries.length)
+        longest = account;
+    }
+    return longest?.entries.at(-1)?.id;
+  }
+
+  /** Number of entries of an account. */
+  public sizeOf(account: string): number {
+    return this.accounts.get(account)?.entries.length ?? 0;
+  }
+
+  /**
+   * Removes an entry without charging its account for it.
+   * @returns its options and run; undefined if it is not in the queue
+   */
+  public remove(id: string): (FairQueueOptions & { readonly run: Run }) | undefined {
+    for (const { entries } of this.accounts.values()) {
+      const at = entries.findIndex((entry) => entry.id === id);
+      if (at < 0) continue;
+      this.length -= 1;
+      return entries.splice(at, 1)[0];
+    }
+    return undefined;
+  }
+
   public filter(options: Readonly<Partial<FairQueueOptions>>): Run[] {
     const runs: Run[] = [];
     for (const account of this.accounts.values()) {
@@ -87,14 +121,8 @@
   }
 
   public setPriority(id: string, priority: number): void {
-    for (const account of this.accounts.values()) {
-      const at = account.entries.findIndex((entry) => entry.id === id);
-      if (at < 0) continue;
-      const [entry] = account.entries.splice(at, 1) as [Entry];
-      this.length -= 1;
-      this.enqueue(entry.run, { ...entry, priority });
-      return;
-    }
+    const entry = this.remove(id);
+    if (entry !== undefined) this.enqueue(entry.run, { ...entry, priority });
   }
 
   private nextAccount(): AccountQueue | undefined {
