Relay: where ranks compete for an engine's servers, room is kept for the more urgent, and others wait or are refused first

Cause: each request takes what room it finds. In a burst of the least urgent one, urgent requests find none a moment later.

Change: RankedAdmission, passed once before the first send and only if the ranks of a service differ. A less urgent rank sees a share of each server's KV cache and batch, by the recent demand of more urgent ranks, and no route whose prefill would cost urgent prompts a third of their objective; a starved rank sees all of it. What finds no room while servers hold all layers waits for an eighth of its objective, then gets 503, not-run. The retry-after delay is estimated by service and rank and spread evenly; a request that comes back goes before newcomers of its rank. A request that was never sent is refused as quarantined, not as withdrawn, when a part of it is quarantined. Metrics and log lines by rank.

Measured: features/core/admission/ranks.feature. Servers for 33 requests a second, ranks 0, 1, 2 at 12, 18, 36 a second: the test asks for 95, 70 and 15 percent served.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -2,6 +2,10 @@
  * Test data for fleets and deployments, and the dependencies of a relay, for tests of the decision logic
  * without sockets or real time.
  */
+import {
+  RankedAdmission,
+  type AdmissionCounters,
+} from '../../src/core/admission/RankedAdmission.js';
 import { Deployments } from '../../src/core/deployment/Deployments.js';
 import { ServerDirectory } from '../../src/core/deployment/ServerDirectory.js';
 import {
@@ -130,7 +134,9 @@
   return new ServerLimits(clock, NO_RANDOM, () => 1);
 }
 
-const NO_OP_COUNTERS: RelayCounters = {
+const NO_OP_COUNTERS: RelayCounters & AdmissionCounters = {
+  countAdmission: () => {},
+  recordWait: () => {},
   countEnd: () => {},
   countRefusal: () => {},
   countError: () => {},
@@ -172,6 +178,8 @@
 
   public readonly loggedDecisions: { event: string; fields: object }[] = [];
 
+  public readonly admission: RankedAdmission;
+
   public readonly dependencies: RelayDependencies;
 
   public readonly silenceDetector: SilenceDetector;
@@ -189,6 +197,15 @@
       decisions,
       rerouteLeavingAfterMs: 1200,
     });
+    this.admission = new RankedAdmission({
+      clock,
+      directory,
+      load,
+      decisions,
+      random: NO_RANDOM,
+      deployments: this.deployments,
+      counters: NO_OP_COUNTERS,
+    });
     this.dependencies = {
       clock,
       directory,
@@ -200,6 +217,7 @@
       port: this.servers,
       streamRegistry: this.silenceDetector,
       retryAfterEstimator: new RetryAfterEstimator(NO_RANDOM),
+      admission: this.admission,
       retryBudget: new RetryBudget(() => ({
         perRequest: 0.2,
         maxSaved: retries,
--- a/src/core/Outcome.ts
+++ b/src/core/Outcome.ts
@@ -22,6 +22,8 @@
   RateLimited = 'rate-limited',
   ConcurrencyLimited = 'concurrency-limited',
   NoRoute = 'no-route',
+  /** The room that is left is kept for more urgent requests; nothing was sent. */
+  RoomKept = 'room-kept',
   /** Servers crashed under requests with the same part; nothing was sent. */
   Quarantined = 'quarantined',
   /** The request was taken back from a server, because others crashed under requests with the same part. */
@@ -94,6 +96,7 @@
   [RefusalReason.RateLimited]: { status: 429, retryAfterMs: 1000 },
   [RefusalReason.ConcurrencyLimited]: { status: 429, retryAfterMs: 1000 },
   [RefusalReason.NoRoute]: { status: 503, retryAfterMs: 3000 },
+  [RefusalReason.RoomKept]: { status: 503, retryAfterMs: 3000 },
   [RefusalReason.Quarantined]: { status: 503, retryAfterMs: 10_000 },
   [RefusalReason.Withdrawn]: { status: 502, retryAfterMs: 0 },
   [RefusalReason.ClaimUnavailable]: { status: 503, retryAfterMs: 2000 },
--- a/src/core/deployment/RouteTable.ts
+++ b/src/core/deployment/RouteTable.ts
@@ -6,29 +6,37 @@
   return b.prefix.length - a.prefix.length || (a.name < b.name ? -1 : 1);
 }
 
-/** Ranks that requests of each service may have. */
+/** The shortest objective of the requests of each rank, in milliseconds; undefined if they have none. */
+type ObjectivesByRank = Map<number, number | undefined>;
+
+/** Ranks that requests of each service may have, with their objectives. */
 function ranksByService({
   routes,
   accounts,
-}: Deployment): ReadonlyMap<string, ReadonlySet<number>> {
-  const ranks = new Map<string, Set<number>>();
+}: Deployment): ReadonlyMap<string, ReadonlyMap<number, number | undefined>> {
+  const ranks = new Map<string, ObjectivesByRank>();
   for (const route of routes) {
     for (const { service } of route.shares) {
-      const known = ranks.get(service) ?? new Set();
-      for (const { rank = route.rank } of accounts ?? [{}]) known.add(rank);
+      const known: ObjectivesByRank = ranks.get(service) ?? new Map();
+      for (const { rank = route.rank } of accounts ?? [{}])
+        known.set(rank, shorter(known.get(rank), route.objectiveMs));
       ranks.set(service, known);
     }
   }
   return ranks;
 }
 
+function shorter(one: number | undefined, other: number | undefined): number | undefined {
+  return one === undefined || other === undefined ? (one ?? other) : Math.min(one, other);
+}
+
 export class RouteTable {
   /** Routes of each host, longest prefix first. */
   private readonly routesByHost = new Map<string, RequestRoute[]>();
 
   private readonly accountsByKey = new Map<string, ClientAccount>();
 
-  private readonly ranksByService: ReadonlyMap<string, ReadonlySet<number>>;
+  private readonly ranksByService: ReadonlyMap<string, ReadonlyMap<number, number | undefined>>;
 
   public constructor(public readonly deployment: Deployment) {
     for (const route of deployment.routes) {
@@ -65,6 +73,29 @@
     return (this.ranksByService.get(service)?.size ?? 0) > 1;
   }
 
+  /**
+   * Returns the shortest objective among requests to a service that are more urgent than a rank.
+   * @returns milliseconds; undefined if there are no such requests, or none of them has an objective
+   */
+  public objectiveAbove(service: string, rank: number): number | undefined {
+    let shortest: number | undefined;
+    for (const [other, objectiveMs] of this.ranksByService.get(service) ?? [])
+      if (other < rank) shortest = shorter(shortest, objectiveMs);
+    return shortest;
+  }
+
+  /**
+   * Returns the rank that requests have.
+   * @param routeName - their route
+   * @param accountName - their account; undefined if they need none
+   * @returns undefined if there is no such route any more
+   */
+  public rankOf(routeName: string, accountName: string | undefined): number | undefined {
+    const account = this.deployment.accounts?.find(({ name }) => name === accountName);
+    const route = this.deployment.routes.find(({ name }) => name === routeName);
+    return account?.rank ?? route?.rank;
+  }
+
   public accountOf(key: string): ClientAccount | undefined {
     return this.accountsByKey.get(key);
   }
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -3,8 +3,10 @@
 import type { DecisionFields } from '../DecisionLog.js';
 import { InvariantKind } from '../Invariant.js';
 import { Outcome, refusal, RefusalReason, type RetryReason } from '../Outcome.js';
+import type { RoomLimits } from '../admission/RoomLimits.js';
 import type { ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { BackendServer, EngineProfile } from '../deployment/Types.js';
+import type { RetryAfterEstimator } from '../limits/RetryAfterEstimator.js';
 import type { RouteRequirements } from '../routing/EngineRoutes.js';
 import { describeStages } from '../routing/StageText.js';
 import { describeRevision } from '../store/Revision.js';
@@ -65,6 +67,12 @@
 
   private reservation: WorkReservation | undefined;
 
+  /** Withdraws the request from admission; undefined if it needs none. */
+  private admission: Disposable | undefined;
+
+  /** Limits on the room that the next route may use. */
+  private roomLimits: RoomLimits | undefined;
+
   private readonly endListeners: ((relay: BaseRelay) => void)[] = [];
 
   public constructor(
@@ -90,11 +98,51 @@
   /** Sends the request for the first time. */
   public start(): void {
     this.guard(() => {
-      const target = this.chooseTarget();
-      if (target === undefined) this.refuseNotRun(RefusalReason.NoRoute);
-      else if (this.mayBeSent()) this.send(target);
-      else this.refuseQuarantined();
+      const { competes, service } = this.assigned;
+      if (competes && service.engine !== undefined) this.askForAdmission();
+      else if (!this.trySend()) this.refuseNotRun(RefusalReason.NoRoute);
+    });
+  }
+
+  private askForAdmission(): void {
+    const { request, service, route, account, rank, inputs } = this.assigned;
+    this.admission = this.dependencies.admission.submit({
+      service: service.name,
+      route: route.name,
+      account,
+      rank,
+      id: request.id,
+      fingerprint: inputs.at(-1) as string,
+      tokens: this.reservedTokens,
+      bytes: request.memory.bytes,
+      objectiveMs: route.objectiveMs,
+      arrivedAt: request.arrivedAt,
+      trySend: (limits) => {
+        let isSettled = true;
+        this.guard(() => {
+          isSettled = this.ended || this.trySend(limits);
+        });
+        return isSettled;
+      },
+      mayFindRoomSoon: () => this.explainNoRoute().missing === '',
+      refuse: (reason) => this.guard(() => this.refuseNotRun(reason)),
     });
+    // Admission may have refused the request at once, after which there is nothing left to withdraw.
+    if (this.ended) this.admission.dispose();
+  }
+
+  /**
+   * Sends the request for the first time, or refuses it for its inputs.
+   * @returns false if there is no route within the limits
+   */
+  private trySend(limits?: RoomLimits): boolean {
+    this.roomLimits = limits;
+    const target = this.chooseTarget();
+    this.roomLimits = undefined;
+    if (target === undefined) return false;
+    if (this.mayBeSent()) this.send(target);
+    else this.refuseQuarantined();
+    return true;
   }
 
   /** Takes the request back from its server if an input of it has been quarantined since it was sent. */
@@ -102,8 +150,9 @@
     const { quarantine } = this.dependencies;
     if (this.ended || this.isProven) return;
     this.guard(() => {
-      if (quarantine.find(this.assigned.inputs).length > 0)
-        this.refuse(RefusalReason.Withdrawn, Outcome.Unknown, 0);
+      if (quarantine.find(this.assigned.inputs).length === 0) return;
+      if (this.sendTracker.sendCount === 0) this.refuseQuarantined();
+      else this.refuse(RefusalReason.Withdrawn, Outcome.Unknown, 0);
     });
   }
 
@@ -368,7 +417,8 @@
   }
 
   protected refuseNotRun(reason: RefusalReason): void {
-    const { clock, retryAfterEstimator } = this.dependencies;
+    const { clock } = this.dependencies;
+    const { retryAfterEstimator } = this;
     const now = clock.now();
     retryAfterEstimator.record(true, now);
     const { request } = this.assigned;
@@ -376,6 +426,12 @@
     this.refuse(reason, Outcome.NotRun, retryAfterEstimator.delayMs(msLeft, now));
   }
 
+  private get retryAfterEstimator(): RetryAfterEstimator {
+    const { competes, service, rank } = this.assigned;
+    const { admission, retryAfterEstimator } = this.dependencies;
+    return competes ? admission.retryAfterEstimator(service.name, rank) : retryAfterEstimator;
+  }
+
   /** Disposes the call and the work reservation of the last send. */
   protected release(): void {
     this.call?.dispose();
@@ -388,10 +444,11 @@
     if (this.ended) return;
     this.ended = true;
     this.timer.dispose();
+    this.admission?.dispose();
     this.release();
     const { counters, decisions, clock } = this.dependencies;
     const { request, route, service } = this.assigned;
-    if (end === RelayEnd.Complete) this.dependencies.retryAfterEstimator.record(false, clock.now());
+    if (end === RelayEnd.Complete) this.retryAfterEstimator.record(false, clock.now());
     counters.countEnd(route.kind, end);
     decisions.record('end', {
       id: request.id,
@@ -462,6 +519,7 @@
       tokens: this.reservedTokens,
       avoid: this.avoidedServers,
       kept: [],
+      limits: this.roomLimits,
     };
     return this.sendTracker.isServerLimitReached
       ? { ...requirements, firstServers: this.sendTracker.usedServers }
--- a/src/core/relay/RefusalMessages.ts
+++ b/src/core/relay/RefusalMessages.ts
@@ -4,6 +4,8 @@
 export const REFUSAL_MESSAGES: Readonly<Partial<Record<RefusalReason, string>>> = {
   [RefusalReason.NoRoute]:
     'No server can accept the request now. Retry after the delay given in Retry-After.',
+  [RefusalReason.RoomKept]:
+    'The servers keep their remaining room for more urgent requests. Retry after the delay given in Retry-After.',
   [RefusalReason.ServerLost]:
     'The server failed before its answer was complete. Retry only if the request may run twice.',
   [RefusalReason.Quarantined]:
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -1,4 +1,5 @@
 import type { Clock, Disposable, Random } from '../../ports/Types.js';
+import type { RankedAdmission } from '../admission/RankedAdmission.js';
 import type { DecisionLog } from '../DecisionLog.js';
 import type { Deployments } from '../deployment/Deployments.js';
 import type { ServerDirectory } from '../deployment/ServerDirectory.js';
@@ -63,6 +64,8 @@
   readonly streamRegistry: StreamRegistry;
   readonly retryBudget: RetryLimiter;
   readonly retryAfterEstimator: RetryAfterEstimator;
+  /** Admission to services for which requests of different ranks compete. */
+  readonly admission: RankedAdmission;
   readonly serverLimits: ServerLimits;
   readonly quarantine: Quarantine;
   readonly crashWitness: CrashWitness;
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -4,6 +4,7 @@
   type KnownServer,
   type ServerDirectory,
 } from '../deployment/ServerDirectory.js';
+import { prefillBacklogMs, WHOLE_ROOM, type RoomLimits } from '../admission/RoomLimits.js';
 import type { Accelerator, EngineProfile, Service } from '../deployment/Types.js';
 import { coversOnce, planCheapestRoute } from './RoutePlanner.js';
 import type { ServerLimits } from '../limits/ServerLimits.js';
@@ -22,6 +23,8 @@
   readonly kept: readonly Stage[];
   /** Servers at which the route may begin; any if absent. */
   readonly firstServers?: ReadonlySet<string>;
+  /** Room that the request may take; all that there is if absent. */
+  readonly limits?: RoomLimits;
 }
 
 /** Maximum number of stages; servers reject requests with more. */
@@ -100,7 +103,8 @@
       firstServers === undefined
         ? all
         : all.filter(({ server, from }) => from > 0 || firstServers.has(server));
-    const usable = (id: string) => !avoid.has(id) && this.canAccept(id, engine, tokens);
+    const usable = (id: string) =>
+      !avoid.has(id) && this.canAccept(id, engine, tokens, requirements.limits);
     if (!candidates.some(({ server }) => this.isDeclining(server)))
       return this.findRoute(requirements, candidates, usable);
     const preferred = (id: string) => usable(id) && !this.isDeclining(id);
@@ -145,6 +149,12 @@
     });
     if (route === undefined) return undefined;
     const stages = mergeRevisits(route.stages);
+    const { maxBacklogMs } = requirements.limits ?? WHOLE_ROOM;
+    if (
+      maxBacklogMs < Infinity &&
+      prefillBacklogMs(stages, engine, this.directory, this.load) > maxBacklogMs
+    )
+      return undefined;
     return stages.length <= MAX_STAGES && coversOnce(stages, engine.layers) ? stages : undefined;
   }
 
@@ -218,7 +228,12 @@
     return server !== undefined && this.directory.avoidReason(server) === AvoidReason.Declining;
   }
 
-  private canAccept(id: string, engine: EngineProfile, tokens: number): boolean {
+  private canAccept(
+    id: string,
+    engine: EngineProfile,
+    tokens: number,
+    { share }: RoomLimits = WHOLE_ROOM,
+  ): boolean {
     const server = this.directory.get(id);
     if (server === undefined) return false;
     const reason = this.directory.avoidReason(server);
@@ -227,7 +242,10 @@
     const kind = engine.accelerators.get(accelerator);
     if (span === undefined || kind === undefined) return false;
     const layers = span.to - span.from;
-    return this.load.tokenLayers(id) + tokens * layers <= kvCacheCapacity(engine, kind, layers);
+    // Where all of the room may be taken, requests beyond the batch wait at the server.
+    if (share < 1 && this.load.requests(id) >= server.record.slots * share) return false;
+    const capacity = kvCacheCapacity(engine, kind, layers) * share;
+    return this.load.tokenLayers(id) + tokens * layers <= capacity;
   }
 
   private candidatesOf(service: Service, engine: EngineProfile): Candidate[] {
--- a/src/core/routing/ServerLoad.ts
+++ b/src/core/routing/ServerLoad.ts
@@ -2,6 +2,7 @@
  * Tracks the outstanding work at each server, as far as this instance knows. Used by router instances;
  * entry instances use `LoadTable`.
  */
+import { Emitter } from '../Emitter.js';
 import type { Stage } from './Types.js';
 
 /** Outstanding work at one server. The work reports to peers have properties of the same names. */
@@ -22,6 +23,11 @@
   /** Work that other instances have reported, by server. */
   private readonly peerWork = new Map<string, OutstandingWork>();
 
+  private readonly releases = new Emitter<void>();
+
+  /** Fires after work of this instance has ended, or the work of others has become known anew. */
+  public readonly onRelease = this.releases.event;
+
   public ownWork(server: string): Readonly<OutstandingWork> {
     return this.ownWorkByServer.get(server) ?? NO_WORK;
   }
@@ -61,12 +67,14 @@
       work.tokenLayers += tokens * (to - from);
       if (work.requests === 0) this.ownWorkByServer.delete(server);
     }
+    if (requests < 0 || prefillTokens < 0) this.releases.fire();
   }
 
   /** Replaces the work that other instances have reported. */
   public setPeerWork(work: ReadonlyMap<string, OutstandingWork>): void {
     this.peerWork.clear();
     for (const [server, sum] of work) this.peerWork.set(server, sum);
+    this.releases.fire();
   }
 
   /** Returns this instance's outstanding work by server. */
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -5,6 +5,7 @@
 import type { StructuredLog } from '../adapters/logs/StructuredLog.js';
 import { SystemClock } from '../adapters/SystemClock.js';
 import { SystemRandom } from '../adapters/SystemRandom.js';
+import { RankedAdmission } from '../core/admission/RankedAdmission.js';
 import { Deployments } from '../core/deployment/Deployments.js';
 import { ServerDirectory } from '../core/deployment/ServerDirectory.js';
 import { Invariants } from '../core/Invariant.js';
@@ -145,6 +146,8 @@
 
   private readonly silenceDetector: SilenceDetector;
 
+  private readonly admission: RankedAdmission;
+
   private readonly dispatcher: RelayDispatcher;
 
   private readonly ingress: Ingress;
@@ -195,6 +198,15 @@
       decisions: log,
       rerouteLeavingAfterMs: bounds.drainMs * REROUTE_DRAIN_FRACTION,
     });
+    this.admission = new RankedAdmission({
+      clock,
+      random,
+      deployments,
+      directory,
+      load,
+      decisions: log,
+      counters: this.metrics,
+    });
     this.dispatcher = new RelayDispatcher({
       clock,
       random,
@@ -207,6 +219,7 @@
       streamRegistry: this.silenceDetector,
       retryBudget: this.retryBudget,
       retryAfterEstimator: new RetryAfterEstimator(random),
+      admission: this.admission,
       serverLimits: this.serverLimits,
       quarantine: this.quarantine,
       crashWitness: new CrashWitness({
@@ -395,6 +408,7 @@
   /** Closes everything immediately; requests in progress are aborted. */
   public dispose(): void {
     this.attempt('sweep', () => this.sweepTimer?.dispose());
+    this.attempt('admission', () => this.admission.dispose());
     this.attempt('dispatcher', () => this.dispatcher.dispose());
     this.attempt('silence', () => this.silenceDetector.dispose());
     this.attempt('placement', () => this.placement.dispose());
@@ -496,6 +510,7 @@
     metrics.addGauge('acaciadrum_store_era', () => this.storeEra.current);
     metrics.addGauge('acaciadrum_ticket', () => this.deployments.ticket);
     metrics.addGauge('acaciadrum_open_requests', () => this.dispatcher.active);
+    metrics.addGauge('acaciadrum_waiting_requests', () => this.admission.waiting);
     metrics.addGauge('acaciadrum_lease_fence', () => this.lease.heldFence);
     metrics.addGauge('acaciadrum_store_age_ms', () =>
       Math.round(Math.min(this.storeFollower.ageMs, this.sharing.peerStoreAgeMs)),
--- a/src/router/RouterMetrics.ts
+++ b/src/router/RouterMetrics.ts
@@ -4,18 +4,27 @@
 import { build } from 'hdr-histogram-js/dist/HistogramBuilder.js';
 import type { Histogram } from 'hdr-histogram-js';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
+import type { AdmissionCounters, AdmissionEnd } from '../core/admission/RankedAdmission.js';
 import type { RefusalReason, RetryReason } from '../core/Outcome.js';
 import type { RelayCounters, RelayEnd } from '../core/relay/RelayDependencies.js';
 
 /** Longest recorded time in milliseconds; longer ones count as this. */
 const MAX_TRACKED_MS = 600_000;
 
+/** Times under one metric name and label. */
+interface LabelledHistogram {
+  readonly name: string;
+  /** A label with its value, for example `rank="0"`. */
+  readonly label: string;
+  readonly histogram: Histogram;
+}
+
 const PERCENTILES = [50, 95, 99];
 
-export class RouterMetrics implements RelayCounters {
+export class RouterMetrics implements RelayCounters, AdmissionCounters {
   private readonly counts = new Map<string, number>();
 
-  private readonly histograms = new Map<string, Histogram>();
+  private readonly histograms = new Map<string, LabelledHistogram>();
 
   private readonly gauges = new Map<string, () => number>();
 
@@ -40,14 +49,27 @@
     this.count(`acaciadrum_retries_total{reason="${reason}"}`);
   }
 
+  public countAdmission(rank: number, end: AdmissionEnd): void {
+    this.count(`acaciadrum_admissions_total{rank="${rank}",end="${end}"}`);
+  }
+
   public recordFirstByte(kind: string, ms: number): void {
-    let histogram = this.histograms.get(kind);
+    this.recordTime('acaciadrum_first_byte_ms', `kind="${kind}"`, ms);
+  }
+
+  public recordWait(rank: number, ms: number): void {
+    this.recordTime('acaciadrum_admission_wait_ms', `rank="${rank}"`, ms);
+  }
+
+  private recordTime(name: string, label: string, ms: number): void {
+    const key = `${name}{${label}}`;
+    let histogram = this.histograms.get(key)?.histogram;
     if (histogram === undefined) {
       histogram = build({
         highestTrackableValue: MAX_TRACKED_MS,
         numberOfSignificantValueDigits: 2,
       });
-      this.histograms.set(kind, histogram);
+      this.histograms.set(key, { name, label, histogram });
     }
     histogram.recordValue(Math.min(MAX_TRACKED_MS, Math.max(0, Math.round(ms))));
   }
@@ -74,14 +96,12 @@
     const lines: string[] = [];
     for (const [name, value] of this.counts) lines.push(`${name} ${value}`);
     for (const [name, read] of this.gauges) lines.push(`${name} ${read()}`);
-    for (const [kind, histogram] of this.histograms) {
+    for (const { name, label, histogram } of this.histograms.values()) {
       for (const percentile of PERCENTILES) {
-        const labels = `kind="${kind}",quantile="${percentile / 100}"`;
-        lines.push(
-          `acaciadrum_first_byte_ms{${labels}} ${histogram.getValueAtPercentile(percentile)}`,
-        );
+        const labels = `${label},quantile="${percentile / 100}"`;
+        lines.push(`${name}{${labels}} ${histogram.getValueAtPercentile(percentile)}`);
       }
-      lines.push(`acaciadrum_first_byte_ms_count{kind="${kind}"} ${histogram.totalCount}`);
+      lines.push(`${name}_count{${label}} ${histogram.totalCount}`);
     }
     return `${lines.join('\n')}\n`;
   }
