Retry-after: a rank with few requests is judged by those of its service, too

Cause: an instance gets few requests of one rank, and an estimator assumes three served ones before the first. In a shortage for all, callers were told to come back after two thirds of the delay of a whole service, and were refused again.

Change: the estimator of a rank takes the share of refusals of its service in place of that assumption; delays of one rank are spread evenly.

--- a/src/core/admission/RankedAdmission.ts
+++ b/src/core/admission/RankedAdmission.ts
@@ -82,7 +82,7 @@
 
   private readonly rooms = new Map<string, WaitingRoom>();
 
-  /** Estimators of retry-after delays by service and rank. */
+  /** Estimators of retry-after delays by service, and by service and rank. */
   private readonly estimators = new Map<string, RetryAfterEstimator>();
 
   private submitted = 0;
@@ -138,12 +138,23 @@
     const key = `${service}/${rank}`;
     let estimator = this.estimators.get(key);
     if (estimator === undefined) {
-      estimator = new RetryAfterEstimator(new EvenSpread(this.dependencies.random));
+      const spread = new EvenSpread(this.dependencies.random);
+      estimator = new RetryAfterEstimator(spread, this.wholeEstimator(service));
       this.estimators.set(key, estimator);
     }
     return estimator;
   }
 
+  /** Returns the estimator of all requests to a service, for ranks with few of their own. */
+  private wholeEstimator(service: string): RetryAfterEstimator {
+    let whole = this.estimators.get(service);
+    if (whole === undefined) {
+      whole = new RetryAfterEstimator(this.dependencies.random);
+      this.estimators.set(service, whole);
+    }
+    return whole;
+  }
+
   /** Refuses all requests that wait; later ones do not wait. */
   public dispose(): void {
     this.isDisposed = true;
--- a/src/core/limits/RetryAfterEstimator.ts
+++ b/src/core/limits/RetryAfterEstimator.ts
@@ -31,11 +31,20 @@
 export class RetryAfterEstimator {
   private refused = 0;
 
-  private total = PRIOR_WEIGHT;
+  private total: number;
 
   private decayedAt = 0;
 
-  public constructor(private readonly random: Random) {}
+  /**
+   * @param whole - estimator of a larger group of requests that these belong to; where few of these are known, the
+   * larger group decides
+   */
+  public constructor(
+    private readonly random: Random,
+    private readonly whole?: RetryAfterEstimator,
+  ) {
+    this.total = whole === undefined ? PRIOR_WEIGHT : 0;
+  }
 
   /**
    * Records the outcome of a request.
@@ -45,6 +54,7 @@
     this.decay(now);
     this.total += 1;
     if (isRefused) this.refused += 1;
+    this.whole?.record(isRefused, now);
   }
 
   /**
@@ -53,13 +63,18 @@
    * @returns the delay from now, in milliseconds
    */
   public delayMs(msLeft: number, now: number): number {
-    this.decay(now);
-    const refusedFraction = this.refused / Math.max(PRIOR_WEIGHT, this.total);
-    const baseMs = MIN_DELAY_MS + refusedFraction * (MAX_DELAY_MS - MIN_DELAY_MS);
+    const baseMs = MIN_DELAY_MS + this.refusedFraction(now) * (MAX_DELAY_MS - MIN_DELAY_MS);
     const limitMs = (Math.max(0, msLeft) * MAX_DELAY_FRACTION) / (1 + JITTER);
     return Math.min(baseMs, limitMs) * (1 + JITTER * (2 * this.random.next() - 1));
   }
 
+  private refusedFraction(now: number): number {
+    this.decay(now);
+    if (this.whole === undefined) return this.refused / Math.max(PRIOR_WEIGHT, this.total);
+    const expected = PRIOR_WEIGHT * this.whole.refusedFraction(now);
+    return (this.refused + expected) / (this.total + PRIOR_WEIGHT);
+  }
+
   private decay(now: number): void {
     const factor = 0.5 ** ((now - this.decayedAt) / HALF_LIFE_MS);
     this.refused *= factor;
