Log: the ranks that requests to each service have

Cause: whether ranks compete follows from routes and accounts together, and no line told it.

Change: a line `ranks` for each service when its ranks change.

--- a/src/core/admission/RankedAdmission.ts
+++ b/src/core/admission/RankedAdmission.ts
@@ -85,6 +85,9 @@
   /** Estimators of retry-after delays by service, and by service and rank. */
   private readonly estimators = new Map<string, RetryAfterEstimator>();
 
+  /** Ranks of each service, as logged last. */
+  private readonly loggedRanks = new Map<string, string>();
+
   private submitted = 0;
 
   private readonly subscriptions: readonly Disposable[];
@@ -237,6 +240,7 @@
 
   /** Applies the ranks of a new configuration to the requests that wait. */
   private applyRanks(table: RouteTable): void {
+    this.logRanks(table);
     for (const room of this.rooms.values()) {
       room.rerank((request) => {
         const { applicant } = request as PendingAdmission;
@@ -245,6 +249,16 @@
     }
   }
 
+  private logRanks(table: RouteTable): void {
+    const { services, ticket } = table.deployment;
+    for (const service of services.keys()) {
+      const ranks = table.ranksOf(service).join(',');
+      if (this.loggedRanks.get(service) === ranks) continue;
+      this.loggedRanks.set(service, ranks);
+      this.dependencies.decisions.record('ranks', { service, ranks, ticket });
+    }
+  }
+
   private roomOf(service: string): WaitingRoom {
     let room = this.rooms.get(service);
     if (room === undefined) {
--- a/src/core/deployment/RouteTable.ts
+++ b/src/core/deployment/RouteTable.ts
@@ -68,6 +68,11 @@
     return undefined;
   }
 
+  /** Returns the ranks that requests to a service may have, the most urgent first. */
+  public ranksOf(service: string): number[] {
+    return [...(this.ranksByService.get(service)?.keys() ?? [])].sort((a, b) => a - b);
+  }
+
   /** Whether the routes of a service, or the accounts that use it, differ in rank. */
   public hasRanks(service: string): boolean {
     return (this.ranksByService.get(service)?.size ?? 0) > 1;
