Retry-after: a refusal of a rank counts once; admission logs the limits that held a request

Cause: the refusals of a rank were in the share of its service as well, so that the first one got a delay of 2.4 s. A request that waits behind others was logged with the whole room.

Change: the estimator of a rank takes the share of the other ranks for its assumption. The limits are set before the first try. Tests: what comes back is known again; with one rank nothing passes admission.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -178,6 +178,9 @@
 
   public readonly loggedDecisions: { event: string; fields: object }[] = [];
 
+  /** Ranks of the requests that have passed admission by rank. */
+  public readonly admissions: number[] = [];
+
   public readonly admission: RankedAdmission;
 
   public readonly dependencies: RelayDependencies;
@@ -204,7 +207,7 @@
       decisions,
       random: NO_RANDOM,
       deployments: this.deployments,
-      counters: NO_OP_COUNTERS,
+      counters: { ...NO_OP_COUNTERS, countAdmission: (rank) => this.admissions.push(rank) },
     });
     this.dependencies = {
       clock,
--- a/features/core/admission/ranks.feature
+++ b/features/core/admission/ranks.feature
@@ -37,9 +37,16 @@
     Given servers that are used by routes of ranks "0 1 2"
     And 12 requests of route 0 whose prompts are in prefill
     When a request of route 2 comes
-    Then it is held
+    Then the request waits for room
     When the prompts of route 0 have been read
-    Then it is sent after at most 10 ms
+    Then the request is sent after at most 10 ms
+
+  Scenario: With one rank for all, requests are sent as they come
+    Given servers that are used by routes of ranks "1 1 1"
+    And 12 requests of route 0 whose prompts are in prefill
+    When a request of route 2 comes
+    Then the request is sent after at most 0 ms
+    And no request has passed admission by rank
 
   Scenario Outline: A waiting request whose <event> <end>
     Given servers that are used by routes of ranks "0 1 2"
--- a/features/core/admission/ranks.steps.ts
+++ b/features/core/admission/ranks.steps.ts
@@ -186,14 +186,21 @@
   for (const made of this.fixture.servers.calls) firstEvent(made);
 });
 
-Then('it is held', function check(this: RanksWorld) {
+Then('the request waits for room', function check(this: RanksWorld) {
   assert.equal(this.caller.outcome, 'open');
   assert.equal(this.fixture.admission.waiting, 1);
 });
 
-Then('it is sent after at most {int} ms', async function check(this: RanksWorld, ms: number) {
-  await this.fixture.clock.runUntil(this.fixture.clock.now() + ms);
-  assert.equal(this.fixture.servers.calls.length, this.callsBefore + 1);
+Then(
+  'the request is sent after at most {int} ms',
+  async function check(this: RanksWorld, ms: number) {
+    await this.fixture.clock.runUntil(this.fixture.clock.now() + ms);
+    assert.equal(this.fixture.servers.calls.length, this.callsBefore + 1);
+  },
+);
+
+Then('no request has passed admission by rank', function check(this: RanksWorld) {
+  assert.deepEqual(this.fixture.admissions, []);
 });
 
 const EVENTS: Readonly<Record<string, (world: RanksWorld) => void>> = {
--- a/src/core/admission/RankedAdmission.ts
+++ b/src/core/admission/RankedAdmission.ts
@@ -129,6 +129,7 @@
       tryAdmit: (admission) => this.tryAdmit(admission),
       refuse: (admission) => this.refuse(admission),
     });
+    pending.limits = this.limitsOf(service, rank, isReturn);
     const room = this.roomOf(service);
     // What becomes free is for those that wait already, unless the newcomer is more urgent.
     const isSent = !room.isAhead(rank) && pending.tryAdmit();
@@ -209,8 +210,8 @@
     const { applicant } = admission;
     if (this.isDisposed || admission.endsAt <= this.dependencies.clock.now()) return false;
     if (!applicant.mayFindRoomSoon()) return false;
-    admission.hasWaited = true;
     if (!room.join(admission)) return false;
+    admission.hasWaited = true;
     this.dependencies.decisions.record('hold', { id: applicant.id, ...this.inputs(admission) });
     return true;
   }
--- a/src/core/limits/RetryAfterEstimator.ts
+++ b/src/core/limits/RetryAfterEstimator.ts
@@ -70,9 +70,12 @@
 
   private refusedFraction(now: number): number {
     this.decay(now);
-    if (this.whole === undefined) return this.refused / Math.max(PRIOR_WEIGHT, this.total);
-    const expected = PRIOR_WEIGHT * this.whole.refusedFraction(now);
-    return (this.refused + expected) / (this.total + PRIOR_WEIGHT);
+    const { whole, refused, total } = this;
+    if (whole === undefined) return refused / Math.max(PRIOR_WEIGHT, total);
+    whole.decay(now);
+    const others = Math.max(PRIOR_WEIGHT, whole.total - total);
+    const expected = (PRIOR_WEIGHT * Math.max(0, whole.refused - refused)) / others;
+    return (refused + expected) / (total + PRIOR_WEIGHT);
   }
 
   private decay(now: number): void {
