Ranks: the busiest server bounds prefill, and what no server could take keeps no room

Cause: the backlog of a route was summed over its servers, on which the same prompt counts once each, so that long routes seemed late when they were not. Requests refused for want of layers were called `room-kept`, and their misses enlarged the reserve.

Change: the backlog is that of the busiest server. `room-kept` is said only if there was room for a more urgent rank; requests without layers don't count as missed.

--- a/features/core/admission/ranks.feature
+++ b/features/core/admission/ranks.feature
@@ -67,8 +67,21 @@
       | its route becomes the most urgent one   | is sent at once              | open        | 1     |
       | the ranks become equal                  | is sent at once              | open        | 1     |
 
-  Scenario: A request that no server could take soon is refused at once
+  Scenario Outline: A request is refused <when> as "<reason>" because <cause>
     Given servers that are used by routes of ranks "0 1 2"
-    And no server holds any layers
+    And <state>
     When a request of route 2 comes
-    Then the waiting request ends as "503 not-run" with 0 sends
+    Then it is refused as "<reason>" after <ms> ms
+
+    Examples:
+      | cause                                        | when         | state                                               | reason    | ms  |
+      | no server could take it soon                 | at once      | no server holds any layers                          | no-route  | 0   |
+      | no server has memory for any rank            | after a wait | 70 requests of route 0 that take all memory         | no-route  | 150 |
+      | what is left is for more urgent ones         | after a wait | 12 requests of route 0 whose prompts are in prefill | room-kept | 150 |
+
+  Scenario: Urgent requests that no server holds the layers for keep no more room from others
+    Given servers that are used by routes of ranks "0 1 2"
+    And no server holds any layers
+    And 20 requests of route 0 are refused
+    When the servers hold their layers again
+    Then route 2 finds at least 0.9 of the room
--- a/features/core/admission/ranks.steps.ts
+++ b/features/core/admission/ranks.steps.ts
@@ -178,6 +178,47 @@
   this.fixture.directory.put(backendServer('s', { span: undefined, accelerator: 'whole' }));
 });
 
+Given(
+  '{int} requests of route {int} that take all memory',
+  function set(this: RanksWorld, count: number, index: number) {
+    for (let asked = 0; asked < count; asked += 1) ask(this, index);
+    for (const made of this.fixture.servers.calls) firstEvent(made);
+  },
+);
+
+Given(
+  '{int} requests of route {int} are refused',
+  function set(this: RanksWorld, count: number, index: number) {
+    for (let asked = 0; asked < count; asked += 1) ask(this, index);
+    assert.equal(this.caller.outcome, '503 not-run');
+  },
+);
+
+When('the servers hold their layers again', function run(this: RanksWorld) {
+  const span = { from: 0, to: 80 };
+  this.fixture.directory.put(backendServer('s', { span, accelerator: 'whole' }));
+});
+
+Then(
+  'route {int} finds at least {float} of the room',
+  function check(this: RanksWorld, rank: number, least: number) {
+    const { share } = this.fixture.admission.limitsOf('engine', rank, false);
+    assert.ok(share >= least, `it finds ${share}`);
+  },
+);
+
+Then(
+  'it is refused as {string} after {int} ms',
+  async function check(this: RanksWorld, reason: string, ms: number) {
+    const { clock } = this.fixture;
+    const arrivedAt = clock.now();
+    if (ms > 0) await clock.runUntil(arrivedAt + ms - 1);
+    assert.equal(this.caller.outcome, ms > 0 ? 'open' : '503 not-run');
+    await clock.runUntil(arrivedAt + ms);
+    assert.equal(this.caller.refusal?.reason, reason);
+  },
+);
+
 When('a request of route {int} comes', function run(this: RanksWorld, index: number) {
   ask(this, index);
 });
--- a/src/core/admission/PendingAdmission.ts
+++ b/src/core/admission/PendingAdmission.ts
@@ -9,6 +9,14 @@
  */
 const WAIT_SHARE = 0.125;
 
+/** Layers for which a request finds no server; empty if there are none. */
+export interface RouteGaps {
+  /** Layers that no usable server holds. */
+  readonly missing: string;
+  /** Layers, the missing ones included, for which no usable server has room. */
+  readonly full: string;
+}
+
 /** A request that asks for room. */
 export interface Applicant {
   readonly id: string;
@@ -31,8 +39,8 @@
    * @returns false if none has
    */
   trySend(limits: RoomLimits): boolean;
-  /** Whether room may become free soon: servers hold all layers, but what they have is taken. */
-  mayFindRoomSoon(): boolean;
+  /** Tells why no route was found, whatever the limits. */
+  explainNoRoute(): RouteGaps;
   refuse(reason: RefusalReason): void;
 }
 
--- a/src/core/admission/RankedAdmission.ts
+++ b/src/core/admission/RankedAdmission.ts
@@ -67,7 +67,7 @@
 const RETURN_RESERVE = 0.5;
 
 /**
- * Fraction of the objective of more urgent requests up to which the servers of a route may have prefill to do
+ * Fraction of the objective of more urgent requests up to which the busiest server of a route may have prefill to do
  * when a less urgent prompt is added. The rest is for the urgent prompt itself, links and decode steps.
  */
 const BACKLOG_SHARE = 0.35;
@@ -209,7 +209,8 @@
   private hold(admission: PendingAdmission, room: WaitingRoom): boolean {
     const { applicant } = admission;
     if (this.isDisposed || admission.endsAt <= this.dependencies.clock.now()) return false;
-    if (!applicant.mayFindRoomSoon()) return false;
+    // Layers come back after seconds, so that nothing could be sent in time.
+    if (applicant.explainNoRoute().missing !== '') return false;
     if (!room.join(admission)) return false;
     admission.hasWaited = true;
     this.dependencies.decisions.record('hold', { id: applicant.id, ...this.inputs(admission) });
@@ -224,8 +225,9 @@
     counters.countAdmission(rank, AdmissionEnd.Refused);
     if (hasWaited) counters.recordWait(rank, now - askedAt);
     decisions.record('not-admitted', { id: applicant.id, ...this.inputs(admission) });
-    const isLimited = admission.limits !== WHOLE_ROOM;
-    applicant.refuse(isLimited ? RefusalReason.RoomKept : RefusalReason.NoRoute);
+    const { missing, full } = applicant.explainNoRoute();
+    if (missing !== '') this.demand.recordUnservable(applicant.service, rank, now);
+    applicant.refuse(full === '' ? RefusalReason.RoomKept : RefusalReason.NoRoute);
   }
 
   private inputs({ applicant, rank, limits, askedAt }: PendingAdmission): AdmissionInputs {
--- a/src/core/admission/RankedDemand.ts
+++ b/src/core/admission/RankedDemand.ts
@@ -54,6 +54,12 @@
     tally.admittedTokens += tokens;
   }
 
+  /** Records that a request could not have been admitted, however much room it was left. */
+  public recordUnservable(service: string, rank: number, now: number): void {
+    const tally = this.tally(service, rank, now);
+    tally.requests = Math.max(0, tally.requests - 1);
+  }
+
   /**
    * Returns what more urgent ranks asked for lately, relative to what all ranks were given. A crowd of less
    * urgent requests does not make it smaller, because it is given no more than the servers have.
--- a/src/core/admission/RoomLimits.ts
+++ b/src/core/admission/RoomLimits.ts
@@ -16,8 +16,9 @@
 export const WHOLE_ROOM: RoomLimits = { share: 1, maxBacklogMs: Infinity };
 
 /**
- * Returns the prefill that the servers of a route have to do for other requests, in milliseconds. A prompt
- * counts at each server until its first event.
+ * Returns the prefill that a new prompt waits for on a route, in milliseconds: that of its busiest server. Prompts
+ * pass the servers one after another, so that the others work on while one is busy; a prompt counts at each of
+ * them until its first event.
  */
 export function prefillBacklogMs(
   stages: readonly Stage[],
@@ -30,7 +31,8 @@
     const accelerator = engine.accelerators.get(directory.get(server)?.record.accelerator ?? '');
     if (accelerator === undefined) continue;
     const tokensPerMs = engine.readTokensPerMs / accelerator.readFactor;
-    backlogMs += ((load.prefillTokens(server) / tokensPerMs) * (to - from)) / engine.layers;
+    const share = (to - from) / engine.layers;
+    backlogMs = Math.max(backlogMs, (load.prefillTokens(server) / tokensPerMs) * share);
   }
   return backlogMs;
 }
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -99,12 +99,12 @@
   public start(): void {
     this.guard(() => {
       const { competes, service } = this.assigned;
-      if (competes && service.engine !== undefined) this.askForAdmission();
+      if (competes && service.engine !== undefined) this.askForAdmission(service.engine);
       else if (!this.trySend()) this.refuseNotRun(RefusalReason.NoRoute);
     });
   }
 
-  private askForAdmission(): void {
+  private askForAdmission(engine: EngineProfile): void {
     const { request, service, route, account, rank, inputs } = this.assigned;
     this.admission = this.dependencies.admission.submit({
       service: service.name,
@@ -124,7 +124,7 @@
         });
         return isSettled;
       },
-      mayFindRoomSoon: () => this.explainNoRoute().missing === '',
+      explainNoRoute: () => this.dependencies.routes.explainNoRoute(this.routeRequirements(engine)),
       refuse: (reason) => this.guard(() => this.refuseNotRun(reason)),
     });
     // Admission may have refused the request at once, after which there is nothing left to withdraw.
