Test: over sockets, requests of an engine whose routes differ in rank pass admission

Cause: the part was only tested with fakes; nothing showed that a router instance uses it.

Change: a scenario of features/platform/router.feature with a configuration of ranks 0 and 2.

--- a/features/platform/router.feature
+++ b/features/platform/router.feature
@@ -185,3 +185,11 @@
     When the fake store has the fault "silent"
     And another instance starts with the first as its seed
     Then within 4 seconds the other instance serves a stream
+
+  # Guards against a part that no request passes outside of its own tests.
+  Scenario: Where the routes of an engine differ in rank, their requests pass admission
+    Given the instance has heard of the layers of all engine servers
+    When the streams of the engine get ranks 0 and 2, and accounts none
+    And a caller requests a stream
+    Then the caller receives 12 events and a complete answer with the server's signature
+    And the metrics of the instance show "acaciadrum_admissions_total{rank="0",end="admitted"} 1"
