--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -6,6 +6,7 @@
 import type { StructuredLog } from '../adapters/logs/StructuredLog.js';
 import { SystemClock } from '../adapters/SystemClock.js';
 import { SystemRandom } from '../adapters/SystemRandom.js';
+import { RankedAdmission } from '../core/admission/RankedAdmission.js';
 import { Deployments } from '../core/deployment/Deployments.js';
 import { ServerDirectory } from '../core/deployment/ServerDirectory.js';
 import { ServerNotices } from '../core/deployment/ServerNotices.js';
@@ -170,6 +171,7 @@
   private readonly silenceDetector: SilenceDetector;
 
   private readonly standstill: StandstillGuard;
+  private readonly admission: RankedAdmission;
 
   private readonly dispatcher: RelayDispatcher;
 
@@ -238,6 +240,15 @@
       decisions: log,
       ask: () => Promise.any([this.sharing.ask(), this.storeFollower.readServersNow()]),
     });
+    this.admission = new RankedAdmission({
+      clock,
+      random,
+      deployments,
+      directory,
+      load,
+      decisions: log,
+      counters: this.metrics,
+    });
     this.dispatcher = new RelayDispatcher({
       clock,
       random,
@@ -256,6 +267,7 @@
       streamRegistry: this.silenceDetector,
       retryBudget: this.retryBudget,
       retryAfterEstimator: new RetryAfterEstimator(random),
+      admission: this.admission,
       serverLimits: this.serverLimits,
       startWindows: this.startWindows,
       serverAdmission: this.serverAdmission,
@@ -451,6 +463,7 @@
   public dispose(): void {
     this.attempt('sweep', () => this.sweepTimer?.dispose());
     this.attempt('standstill', () => this.standstill.dispose());
+    this.attempt('admission', () => this.admission.dispose());
     this.attempt('dispatcher', () => this.dispatcher.dispose());
     this.attempt('silence', () => this.silenceDetector.dispose());
     this.attempt('placement', () => this.placement.dispose());
@@ -586,6 +599,7 @@
     metrics.addGauge('acaciadrum_store_era', () => this.storeEra.current);
     metrics.addGauge('acaciadrum_ticket', () => this.deployments.ticket);
     metrics.addGauge('acaciadrum_open_requests', () => this.dispatcher.active);
+    metrics.addGauge('acaciadrum_waiting_requests', () => this.admission.waiting);
     metrics.addGauge('acaciadrum_lease_fence', () => this.lease.heldFence);
     metrics.addGauge('acaciadrum_store_age_ms', () =>
       Math.round(Math.min(this.storeFollower.ageMs, this.sharing.peerStoreAgeMs)),
