Ranks: an account's rank is compared before its route's, and no longer hides it

Change: the rank of a request is its place among the pairs of account's and route's rank that the configuration allows for the service.

--- a/features/core/deployment/deployment.feature
+++ b/features/core/deployment/deployment.feature
@@ -20,7 +20,8 @@
       | routes of one rank do not compete                | 1 1    | none     | no       |
       | routes of different ranks compete                | 0 2    | none     | yes      |
       | accounts without a rank take that of the route   | 0 2    | - -      | yes      |
-      | a rank of all accounts replaces those of routes  | 0 2    | 1 1      | no       |
+      | routes decide among accounts of one rank         | 0 2    | 1 1      | yes      |
+      | accounts of one rank, and routes of one rank     | 1 1    | 0 0      | no       |
       | an account that is more urgent than routes       | 1 1    | 0 -      | yes      |
 
   Scenario Outline: <case>
--- a/features/core/deployment/deployment.steps.ts
+++ b/features/core/deployment/deployment.steps.ts
@@ -36,7 +36,9 @@
   function set(this: DeploymentWorld, routeRanks: string, accountRanks: string) {
     const routes = routeRanks
       .split(' ')
-      .map((rank, index) => route({ name: `route-${index}`, rank: Number(rank) }));
+      .map((rank, index) =>
+        route({ name: `route-${index}`, rank: Number(rank), isPublic: accountRanks === 'none' }),
+      );
     const accounts = accountRanks.split(' ').map((rank, index) => ({
       name: `account-${index}`,
       keys: [`key-${index}`],
--- a/src/core/admission/RankedAdmission.ts
+++ b/src/core/admission/RankedAdmission.ts
@@ -247,7 +247,7 @@
     for (const room of this.rooms.values()) {
       room.rerank((request) => {
         const { applicant } = request as PendingAdmission;
-        return table.rankOf(applicant.route, applicant.account) ?? request.rank;
+        return table.rankOf(applicant.service, applicant.route, applicant.account) ?? request.rank;
       });
     }
   }
--- a/src/core/deployment/RouteTable.ts
+++ b/src/core/deployment/RouteTable.ts
@@ -6,24 +6,55 @@
   return b.prefix.length - a.prefix.length || (a.name < b.name ? -1 : 1);
 }
 
-/** The shortest objective of the requests of each rank, in milliseconds; undefined if they have none. */
-type ObjectivesByRank = Map<number, number | undefined>;
+/** Rank of the requests of accounts that have none of their own, and of requests without an account. */
+const DEFAULT_ACCOUNT_RANK = 1;
 
-/** Ranks that requests of each service may have, with their objectives. */
-function ranksByService({
+/** Requests to one service that have the same rank. */
+interface RankClass {
+  readonly accountRank: number;
+  readonly routeRank: number;
+  /** The shortest of their objectives, in milliseconds; undefined if they have none. */
+  objectiveMs: number | undefined;
+}
+
+/** The rank of the account is compared first; that of the route decides among equals. */
+function byUrgency(a: RankClass, b: RankClass): number {
+  return a.accountRank - b.accountRank || a.routeRank - b.routeRank;
+}
+
+/** Ranks of the accounts that may use a route. */
+function accountRanksOn(
+  { isPublic }: RequestRoute,
+  accounts: readonly ClientAccount[] | undefined,
+): ReadonlySet<number> {
+  const ranks = new Set<number>();
+  if (isPublic || accounts === undefined) ranks.add(DEFAULT_ACCOUNT_RANK);
+  for (const { rank = DEFAULT_ACCOUNT_RANK } of accounts ?? []) ranks.add(rank);
+  return ranks;
+}
+
+/** Classes of the requests that each service may get, the most urgent first. */
+function classesByService({
   routes,
   accounts,
-}: Deployment): ReadonlyMap<string, ReadonlyMap<number, number | undefined>> {
-  const ranks = new Map<string, ObjectivesByRank>();
+}: Deployment): ReadonlyMap<string, readonly RankClass[]> {
+  const found = new Map<string, RankClass[]>();
   for (const route of routes) {
+    const { rank: routeRank, objectiveMs } = route;
+    const accountRanks = accountRanksOn(route, accounts);
     for (const { service } of route.shares) {
-      const known: ObjectivesByRank = ranks.get(service) ?? new Map();
-      for (const { rank = route.rank } of accounts ?? [{}])
-        known.set(rank, shorter(known.get(rank), route.objectiveMs));
-      ranks.set(service, known);
+      const classes = found.get(service) ?? [];
+      found.set(service, classes);
+      for (const accountRank of accountRanks) {
+        const entry = { accountRank, routeRank, objectiveMs };
+        const known = classes.find((other) => byUrgency(other, entry) === 0);
+        if (known === undefined) classes.push(entry);
+        else known.objectiveMs = shorter(known.objectiveMs, objectiveMs);
+      }
     }
   }
-  return ranks;
+  for (const classes of found.values()) classes.sort(byUrgency);
+  return found;
 }
 
 function shorter(one: number | undefined, other: number | undefined): number | undefined {
@@ -36,7 +67,7 @@
 
   private readonly accountsByKey = new Map<string, ClientAccount>();
 
-  private readonly ranksByService: ReadonlyMap<string, ReadonlyMap<number, number | undefined>>;
+  private readonly classesByService: ReadonlyMap<string, readonly RankClass[]>;
 
   public constructor(public readonly deployment: Deployment) {
     for (const route of deployment.routes) {
@@ -48,7 +79,7 @@
     for (const account of deployment.accounts ?? []) {
       for (const key of account.keys) this.accountsByKey.set(key, account);
     }
-    this.ranksByService = ranksByService(deployment);
+    this.classesByService = classesByService(deployment);
   }
 
   /** Whether requests on routes that are not public need a key. */
@@ -70,12 +101,12 @@
 
   /** Returns the ranks that requests to a service may have, the most urgent first. */
   public ranksOf(service: string): number[] {
-    return [...(this.ranksByService.get(service)?.keys() ?? [])].sort((a, b) => a - b);
+    return [...(this.classesByService.get(service) ?? []).keys()];
   }
 
   /** Whether the routes of a service, or the accounts that use it, differ in rank. */
   public hasRanks(service: string): boolean {
-    return (this.ranksByService.get(service)?.size ?? 0) > 1;
+    return (this.classesByService.get(service)?.length ?? 0) > 1;
   }
 
   /**
@@ -84,21 +115,42 @@
    */
   public objectiveAbove(service: string, rank: number): number | undefined {
     let shortest: number | undefined;
-    for (const [other, objectiveMs] of this.ranksByService.get(service) ?? [])
-      if (other < rank) shortest = shorter(shortest, objectiveMs);
+    for (const { objectiveMs } of this.classesByService.get(service)?.slice(0, rank) ?? [])
+      shortest = shorter(shortest, objectiveMs);
     return shortest;
   }
 
   /**
-   * Returns the rank that requests have.
-   * @param routeName - their route
-   * @param accountName - their account; undefined if they need none
+   * Returns the rank of requests to a service: 0 for the most urgent that the configuration allows.
+   * @param account - undefined if the requests need none
+   */
+  public rankFor(
+    service: string,
+    { rank: routeRank }: RequestRoute,
+    account: ClientAccount | undefined,
+  ): number {
+    const accountRank = account?.rank ?? DEFAULT_ACCOUNT_RANK;
+    const own = { accountRank, routeRank, objectiveMs: undefined };
+    const classes = this.classesByService.get(service) ?? [];
+    return Math.max(
+      0,
+      classes.findIndex((other) => byUrgency(other, own) === 0),
+    );
+  }
+
+  /**
+   * Returns the rank of requests by the names of their route and account.
+   * @param accountName - undefined if the requests need no account
    * @returns undefined if there is no such route any more
    */
-  public rankOf(routeName: string, accountName: string | undefined): number | undefined {
+  public rankOf(
+    service: string,
+    routeName: string,
+    accountName: string | undefined,
+  ): number | undefined {
     const account = this.deployment.accounts?.find(({ name }) => name === accountName);
     const route = this.deployment.routes.find(({ name }) => name === routeName);
-    return account?.rank ?? route?.rank;
+    return route && this.rankFor(service, route, account);
   }
 
   public accountOf(key: string): ClientAccount | undefined {
--- a/src/core/deployment/Types.ts
+++ b/src/core/deployment/Types.ts
@@ -39,7 +39,7 @@
   readonly timeoutMs: number;
   /** Whether requests need no key. */
   readonly isPublic: boolean;
-  /** Rank of the route's requests, which the rank of their account replaces; 0 is the most urgent one. */
+  /** Rank of the route's requests among those of accounts of the same rank; 0 is the most urgent one. */
   readonly rank: number;
   /**
    * Time to the answer within which callers are well served, in milliseconds; for streams, to the first event.
@@ -103,7 +103,7 @@
 export interface ClientAccount {
   readonly name: string;
   readonly keys: readonly string[];
-  /** Rank of the account's requests, which replaces the rank of their routes; 0 is the most urgent one. */
+  /** Rank of the account's requests, compared before that of their routes; 0 is the most urgent one. */
   readonly rank?: number;
 }
 
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -90,7 +90,7 @@
   readonly route: RequestRoute;
   readonly service: Service;
   readonly account: string | undefined;
-  /** Rank of the account, or else of the route; 0 is the most urgent one. */
+  /** Rank among the requests to the service, by account and then by route; 0 is the most urgent one. */
   readonly rank: number;
   /** Whether requests of different ranks compete for the service. */
   readonly competes: boolean;
--- a/src/core/relay/RelayDispatcher.ts
+++ b/src/core/relay/RelayDispatcher.ts
@@ -158,7 +158,7 @@
       route,
       service,
       account: account?.name,
-      rank: account?.rank ?? route.rank,
+      rank: table.rankFor(service.name, route, account),
       competes: table.hasRanks(service.name),
       inputs,
       endsAt,
