--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -171,6 +171,7 @@
   private readonly silenceDetector: SilenceDetector;
 
   private readonly standstill: StandstillGuard;
+
   private readonly admission: RankedAdmission;
 
   private readonly dispatcher: RelayDispatcher;
