Deployment: the time that a server expects to stay slow after its start is decoded

Cause: an entry's hint cold_left_ms was dropped, so that nothing could weigh it. Change: BackendServer.coldLeftMs, in milliseconds, undefined if absent or not a number: a bad hint makes no entry invalid.

--- a/src/core/deployment/Types.ts
+++ b/src/core/deployment/Types.ts
@@ -150,6 +150,11 @@
   readonly leaving: boolean;
   /** Maximum number of requests that the server runs concurrently. */
   readonly slots: number;
+  /**
+   * How much longer the server expects to be slow after its start, in milliseconds; a hint that may be wrong.
+   * Undefined if it states nothing.
+   */
+  readonly coldLeftMs?: number;
   /** Kind of accelerator; empty for plain services. */
   readonly accelerator: string;
   /** Layers that can be used now. */
--- a/src/platform/ServerEntryDecoder.ts
+++ b/src/platform/ServerEntryDecoder.ts
@@ -34,6 +34,8 @@
   address: z.string().refine(isAddress),
   zone: z.string(),
   slots: z.int().nonnegative().default(1),
+  /** How much longer the server remains slow, in milliseconds. A bad hint makes no entry invalid. */
+  cold_left_ms: z.number().nonnegative().optional().catch(undefined),
   state: z.enum(['ready', 'draining']),
   /** Unix time at which the server started, in milliseconds. */
   born: z.int().nonnegative().default(0),
@@ -68,6 +70,7 @@
     failureDomain: data.zone,
     leaving: data.state === 'draining',
     slots: data.slots,
+    ...(data.cold_left_ms !== undefined && { coldLeftMs: data.cold_left_ms }),
     accelerator: data.route_kind,
     span: decodeSpan(data.layer_count),
   };
