Pace: judging, merging and seats are parts of their own; a failure that comes fast proves nothing

A server's own failure status counted as a sound answer. An instance that hears late of a server, and so thinks it new, made others take up its pace although the server answered them. Change: AnswerJudge, PaceMerge (a table of steps) and CurrentTurn; only answers that are passed on as good are evidence; a peer's word about a server that was never paced here and answers here is ignored; a server that others already use begins with the work that it has.

--- a/features/core/pace/server-pace.feature
+++ b/features/core/pace/server-pace.feature
@@ -56,6 +56,7 @@
       | a suspected server begins again                            | idle start busy suspect      | 17     |
       | it keeps the work that it has                              | idle start busy load30 suspect | 30   |
       | layers that it already had are no reason                   | idle start busy lost found   | none   |
+      | a new one begins with the work that others have there      | load30 start                 | 30     |
       | a leaving server has no pace                               | start leave                  | none   |
 
   Scenario Outline: A peer <says>
@@ -69,6 +70,7 @@
       | knows a larger window                  | start       | 30     |
       | knows a smaller window                 | start       | 17     |
       | knows a reduction                      | start       | 5      |
+      | knows a larger window                  | idle start busy alive | none |
       | knows an earlier generation            | start reject | 8     |
       | knows another process                  | start       | 17     |
       | knows that the pace has ended          | start       | none   |
--- a/src/core/pace/PaceTable.ts
+++ b/src/core/pace/PaceTable.ts
@@ -42,6 +42,11 @@
     return this.paced.get(id);
   }
 
+  /** Returns those of some servers that are paced now. */
+  public listPaced(ids: readonly string[]): PacedServer[] {
+    return ids.flatMap((id) => this.paced.get(id) ?? []);
+  }
+
   public add(server: PacedServer): void {
     this.servers.set(server.id, server);
     if (this.servers.size < this.prunedSize) return;
--- a/src/core/pace/PacedServer.ts
+++ b/src/core/pace/PacedServer.ts
@@ -1,5 +1,5 @@
 /** What is known of the pace of one process of a server. */
-import type { LayerSpan } from '../deployment/Types.js';
+import type { BackendServer, LayerSpan } from '../deployment/Types.js';
 import { seatOffset } from './Seats.js';
 import { PaceCause, type SharedPace } from './Types.js';
 
@@ -21,6 +21,11 @@
 /** Slow answers in a row after which a window shrinks: a single one may be late for the stall of this process. */
 const SLOW_ANSWERS = 2;
 
+/** Whether a span has layers that an earlier one has not. */
+function hasNewLayers(span: LayerSpan, before: LayerSpan): boolean {
+  return span.from < before.from || span.to > before.to;
+}
+
 export class PacedServer {
   public readonly offset: number;
 
@@ -49,26 +54,43 @@
 
   private slowAnswers = 0;
 
-  public constructor(
-    public readonly id: string,
-    public incarnation: number,
-    /** Layers that it last held; undefined if it held none yet. */
-    public span: LayerSpan | undefined,
-  ) {
+  public readonly id: string;
+
+  public incarnation: number;
+
+  /** Layers that it last held; undefined if it held none yet. */
+  private span: LayerSpan | undefined;
+
+  public constructor({ id, incarnation, span }: BackendServer) {
+    this.id = id;
+    this.incarnation = incarnation;
+    this.span = span;
     this.offset = seatOffset(id);
+    this.pendingCause = PaceCause.Started;
   }
 
-  public get isPaced(): boolean {
-    return this.window < Infinity;
+  /**
+   * Applies an entry of the server.
+   * @returns whether it is of a new process, of which nothing is known
+   */
+  public applyEntry({ incarnation, span }: BackendServer): boolean {
+    const isRestarted = incarnation !== this.incarnation;
+    if (isRestarted) {
+      this.incarnation = incarnation;
+      this.generation = 0;
+      this.window = Infinity;
+      this.span = undefined;
+      this.isSuspected = false;
+      this.pendingCause = PaceCause.Restarted;
+    } else if (span !== undefined && this.span !== undefined && hasNewLayers(span, this.span)) {
+      this.pendingCause ??= PaceCause.Refilled;
+    }
+    this.span = span ?? this.span;
+    return isRestarted;
   }
 
-  /** Forgets everything of the previous process. */
-  public restart(incarnation: number): void {
-    this.incarnation = incarnation;
-    this.generation = 0;
-    this.window = Infinity;
-    this.span = undefined;
-    this.isSuspected = false;
+  public get isPaced(): boolean {
+    return this.window < Infinity;
   }
 
   public begin(cause: PaceCause, window: number, now: number): void {
--- a/src/core/pace/Seats.ts
+++ b/src/core/pace/Seats.ts
@@ -25,6 +25,28 @@
   readonly offset: number;
 }
 
+/** Time after which the place of this instance is looked up again, in milliseconds: the interval of digests. */
+const TURN_LIFETIME_MS = 250;
+
+/** The place of this instance, which is costly to look up in a large fleet. */
+export class CurrentTurn {
+  private turn: InstanceTurn | undefined;
+
+  private readAt = -Infinity;
+
+  /** @param read - returns the place of this instance among all known ones */
+  public constructor(private readonly read: () => InstanceTurn) {}
+
+  /** @param now - clock time, in milliseconds */
+  public at(now: number): InstanceTurn {
+    if (this.turn === undefined || now - this.readAt >= TURN_LIFETIME_MS) {
+      this.turn = this.read();
+      this.readAt = now;
+    }
+    return this.turn;
+  }
+}
+
 /** Returns a number by which a server's seats begin at another instance than those of the next server. */
 export function seatOffset(server: string): number {
   let hash = 0;
--- a/src/core/pace/ServerPace.ts
+++ b/src/core/pace/ServerPace.ts
@@ -12,16 +12,18 @@
 import type { Clock, Disposable } from '../../ports/Types.js';
 import type { Deployments } from '../deployment/Deployments.js';
 import type { KnownServer, ServerDirectory } from '../deployment/ServerDirectory.js';
-import type { LayerSpan, Service } from '../deployment/Types.js';
+import type { Service } from '../deployment/Types.js';
 import { Emitter } from '../Emitter.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
 import type { Stage } from '../routing/Types.js';
-import { AnswerSpeed, firstEventMs, judgeSpeed, UsualAnswerTimes } from './AnswerTime.js';
+import { AnswerJudge } from './AnswerJudge.js';
+import { AnswerSpeed } from './AnswerTime.js';
 import { FleetCapacity } from './Capacity.js';
 import { PacedServer } from './PacedServer.js';
+import { judgeWord, MergeStep } from './PaceMerge.js';
 import { PaceTable } from './PaceTable.js';
 import { isCurrent, type PaceTrial, type TriedServer } from './PaceTrial.js';
-import { REPORT_LAG_MS, seatsOf } from './Seats.js';
+import { CurrentTurn, REPORT_LAG_MS, seatsOf } from './Seats.js';
 import {
   PaceCause,
   PaceReason,
@@ -40,44 +42,52 @@
   readonly turn: () => InstanceTurn;
 }
 
-/** Time after which the place of this instance is looked up again, in milliseconds. */
-const TURN_LIFETIME_MS = 250;
-
 /** A window is reported again once it has changed by this factor. */
 const REPORT_FACTOR = 2;
 
-/** Whether a span has layers that an earlier one has not. */
-function hasNewLayers(span: LayerSpan, before: LayerSpan): boolean {
-  return span.from < before.from || span.to > before.to;
-}
+type MergeHandler = (known: PacedServer, shared: SharedPace, source: string) => void;
 
 export class ServerPace implements PaceLimit {
   private readonly table: PaceTable;
 
   private readonly capacity: FleetCapacity;
 
-  private readonly usualTimes = new UsualAnswerTimes();
+  private readonly judge: AnswerJudge;
 
   private readonly changes = new Emitter<PaceChange>();
 
   /** Fires when a pace begins, changes by a factor, or ends. */
   public readonly onChange = this.changes.event;
 
+  private readonly turn: CurrentTurn;
+
+  private readonly mergeSteps: Readonly<Record<MergeStep, MergeHandler>> = {
+    [MergeStep.Ignore]: () => {},
+    [MergeStep.RepeatEnd]: (known) => this.announceEnd(known),
+    [MergeStep.End]: (known, { generation }, source) => {
+      known.generation = generation;
+      if (known.isPaced) this.end(known, PaceReason.Peer, source);
+    },
+    [MergeStep.Widen]: (known, { window }, source) =>
+      this.setWindow(known, window, PaceReason.Peer, source),
+    [MergeStep.Adopt]: (known, { generation, window, cause }, source) => {
+      known.generation = generation;
+      known.cause = cause;
+      known.initial = this.capacity.initialWindow(known.id) ?? window;
+      this.setWindow(known, window, PaceReason.Peer, source);
+    },
+  };
+
   private readonly subscription: Disposable;
 
   /** Whether this instance has had requests. What it knew before is an ordinary server to it. */
   private hasSent = false;
 
-  /** Time of the last sound answer of a server without a pace. */
-  private lastSoundAt = -Infinity;
-
-  private turn: InstanceTurn | undefined;
-
-  private turnReadAt = -Infinity;
-
   public constructor(private readonly dependencies: ServerPaceDependencies) {
     const { directory, load, deployments } = dependencies;
     this.table = new PaceTable((id) => directory.get(id) !== undefined);
+    this.turn = new CurrentTurn(dependencies.turn);
+    this.judge = new AnswerJudge(dependencies.clock, dependencies);
     this.capacity = new FleetCapacity(directory, load, deployments);
     this.subscription = directory.onChange((server) => this.observe(server));
   }
@@ -107,7 +117,7 @@
     if (inProgress >= window) return false;
     const now = clock.now();
     const ageMs = now - changedAt;
-    const seats = seatsOf({ window, inProgress, ageMs, now, offset, turn: this.currentTurn() });
+    const seats = seatsOf({ window, inProgress, ageMs, now, offset, turn: this.turn.at(now) });
     return load.ownWork(server).requests < seats;
   }
 
@@ -123,53 +133,20 @@
     first: string,
     promptTokens: number,
   ): PaceTrial {
-    const { clock, load } = this.dependencies;
     this.hasSent = true;
     const ids = stages.length === 0 ? [first] : stages.map(({ server }) => server);
-    const servers: TriedServer[] = [];
-    for (const id of this.table.size === 0 ? [] : ids) {
-      const paced = this.table.getPaced(id);
-      if (paced === undefined) continue;
-      const { incarnation, generation } = paced;
-      servers.push({
-        paced,
-        incarnation,
-        generation,
-        ownRequests: load.ownWork(id).requests + 1,
-        inProgress: load.requests(id) + 1,
-      });
-    }
-    const { engine } = service;
-    return {
-      service: service.name,
-      sentAt: clock.now(),
-      servers,
-      stages: ids.length,
-      expectedMs:
-        engine === undefined || servers.length === 0
-          ? undefined
-          : firstEventMs(this.dependencies, engine, stages, promptTokens),
-    };
+    const paced = this.table.size === 0 ? [] : this.table.listPaced(ids);
+    return this.judge.start({ service, stages, paced, promptTokens });
   }
 
   /** Judges the servers of a send by the first event of a stream, or by a complete answer. */
-  public recordAnswer({ service, sentAt, servers, stages, expectedMs }: PaceTrial): void {
-    const now = this.dependencies.clock.now();
-    const ms = now - sentAt;
-    const usualMs = expectedMs ?? this.usualTimes.of(service);
-    const speed = usualMs === undefined ? AnswerSpeed.Sound : judgeSpeed(ms, usualMs);
-    if (servers.length === 0) {
-      this.usualTimes.record(service, ms);
-      if (speed === AnswerSpeed.Sound) this.lastSoundAt = now;
-      return;
-    }
-    // A server that answered in time meanwhile rules out that this process was stalled.
-    const isCertain = this.lastSoundAt > sentAt;
-    for (const tried of servers) {
+  public recordAnswer(trial: PaceTrial): void {
+    const { speed, isCertain } = this.judge.judge(trial);
+    for (const tried of trial.servers) {
       if (!isCurrent(tried)) continue;
       if (speed === AnswerSpeed.Sound) this.recordSound(tried);
       // Over several servers the delay may be due to any of them.
-      else if (speed === AnswerSpeed.Slow && stages === 1) this.recordSlow(tried, isCertain);
+      else if (speed === AnswerSpeed.Slow && trial.stages === 1) this.recordSlow(tried, isCertain);
     }
   }
 
@@ -200,48 +177,20 @@
 
   private mergeOne(known: PacedServer, shared: SharedPace, source: string): void {
     const { clock, directory } = this.dependencies;
-    const now = clock.now();
-    const { generation, window, cause, isEnded = false } = shared;
-    if (generation < known.generation || (generation === known.generation && !known.isPaced)) {
-      // The peer has missed the end.
-      if (!known.isPaced && !isEnded && generation > 0) this.announceEnd(known);
-      return;
-    }
-    if (isEnded) {
-      known.generation = generation;
-      if (known.isPaced) this.end(known, PaceReason.Peer, source);
-      return;
-    }
-    if (generation === known.generation) {
-      if (window > known.window) this.setWindow(known, window, PaceReason.Peer, source);
-      return;
-    }
-    // A peer's suspicion says nothing of a server that answers here.
-    const answersHere = now - directory.lastAliveAt(known.id) < REPORT_LAG_MS;
-    if (cause === PaceCause.Recovered && !known.isPaced && answersHere) return;
-    known.generation = generation;
-    known.cause = cause;
-    known.initial = this.capacity.initialWindow(known.id) ?? window;
-    this.setWindow(known, window, PaceReason.Peer, source);
+    const answersHere = clock.now() - directory.lastAliveAt(known.id) < REPORT_LAG_MS;
+    this.mergeSteps[judgeWord(known, shared, answersHere)](known, shared, source);
   }
 
   /** Begins the pace of a server that is new, has a new process or new layers, or is suspected. */
   private observe(server: KnownServer): void {
     const { record, leaving, suspectUntil } = server;
-    const { id, incarnation, span } = record;
-    let known = this.table.get(id);
+    let known = this.table.get(record.id);
     if (known === undefined) {
-      known = new PacedServer(id, incarnation, undefined);
-      known.pendingCause = PaceCause.Started;
+      known = new PacedServer(record);
       this.table.add(known);
-    } else if (known.incarnation !== incarnation) {
-      known.restart(incarnation);
+    } else if (known.applyEntry(record)) {
       this.table.update(known);
-      known.pendingCause = PaceCause.Restarted;
-    } else if (span !== undefined && known.span !== undefined && hasNewLayers(span, known.span)) {
-      known.pendingCause ??= PaceCause.Refilled;
     }
-    known.span = span ?? known.span;
     if (leaving) {
       if (known.isPaced) this.end(known, PaceReason.Leaving);
       return;
@@ -279,7 +228,8 @@
     const initial = this.capacity.initialWindow(known.id);
     if (initial === undefined) return;
     const before = known.window;
-    const kept = cause === PaceCause.Refilled ? load.requests(known.id) : 0;
+    // The work at a process that has ended is reported for a while.
+    const kept = cause === PaceCause.Restarted ? 0 : load.requests(known.id);
     known.begin(cause, Math.max(initial, kept), clock.now());
     this.table.update(known);
     this.report(known, PaceReason.Begun, before);
@@ -335,15 +285,6 @@
     this.table.update(known);
   }
 
-  private currentTurn(): InstanceTurn {
-    const now = this.dependencies.clock.now();
-    if (this.turn === undefined || now - this.turnReadAt >= TURN_LIFETIME_MS) {
-      this.turn = this.dependencies.turn();
-      this.turnReadAt = now;
-    }
-    return this.turn;
-  }
-
   private reportIfFar(known: PacedServer, reason: PaceReason, source?: string): void {
     const { window, reportedWindow } = known;
     const factor = window / reportedWindow;
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -335,11 +335,14 @@
     });
   }
 
-  /** Records that the servers of the last send have begun or given its answer. */
-  protected recordAcceptance(servers: readonly string[]): void {
+  /**
+   * Records that the servers of the last send have begun or given its answer.
+   * @param isGood - whether the answer shows that they work; a failure may be fast
+   */
+  protected recordAcceptance(servers: readonly string[], isGood = true): void {
     const { directory, pace } = this.dependencies;
     for (const server of servers) directory.noteAcceptance(server);
-    if (this.trial !== undefined) pace.recordAnswer(this.trial);
+    if (isGood && this.trial !== undefined) pace.recordAnswer(this.trial);
     this.trial = undefined;
   }
 
--- a/src/core/relay/CallRelay.ts
+++ b/src/core/relay/CallRelay.ts
@@ -80,7 +80,7 @@
       if (this.retry(RetryReason.StageFailed, server)) return;
     }
     this.dependencies.directory.noteAlive(server);
-    this.recordAcceptance([server]);
+    this.recordAcceptance([server], this.verdict === AnswerVerdict.Forward);
     this.deliver(head, this.chunks);
   }
 
