--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -22,6 +22,7 @@
 import { StartWindows } from '../../src/core/limits/StartWindows.js';
 import { HeldServers } from '../../src/core/limits/HeldServers.js';
 import { ServerLimits } from '../../src/core/limits/ServerLimits.js';
+import { ServerPace, type ServerPaceDependencies } from '../../src/core/pace/ServerPace.js';
 import type { Clock, Random } from '../../src/ports/Types.js';
 import type { RelayCounters, RelayDependencies } from '../../src/core/relay/RelayDependencies.js';
 import { CrashWitness } from '../../src/core/quarantine/CrashWitness.js';
@@ -145,6 +146,16 @@
   return new ServerLimits(clock, NO_RANDOM, () => 1);
 }
 
+/** Gives all servers work; no limit or pause of one is known yet. */
+export function openServerAdmission(clock: Clock): ServerAdmission {
+  return new ServerAdmission(clock, unlimitedServers(clock), new HeldServers(clock));
+}
+
+/** The pace of servers that this instance alone knows. */
+export function ownPace(dependencies: Omit<ServerPaceDependencies, 'turn'>): ServerPace {
+  return new ServerPace({ ...dependencies, turn: () => ({ rank: 0, instances: 1 }) });
+}
+
 const NO_OP_COUNTERS: RelayCounters & AdmissionCounters = {
   countAdmission: () => {},
   recordWait: () => {},
@@ -200,6 +211,13 @@
     this.heldServers,
   );
 
+  public readonly pace = ownPace({
+    clock: this.clock,
+    directory: this.directory,
+    load: this.load,
+    deployments: this.deployments,
+  });
+
   public readonly quarantine = new InputQuarantine(this.clock, () => ({ rank: 0, instances: 1 }));
 
   public readonly loggedDecisions: { event: string; fields: object }[] = [];
@@ -242,7 +260,14 @@
       decisions,
       random: NO_RANDOM,
       deployments: this.deployments,
-      routes: new EngineRoutes(directory, load, 'a', this.serverAdmission, domainLinks(clock)),
+      routes: new EngineRoutes(
+        directory,
+        load,
+        'a',
+        this.serverAdmission,
+        domainLinks(clock),
+        this.pace,
+      ),
       port: this.servers,
       streamRegistry: this.silenceDetector,
       retryAfterEstimator: new RetryAfterEstimator(NO_RANDOM),
@@ -257,6 +282,7 @@
       startWindows: new StartWindows(clock),
       serverAdmission: this.serverAdmission,
       standstill: this.standstill,
+      pace: this.pace,
       quarantine,
       crashWitness: new CrashWitness({ directory, port: this.servers, quarantine, decisions }),
       counters: NO_OP_COUNTERS,
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -6,6 +6,7 @@
 import type { RoomLimits } from '../admission/RoomLimits.js';
 import type { BackendServer, EngineProfile } from '../deployment/Types.js';
 import type { RetryAfterEstimator } from '../limits/RetryAfterEstimator.js';
+import type { PaceTrial } from '../pace/PaceTrial.js';
 import type { NoRouteReason, RouteRequirements } from '../routing/EngineRoutes.js';
 import { describeStages } from '../routing/StageText.js';
 import { describeRevision } from '../store/Revision.js';
@@ -75,6 +76,9 @@
   /** Limits on the room that the next route may use. */
   private roomLimits: RoomLimits | undefined;
 
+  /** What the answer to the last send tells of its servers; undefined once their route has changed. */
+  private trial: PaceTrial | undefined;
+
   private readonly endListeners: ((relay: BaseRelay) => void)[] = [];
 
   public constructor(
@@ -196,7 +200,7 @@
   }
 
   protected send(target: SendTarget): void {
-    const { clock, directory, port, load, invariants, serverLimits } = this.dependencies;
+    const { clock, directory, port, load, invariants, serverLimits, pace } = this.dependencies;
     const server = directory.get(target.server);
     if (server === undefined || !this.sendTracker.recordSend(target.server, clock.now())) {
       this.failWith(RefusalReason.ServerLost);
@@ -214,15 +218,12 @@
     const { request, account, rank, competes } = this.assigned;
     const { stages } = target;
     this.recordTransfers(stages);
+    const promptTokens = request.prompt?.promptTokens ?? 0;
+    this.trial = pace.startTrial(this.assigned.service, stages, target.server, promptTokens);
     // A plain service has no stages, so a stage without layers counts the request at its server.
     const reservedStages =
       stages.length > 0 ? stages : [{ server: target.server, address: '', from: 0, to: 0 }];
-    this.reservation = new WorkReservation(
-      load,
-      reservedStages,
-      this.reservedTokens,
-      request.prompt?.promptTokens ?? 0,
-    );
+    this.reservation = new WorkReservation(load, reservedStages, this.reservedTokens, promptTokens);
     this.dependencies.decisions.record('send', {
       id: request.id,
       server: target.server,
@@ -412,7 +413,29 @@
     this.dependencies.routes.recordTransfers(this.routeRequirements(engine), stages, before);
   }
 
+  /**
+   * Records that the servers of the last send have begun or given its answer.
+   * @param isGood - whether the answer shows that they work; a failure may be fast
+   */
+  protected recordAcceptance(servers: readonly string[], isGood = true): void {
+    const { directory, pace } = this.dependencies;
+    for (const server of servers) directory.noteAcceptance(server);
+    if (isGood && this.trial !== undefined) pace.recordAnswer(this.trial);
+    this.trial = undefined;
+  }
+
+  /**
+   * Records that a server rejected the request.
+   * @param isNamed - whether it is known to be the one at fault
+   */
+  protected recordRejection(server: string, isNamed: boolean): void {
+    this.noteRejection(server);
+    if (isNamed && this.trial !== undefined)
+      this.dependencies.pace.recordRejection(this.trial, server);
+  }
+
   protected moveReservation(stages: readonly Stage[]): void {
+    this.trial = undefined;
     this.reservation?.reroute(stages);
   }
 
@@ -565,12 +588,13 @@
   }
 
   private choosePlainTarget(): SendTarget | undefined {
-    const { directory, load, localDomain, serverAdmission } = this.dependencies;
+    const { directory, load, localDomain, serverAdmission, pace } = this.dependencies;
     const { name } = this.assigned.service;
     const server = choosePlainServer({
       directory,
       load,
       serverAdmission,
+      pace,
       service: name,
       localDomain,
       avoid: this.avoidedServers,
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -10,6 +10,7 @@
 import type { StartWindows } from '../limits/StartWindows.js';
 import type { RetryAfterEstimator } from '../limits/RetryAfterEstimator.js';
 import type { RefusalReason, RetryReason } from '../Outcome.js';
+import type { ServerPace } from '../pace/ServerPace.js';
 import type { CrashWitness } from '../quarantine/CrashWitness.js';
 import type { Quarantine } from '../quarantine/Types.js';
 import type { EngineRoutes } from '../routing/EngineRoutes.js';
@@ -73,6 +74,7 @@
   readonly startWindows: StartWindows;
   readonly serverAdmission: ServerAdmission;
   readonly standstill: StandstillGuard;
+  readonly pace: ServerPace;
   readonly quarantine: Quarantine;
   readonly crashWitness: CrashWitness;
   readonly decisions: DecisionLog;
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -288,7 +288,7 @@
     this.answerBegun = true;
     this.startPlace?.recordFirstEvent();
     this.endPrefill();
-    for (const { server } of this.stages) this.dependencies.directory.noteAcceptance(server);
+    this.recordAcceptance(this.stages.map(({ server }) => server));
     this.dependencies.counters.recordFirstByte(route.kind, this.lastEventAt - request.arrivedAt);
   }
 
@@ -342,7 +342,7 @@
     const { directory, decisions } = this.dependencies;
     const blamed = this.serverAt(head.blamedAddress) ?? target.server;
     if (head.misdirected) directory.clearSpan(blamed);
-    else this.noteRejection(blamed);
+    else this.recordRejection(blamed, head.blamedAddress !== undefined || this.stages.length <= 1);
     decisions.record('turned-away', {
       id: this.id,
       server: target.server,
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -18,6 +18,8 @@
 import { SharedRetryBudget, type SharedRetryLimits } from '../core/limits/SharedRetryBudget.js';
 import { StartWindows, type StartWindowChange } from '../core/limits/StartWindows.js';
 import { ServerLimits, type ServerLimitChange } from '../core/limits/ServerLimits.js';
+import { ServerPace } from '../core/pace/ServerPace.js';
+import type { PaceChange } from '../core/pace/Types.js';
 import { PeerSharing } from '../core/peers/PeerSharing.js';
 import { decodePeerIdentity, InstanceRegistration } from '../core/peers/InstanceRegistration.js';
 import {
@@ -166,6 +168,14 @@
     this.heldServers,
   );
 
+  private readonly pace = new ServerPace({
+    clock: this.clock,
+    directory: this.directory,
+    load: this.load,
+    deployments: this.deployments,
+    turn: () => this.sharing.probationTurn,
+  });
+
   private readonly quarantine = new InputQuarantine(this.clock, () => this.sharing.probationTurn);
 
   private readonly silenceDetector: SilenceDetector;
@@ -262,6 +272,7 @@
         failureDomain,
         this.serverAdmission,
         this.domainLinks,
+        this.pace,
       ),
       port: servers,
       // The detector monitors the streams that the dispatcher registers with it.
@@ -273,6 +284,7 @@
       startWindows: this.startWindows,
       serverAdmission: this.serverAdmission,
       standstill: this.standstill,
+      pace: this.pace,
       quarantine: this.quarantine,
       crashWitness: new CrashWitness({
         directory,
@@ -333,6 +345,7 @@
       directory,
       load,
       serverLimits: this.serverLimits,
+      pace: this.pace,
       quarantine: this.quarantine,
       port: this.peers,
       seeds: settings.peers.seeds,
@@ -384,6 +397,7 @@
     deployments.onChange(() => this.ingress.applyLimits());
     this.serverLimits.onChange((change) => this.recordServerLimit(change));
     this.startWindows.onChange((change) => this.recordStartWindow(change));
+    this.pace.onChange((change) => this.recordPace(change));
     this.quarantine.onChange((change) => this.recordQuarantine(change));
     this.addGauges();
   }
@@ -474,6 +488,7 @@
     this.attempt('registration', () => this.registration.dispose());
     this.attempt('knowledge', () => this.knowledge.dispose());
     this.attempt('sharing', () => this.sharing.dispose());
+    this.attempt('pace', () => this.pace.dispose());
     this.attempt('peers', () => this.peers.dispose());
     this.attempt('callers', () => this.ingress.close());
     this.attempt('readiness', () => this.readiness.close());
@@ -541,6 +556,20 @@
     });
   }
 
+  private recordPace({ server, cause, reason, window, before, source }: PaceChange): void {
+    this.metrics.countPaceChange(reason);
+    // Without a window, the log states none.
+    const stated = (requests: number) => (requests < Infinity ? requests : undefined);
+    this.log.record('pace', {
+      server,
+      cause,
+      reason,
+      window: stated(window),
+      before: stated(before),
+      heardFrom: source,
+    });
+  }
+
   private recordQuarantine({ quarantined, isHeld, source }: QuarantineChange): void {
     const { part, crashes, lastCrashAt, heldUntil } = quarantined;
     const now = this.clock.now();
@@ -591,6 +620,7 @@
     metrics.addGauge('acaciadrum_links_withheld', () => this.domainLinks.withheld);
     metrics.addGauge('acaciadrum_held_servers', () => this.heldServers.size);
     metrics.addGauge('acaciadrum_leaving_servers', () => this.directory.leavingCount);
+    metrics.addGauge('acaciadrum_paced_servers', () => this.pace.size);
     metrics.addGauge('acaciadrum_message_bytes', () => this.memory.used);
     metrics.addGauge('acaciadrum_evictions', () => this.memory.evictions);
     for (const listener of Object.values(Listener)) {
--- a/src/router/RouterMetrics.ts
+++ b/src/router/RouterMetrics.ts
@@ -11,6 +11,7 @@
 import { hostAndPort } from '../adapters/http/HttpClient.js';
 import { PROBE_SERVER_OPTIONS } from '../adapters/http/ProbeServer.js';
 import type { AdmissionCounters, AdmissionEnd } from '../core/admission/RankedAdmission.js';
+import type { PaceReason } from '../core/pace/Types.js';
 import type { RefusalReason, RetryReason } from '../core/Outcome.js';
 import type { RelayCounters, RelayEnd } from '../core/relay/RelayDependencies.js';
 
@@ -67,6 +68,11 @@
     this.count(`acaciadrum_admissions_total{rank="${rank}",end="${end}"}`);
   }
 
+  /** Counts a change of a server's pace as this instance sees it. */
+  public countPaceChange(reason: PaceReason): void {
+    this.count(`acaciadrum_pace_changes_total{reason="${reason}"}`);
+  }
+
   public recordFirstByte(kind: string, ms: number): void {
     this.recordTime('acaciadrum_first_byte_ms', `kind="${kind}"`, ms);
   }
