Routes cost by predicted time

Cause: a server's cost held its memory and prefill backlog only; a full batch and a long context cost nothing, so that a request went to a full batch of the faster kind beside an idle server. The backlog counted each prompt at all servers of its route at once, about nine times too much.

Change: ServerTime predicts from the engine's profile, the server's layers and the work known there what a stage and each layer cost: half a pass of the batch, the backlog that is there, prefill, decode steps at the present batch and context, memory as before. The search looks for the cheapest start once for each failure domain and boundary, not for each candidate. A changed engine profile replaces the kept candidates; before, the old times stayed until a server changed.

--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -1,14 +1,11 @@
 /** Chooses the servers that a request to an engine passes through. */
-import {
-  AvoidReason,
-  type KnownServer,
-  type ServerDirectory,
-} from '../deployment/ServerDirectory.js';
-import type { Accelerator, EngineProfile, Service } from '../deployment/Types.js';
+import { AvoidReason, type ServerDirectory } from '../deployment/ServerDirectory.js';
+import type { BackendServer, EngineProfile, LayerSpan, Service } from '../deployment/Types.js';
 import { coversOnce, planCheapestRoute } from './RoutePlanner.js';
 import type { ServerLimits } from '../limits/ServerLimits.js';
 import type { ServerLoad } from './ServerLoad.js';
-import type { Candidate, Stage } from './Types.js';
+import { kvCacheCapacity, predictCost, profileServer, type ServerProfile } from './ServerTime.js';
+import type { Candidate, ServerCost, Stage } from './Types.js';
 
 /** What a route has to satisfy. */
 export interface RouteRequirements {
@@ -27,40 +24,12 @@
 /** Maximum number of stages; servers reject requests with more. */
 const MAX_STAGES = 32;
 
-/** Share of a server's free memory that routes may use: answers can be longer than their estimate. */
-const MEMORY_SHARE = 0.9;
-
-/**
- * Fixed cost of another server on a route, in milliseconds: link delays and the wait for the server's next
- * batch step.
- */
-const STAGE_MS = 6;
-
-/** Cost of a server whose memory is full, in milliseconds. */
-const FULL_MEMORY_MS = 250;
-
-/** Exponent with which the cost rises as memory fills. */
-const MEMORY_FILL_EXPONENT = 3;
-
-/**
- * Weight of the decode time of an answer relative to the prefill time of its prompt, which determines the
- * time to the first event.
- */
-const ANSWER_WEIGHT = 0.03;
-
 /** Cost of a route that begins in a remote domain, in milliseconds: a partition would end the request. */
 const REMOTE_ENTRY_MS = 30;
 
 /** Factor on the time of a transfer between failure domains, for its wait for other transfers on the link. */
 const LINK_CONTENTION_FACTOR = 3;
 
-/** Time that one layer adds to a request, in milliseconds: prefill, and a share of the decode steps. */
-function layerMs(engine: EngineProfile, accelerator: Accelerator): number {
-  const prefillMs = (engine.usualPromptTokens / engine.readTokensPerMs) * accelerator.readFactor;
-  const stepsMs = engine.usualAnswerTokens * engine.stepMs * accelerator.stepFactor;
-  return (prefillMs + ANSWER_WEIGHT * stepsMs) / engine.layers;
-}
-
 /**
  * Cost of transferring the activations of `tokens` tokens between failure domains, in milliseconds, with
  * the wait for other transfers.
@@ -70,14 +39,18 @@
   return (LINK_CONTENTION_FACTOR * tokens * engine.activationBytes * 8) / bitsPerMs;
 }
 
-/** KV cache that a server has memory for besides its layers, in tokens times layers. */
-function kvCacheCapacity(engine: EngineProfile, accelerator: Accelerator, layers: number): number {
-  const freeMb = (accelerator.memoryMb - layers * engine.layerMb) * MEMORY_SHARE;
-  return Math.max(1, (freeMb * engine.layers) / engine.tokenMb);
+/** Cost of the first server of a running request whose entry shows no layers any more: it stays in any case. */
+const UNKNOWN_SERVER_COST: ServerCost = { stageMs: 0, layerMs: 0 };
+
+/** The servers of a service as route searches see them; replaced when any server changes. */
+interface ServiceFleet {
+  readonly engine: EngineProfile;
+  readonly candidates: readonly Candidate[];
+  readonly profiles: ReadonlyMap<string, ServerProfile>;
 }
 
 export class EngineRoutes {
-  private candidates = new Map<string, Candidate[]>();
+  private readonly fleets = new Map<string, ServiceFleet>();
 
   public constructor(
     private readonly directory: ServerDirectory,
@@ -85,7 +58,7 @@
     private readonly localDomain: string,
     private readonly serverLimits: ServerLimits,
   ) {
-    directory.onChange(() => this.candidates.clear());
+    directory.onChange(() => this.fleets.clear());
   }
 
   /**
@@ -95,7 +68,7 @@
    */
   public plan(requirements: RouteRequirements): readonly Stage[] | undefined {
     const { service, engine, avoid, tokens, firstServers } = requirements;
-    const all = this.firstStagesWithinLimits(this.candidatesOf(service, engine));
+    const all = this.firstStagesWithinLimits(this.fleetOf(service, engine).candidates);
     const candidates =
       firstServers === undefined
         ? all
@@ -140,7 +113,7 @@
       costs: {
         crossDomainMs: crossDomainMs(engine, requirements.tokens),
         remoteEntryMs: REMOTE_ENTRY_MS,
-        serverMs: (id) => this.serverMs(id, engine),
+        server: this.serverCosts(requirements.service, engine),
       },
     });
     if (route === undefined) return undefined;
@@ -157,7 +130,7 @@
     const { engine } = requirements;
     if (first.to === engine.layers) return [first];
     const candidates: Candidate[] = [];
-    for (const candidate of this.candidatesOf(requirements.service, engine)) {
+    for (const candidate of this.fleetOf(requirements.service, engine).candidates) {
       if (candidate.server === first.server || candidate.to <= first.to) continue;
       candidates.push({ ...candidate, from: Math.max(candidate.from, first.to) });
     }
@@ -188,10 +161,8 @@
   public explainNoRoute(requirements: RouteRequirements): { missing: string; full: string } {
     const held = new Uint8Array(requirements.engine.layers);
     const withMemory = new Uint8Array(requirements.engine.layers);
-    for (const { server, from, to } of this.candidatesOf(
-      requirements.service,
-      requirements.engine,
-    )) {
+    for (const { server, from, to } of this.fleetOf(requirements.service, requirements.engine)
+      .candidates) {
       if (requirements.avoid.has(server) || !this.directory.isUsable(server)) continue;
       held.fill(1, from, to);
       if (this.canAccept(server, requirements.engine, requirements.tokens))
@@ -200,17 +171,14 @@
     return { missing: describeGaps(held), full: describeGaps(withMemory) };
   }
 
-  /** Expected wait at a server and the cost of memory that other requests will need, in milliseconds. */
-  private serverMs(id: string, engine: EngineProfile): number {
-    const server = this.directory.get(id);
-    const accelerator = engine.accelerators.get(server?.record.accelerator ?? '');
-    const span = server?.record.span;
-    if (accelerator === undefined || span === undefined) return STAGE_MS;
-    const layers = span.to - span.from;
-    const prefillTokensPerMs = engine.readTokensPerMs / accelerator.readFactor;
-    const backlogMs = ((this.load.prefillTokens(id) / prefillTokensPerMs) * layers) / engine.layers;
-    const fill = this.load.tokenLayers(id) / kvCacheCapacity(engine, accelerator, layers);
-    return STAGE_MS + backlogMs + FULL_MEMORY_MS * fill ** MEMORY_FILL_EXPONENT;
+  /** Prepares the costs of servers for one search. */
+  private serverCosts(service: Service, engine: EngineProfile): (id: string) => ServerCost {
+    const { profiles } = this.fleetOf(service, engine);
+    return (id) => {
+      const profile = profiles.get(id);
+      if (profile === undefined) return UNKNOWN_SERVER_COST;
+      return predictCost(profile, this.load.work(id), 1, 0);
+    };
   }
 
   private isDeclining(id: string): boolean {
@@ -230,37 +198,35 @@
     return this.load.tokenLayers(id) + tokens * layers <= kvCacheCapacity(engine, kind, layers);
   }
 
-  private candidatesOf(service: Service, engine: EngineProfile): Candidate[] {
-    let found = this.candidates.get(service.name);
-    if (found === undefined) {
-      found = [];
-      for (const server of this.directory.all()) {
-        const candidate = toCandidate(server, service, engine);
-        if (candidate !== undefined) found.push(candidate);
-      }
-      this.candidates.set(service.name, found);
+  private fleetOf(service: Service, engine: EngineProfile): ServiceFleet {
+    let fleet = this.fleets.get(service.name);
+    if (fleet?.engine !== engine) {
+      fleet = this.collectFleet(service, engine);
+      this.fleets.set(service.name, fleet);
+    }
+    return fleet;
+  }
+
+  private collectFleet(service: Service, engine: EngineProfile): ServiceFleet {
+    const candidates: Candidate[] = [];
+    const profiles = new Map<string, ServerProfile>();
+    for (const { record } of this.directory.all()) {
+      const { id, span } = record;
+      const accelerator = engine.accelerators.get(record.accelerator);
+      if (record.service !== service.name || span === undefined || accelerator === undefined)
+        continue;
+      const layers = span.to - span.from;
+      const profile = profileServer(engine, accelerator, layers);
+      profiles.set(id, profile);
+      candidates.push(toCandidate(record, span));
     }
-    return found;
+    return { engine, candidates, profiles };
   }
 }
 
-function toCandidate(
-  { record }: KnownServer,
-  service: Service,
-  engine: EngineProfile,
-): Candidate | undefined {
-  const accelerator = engine.accelerators.get(record.accelerator);
-  if (record.service !== service.name || record.span === undefined || accelerator === undefined)
-    return undefined;
-  return {
-    server: record.id,
-    address: record.address,
-    failureDomain: record.failureDomain,
-    from: record.span.from,
-    to: record.span.to,
-    layerMs: layerMs(engine, accelerator),
-    linkMs: 0,
-  };
+function toCandidate(record: BackendServer, { from, to }: LayerSpan): Candidate {
+  const { id, address, failureDomain } = record;
+  return { server: id, address, failureDomain, from, to, layerMs: 0, linkMs: 0 };
 }
 
 /** Formats the layers that are not covered, for example `8-16,40-48`. */
--- a/src/core/routing/RoutePlanner.ts
+++ b/src/core/routing/RoutePlanner.ts
@@ -71,18 +71,26 @@
 }
 
 function toPricedSearch({ costs, ...query }: PricedRouteQuery): Search {
-  // A search prices each server once for every pair of boundaries in its span.
-  const serverMs = new Map<string, number>();
-  for (const { server } of query.candidates) serverMs.set(server, costs.serverMs(server));
   return {
     ...query,
     crossDomainMs: costs.crossDomainMs,
     remoteEntryMs: costs.remoteEntryMs,
-    stageMs: (candidate, layers) =>
-      layers * candidate.layerMs + (serverMs.get(candidate.server) as number),
+    stageMs: (candidate, layers) => layers * candidate.layerMs + candidate.linkMs,
   };
 }
 
+/** Sets the costs of the usable candidates. */
+function priceCandidates(query: PricedRouteQuery): Candidate[] {
+  const priced: Candidate[] = [];
+  for (const candidate of query.candidates) {
+    const { server, address, failureDomain, from, to } = candidate;
+    if (!query.usable(server)) continue;
+    const { layerMs, stageMs } = query.costs.server(server);
+    priced.push({ server, address, failureDomain, from, to, layerMs, linkMs: stageMs });
+  }
+  return priced;
+}
+
 function keptLayers(search: Search, server: string, from: number, to: number): number {
   let kept = 0;
   for (const stage of search.kept) {
@@ -128,17 +136,23 @@
   return merged;
 }
 
-/**
- * Keeps the cheapest partial route for each failure domain, since the cost of the link to the next stage
- * depends only on the domains.
- */
-function keepCheapest(
-  cheapest: Map<string, PartialRoute>,
+/** Finds the cheapest partial route to continue in a failure domain, with the link to it. */
+function cheapestStart(
+  search: Search,
+  partials: Iterable<PartialRoute>,
   domain: string,
-  partial: PartialRoute,
-): void {
-  const best = cheapest.get(domain);
-  if (best === undefined || partial.cost < best.cost) cheapest.set(domain, partial);
+): { cost: number; partial: PartialRoute | undefined } {
+  const best: { cost: number; partial: PartialRoute | undefined } = {
+    cost: Infinity,
+    partial: undefined,
+  };
+  for (const partial of partials) {
+    const cost = partial.cost + linkMs(search, partial, domain);
+    if (cost >= best.cost) continue;
+    best.cost = cost;
+    best.partial = partial;
+  }
+  return best;
 }
 
 function extendRoutes(
@@ -146,27 +160,28 @@
   boundaries: readonly number[],
   cheapest: Map<string, PartialRoute>[],
   index: number,
-  candidate: Candidate,
+  candidates: readonly Candidate[],
 ): void {
   const from = boundaries[index];
-  let best: PartialRoute | undefined;
-  let bestCost = Infinity;
-  for (const partial of cheapest[index].values()) {
-    const cost = partial.cost + linkMs(search, partial, candidate.failureDomain);
-    if (cost >= bestCost) continue;
-    bestCost = cost;
-    best = partial;
-  }
-  if (best === undefined) return;
-  for (let next = index + 1; next < boundaries.length; next += 1) {
-    const to = boundaries[next];
-    if (to > candidate.to) break;
-    keepCheapest(cheapest[next], candidate.failureDomain, {
-      cost: bestCost + stageCost(search, candidate, from, to),
-      candidate,
-      fromBoundary: index,
-      previous: best,
-    });
+  const starts = new Map<string, ReturnType<typeof cheapestStart>>();
+  for (const candidate of candidates) {
+    if (candidate.from > from || candidate.to <= from) continue;
+    const domain = candidate.failureDomain;
+    let start = starts.get(domain);
+    if (start === undefined) {
+      start = cheapestStart(search, cheapest[index].values(), domain);
+      starts.set(domain, start);
+    }
+    const { partial } = start;
+    if (partial === undefined) return;
+    for (let next = index + 1; next < boundaries.length; next += 1) {
+      const to = boundaries[next];
+      if (to > candidate.to) break;
+      const cost = start.cost + stageCost(search, candidate, from, to);
+      const known = cheapest[next].get(domain);
+      if (known !== undefined && known.cost <= cost) continue;
+      cheapest[next].set(domain, { cost, candidate, fromBoundary: index, previous: partial });
+    }
   }
 }
 
@@ -175,19 +190,17 @@
   candidates: readonly Candidate[],
   boundaries: readonly number[],
 ): Route | undefined {
+  // One partial route for each failure domain, since the cost of the link to the next stage depends only on
+  // the domains.
   const cheapest = boundaries.map(() => new Map<string, PartialRoute>());
-  keepCheapest(cheapest[0], search.localDomain, {
+  cheapest[0].set(search.localDomain, {
     cost: 0,
     candidate: undefined,
     fromBoundary: 0,
     previous: undefined,
   });
-  for (const [index, boundary] of boundaries.entries()) {
-    for (const candidate of candidates) {
-      if (candidate.from > boundary || candidate.to <= boundary) continue;
-      extendRoutes(search, boundaries, cheapest, index, candidate);
-    }
-  }
+  for (const index of boundaries.keys())
+    extendRoutes(search, boundaries, cheapest, index, candidates);
   let last: PartialRoute | undefined;
   for (const partial of (cheapest.at(-1) as Map<string, PartialRoute>).values()) {
     if (last === undefined || partial.cost < last.cost) last = partial;
@@ -205,7 +218,7 @@
  */
 export function planCheapestRoute(query: PricedRouteQuery): Route | undefined {
   const boundaries = layerBoundaries(query.candidates, query.layers);
-  return shortestPath(toPricedSearch(query), usableCandidates(query), boundaries);
+  return shortestPath(toPricedSearch(query), priceCandidates(query), boundaries);
 }
 
 /**
--- a/src/core/routing/ServerLoad.ts
+++ b/src/core/routing/ServerLoad.ts
@@ -20,23 +20,40 @@
   private readonly ownWorkByServer = new Map<string, OutstandingWork>();
 
   /** Work that other instances have reported, by server. */
-  private readonly peerWork = new Map<string, OutstandingWork>();
+  private readonly peerWorkByServer = new Map<string, OutstandingWork>();
+
+  /** Work at a server that other instances have reported. */
+  public peerWork(server: string): Readonly<OutstandingWork> {
+    return this.peerWorkByServer.get(server) ?? NO_WORK;
+  }
 
   public ownWork(server: string): Readonly<OutstandingWork> {
     return this.ownWorkByServer.get(server) ?? NO_WORK;
   }
 
+  /** Outstanding work of all instances at a server. */
+  public work(server: string): Readonly<OutstandingWork> {
+    const own = this.ownWorkByServer.get(server);
+    const peers = this.peerWorkByServer.get(server);
+    if (own === undefined || peers === undefined) return own ?? peers ?? NO_WORK;
+    return {
+      requests: own.requests + peers.requests,
+      readingTokens: own.readingTokens + peers.readingTokens,
+      tokenLayers: own.tokenLayers + peers.tokenLayers,
+    };
+  }
+
   /** Requests of all instances in progress at a server. */
   public requests(server: string): number {
-    return this.ownWork(server).requests + (this.peerWork.get(server)?.requests ?? 0);
+    return this.ownWork(server).requests + this.peerWork(server).requests;
   }
 
   public prefillTokens(server: string): number {
-    return this.ownWork(server).readingTokens + (this.peerWork.get(server)?.readingTokens ?? 0);
+    return this.ownWork(server).readingTokens + this.peerWork(server).readingTokens;
   }
 
   public tokenLayers(server: string): number {
-    return this.ownWork(server).tokenLayers + (this.peerWork.get(server)?.tokenLayers ?? 0);
+    return this.ownWork(server).tokenLayers + this.peerWork(server).tokenLayers;
   }
 
   /**
@@ -65,8 +82,8 @@
 
   /** Replaces the work that other instances have reported. */
   public setPeerWork(work: ReadonlyMap<string, OutstandingWork>): void {
-    this.peerWork.clear();
-    for (const [server, sum] of work) this.peerWork.set(server, sum);
+    this.peerWorkByServer.clear();
+    for (const [server, sum] of work) this.peerWorkByServer.set(server, sum);
   }
 
   /** Returns this instance's outstanding work by server. */
--- a/src/core/routing/Types.ts
+++ b/src/core/routing/Types.ts
@@ -28,10 +28,13 @@
   readonly to: number;
   /**
    * Time of one layer, in milliseconds: for a pipeline, of one token at a full batch; for an engine, of a
-   * whole request.
+   * whole request, set by the search.
    */
   readonly layerMs: number;
-  /** One-way time of the server's own link, in milliseconds. */
+  /**
+   * Time of a stage besides its layers, in milliseconds: for a pipeline, one way of the server's own link;
+   * for an engine, link, wait and use of memory, set by the search.
+   */
   readonly linkMs: number;
 }
 
@@ -60,8 +63,14 @@
   readonly crossDomainMs: number;
   /** Start in a remote failure domain: only the request's text and its answer pass between the domains. */
   readonly remoteEntryMs: number;
-  /** Wait and use of memory at a server, independent of how many layers the stage runs. */
-  readonly serverMs: (server: string) => number;
+  readonly server: (server: string) => ServerCost;
+}
+
+/** Predicted costs of a request at a server, in milliseconds. */
+export interface ServerCost {
+  /** Wait and use of memory, independent of how many layers the stage runs. */
+  readonly stageMs: number;
+  readonly layerMs: number;
 }
 
 /** A route search by given costs. */
