Routes avoid servers that are slow at the moment

Their reports say so, but nobody reads that, and nobody asks.

SlowStreamProbe asks servers of streams whose gaps are twice the predicted ones, at most one in 100 ms an instance, and not those that a stream of usual pace has passed; the hub of a domain asks its slow servers again each 2 s. Every report counts, whoever asked for it. Where no stream is slow nothing is asked.

Tests: the fakes' reports and the instances of the peer tests have the new field.

--- a/features/core/FakeServers.ts
+++ b/features/core/FakeServers.ts
@@ -74,6 +74,6 @@
       await this.clock.sleep(timeoutMs);
       return undefined;
     }
-    return { ordersAccepted: 0, span: undefined, busy: false, blocked: this.blocked };
+    return { ordersAccepted: 0, span: undefined, busy: false, slowness: 1, blocked: this.blocked };
   }
 }
--- a/features/core/peers/configuration-transfer.steps.ts
+++ b/features/core/peers/configuration-transfer.steps.ts
@@ -9,6 +9,7 @@
 import type { PeerDigest, PeerIdentity } from '../../../src/core/peers/Types.js';
 import { PartQuarantine } from '../../../src/core/quarantine/PartQuarantine.js';
 import { ServerLoad } from '../../../src/core/routing/ServerLoad.js';
+import { ServerSlowness } from '../../../src/core/routing/ServerSlowness.js';
 import { StoreFollowController } from '../../../src/core/store/StoreFollowController.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
 import { deployment, route, unlimitedServers } from '../FleetFixture.js';
@@ -134,6 +135,7 @@
     directory,
     load: new ServerLoad(),
     serverLimits: unlimitedServers(clock),
+    slowness: new ServerSlowness(clock),
     quarantine: new PartQuarantine(clock, () => ({ rank: 0, instances: 1 })),
     seeds: [],
     port: {
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -10,6 +10,7 @@
 import { PartQuarantine } from '../../../src/core/quarantine/PartQuarantine.js';
 import type { ProbationTurn } from '../../../src/core/quarantine/Types.js';
 import { ServerLoad } from '../../../src/core/routing/ServerLoad.js';
+import { ServerSlowness } from '../../../src/core/routing/ServerSlowness.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
 import { deployment, backendServer, route, unlimitedServers } from '../FleetFixture.js';
 
@@ -89,6 +90,7 @@
     directory,
     load,
     serverLimits: unlimitedServers(clock),
+    slowness: new ServerSlowness(clock),
     quarantine: new PartQuarantine(clock, (): ProbationTurn => sharing.probationTurn),
     seeds,
     port: { send, fetchUpdate },
--- a/features/core/placement/placement-driver.steps.ts
+++ b/features/core/placement/placement-driver.steps.ts
@@ -49,6 +49,7 @@
           ordersAccepted: Number(accepted),
           span: layers === 'none' ? undefined : orders[0].span,
           busy: orders.length === queue.length && layers === 'none' && queue.length > 1,
+          slowness: 1,
           blocked: [],
         }),
     };
--- a/features/core/quarantine/fleet.steps.ts
+++ b/features/core/quarantine/fleet.steps.ts
@@ -8,6 +8,7 @@
 import { PartQuarantine } from '../../../src/core/quarantine/PartQuarantine.js';
 import type { ProbationTurn } from '../../../src/core/quarantine/Types.js';
 import { ServerLoad } from '../../../src/core/routing/ServerLoad.js';
+import { ServerSlowness } from '../../../src/core/routing/ServerSlowness.js';
 import { SeededRandom } from '../../../src/fakes/SeededRandom.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
 import { unlimitedServers } from '../FleetFixture.js';
@@ -74,6 +75,7 @@
     clock,
     quarantine,
     serverLimits: unlimitedServers(clock),
+    slowness: new ServerSlowness(clock),
     deployments: new Deployments(),
     directory: new ServerDirectory(clock),
     load: new ServerLoad(),
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -18,6 +18,7 @@
 import type { PeerRetryUse, RetryUse } from '../limits/SharedRetryBudget.js';
 import type { ProbationTurn, Quarantine } from '../quarantine/Types.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
+import type { ServerSlowness } from '../routing/ServerSlowness.js';
 import { describeRevision } from '../store/Revision.js';
 import { ChangeSequence, type PeerProcess } from './ChangeSequence.js';
 import { PeerTable, type Peer } from './PeerTable.js';
@@ -33,6 +34,7 @@
   readonly directory: ServerDirectory;
   readonly load: ServerLoad;
   readonly serverLimits: ServerLimits;
+  readonly slowness: ServerSlowness;
   readonly quarantine: Quarantine;
   readonly decisions: DecisionLog;
   readonly isLeaving: () => boolean;
@@ -293,6 +295,8 @@
     }
     if (digest.serverLimits !== undefined)
       this.dependencies.serverLimits.merge(digest.serverLimits, from.instance);
+    if (digest.slowServers !== undefined)
+      this.dependencies.slowness.merge(digest.slowServers, from.instance);
     if (digest.evidence !== undefined)
       this.dependencies.quarantine.merge(digest.evidence, from.instance);
     this.preparedByPeer ||= digest.isPrepared === true;
@@ -386,6 +390,7 @@
     const isNew = peer !== undefined && peer.acknowledged === undefined;
     const storeAgeMs = Math.ceil(Math.min(this.dependencies.storeAgeMs(), this.peerStoreAgeMs));
     const serverLimits = this.dependencies.serverLimits.list();
+    const slowServers = this.dependencies.slowness.list();
     const evidence = this.dependencies.quarantine.evidence();
     return {
       from: self,
@@ -398,6 +403,7 @@
       ...(peer?.applied !== undefined && { applied: peer.applied }),
       ...(Number.isFinite(storeAgeMs) && { storeAgeMs }),
       ...(serverLimits.length > 0 && { serverLimits }),
+      ...(slowServers.length > 0 && { slowServers }),
       ...(evidence !== undefined && { evidence }),
     };
   }
--- a/src/core/peers/Types.ts
+++ b/src/core/peers/Types.ts
@@ -8,6 +8,7 @@
 import type { BackendServer } from '../deployment/Types.js';
 import type { CrashEvidence } from '../quarantine/Types.js';
 import type { SharedServerLimit } from '../limits/ServerLimits.js';
+import type { SharedSlowness } from '../routing/ServerSlowness.js';
 import type { RetryUse } from '../limits/SharedRetryBudget.js';
 
 /** The address and identity of a router instance. */
@@ -80,6 +81,8 @@
   readonly peers: readonly PeerIdentity[];
   /** Limits that servers have named, and their ends; absent if there are none. */
   readonly serverLimits?: readonly SharedServerLimit[];
+  /** Servers that reported within the last seconds that they are slow, or slow no more; absent if there are none. */
+  readonly slowServers?: readonly SharedSlowness[];
   /** Evidence of parts of requests under which servers crash; absent if there is none. */
   readonly evidence?: CrashEvidence;
 }
--- a/src/core/placement/Types.ts
+++ b/src/core/placement/Types.ts
@@ -28,6 +28,8 @@
   readonly span: LayerSpan | undefined;
   /** Whether an order is being carried out. */
   readonly busy: boolean;
+  /** Factor by which the server takes longer than its profile says; 1 if it does not. */
+  readonly slowness: number;
   /** Requests that wait for a later server on their route. */
   readonly blocked: readonly BlockedRequest[];
 }
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -13,6 +13,7 @@
 import type { EngineRoutes } from '../routing/EngineRoutes.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
 import type { Stage } from '../routing/Types.js';
+import type { SlowStreamProbe } from './SlowStreamProbe.js';
 import type { CallerReply, CallerRequest, ServerPort } from './Types.js';
 
 /** A stream that is monitored for silence. */
@@ -61,6 +62,8 @@
   readonly routes: EngineRoutes;
   readonly port: ServerPort;
   readonly streamRegistry: StreamRegistry;
+  /** Finds the servers that slow streams down; absent where servers report no slowness. */
+  readonly slowStreamProbe?: SlowStreamProbe;
   readonly retryBudget: RetryLimiter;
   readonly retryAfterEstimator: RetryAfterEstimator;
   readonly serverLimits: ServerLimits;
--- /dev/null
+++ b/src/core/relay/SlowStreamProbe.ts
@@ -0,0 +1,103 @@
+/**
+ * Finds the servers that slow streams down. A slow stream shows that some server of its route takes longer than
+ * predicted, but not which one: the servers of its route that no stream of usual pace passes through are
+ * asked for reports, a few in a second.
+ */
+import type { Clock } from '../../ports/Types.js';
+import type { ServerDirectory } from '../deployment/ServerDirectory.js';
+import type { Service } from '../deployment/Types.js';
+import type { ReportPort } from '../placement/Types.js';
+import type { EngineRoutes } from '../routing/EngineRoutes.js';
+import type { ServerSlowness } from '../routing/ServerSlowness.js';
+import type { Stage } from '../routing/Types.js';
+
+export interface SlowStreamProbeDependencies {
+  readonly clock: Clock;
+  readonly directory: ServerDirectory;
+  readonly routes: EngineRoutes;
+  readonly slowness: ServerSlowness;
+  readonly port: ReportPort;
+}
+
+/** Smaller gaps are not worth a probe, in milliseconds: callers do not notice them. */
+const NOTICEABLE_GAP_MS = 50;
+
+/**
+ * A gap of this many times the predicted one is slow; a full batch makes a request wait for up to one pass
+ * more.
+ */
+const SLOW_FACTOR = 2;
+
+/** Least time between two observations of a stream's pace, in milliseconds. */
+const OBSERVATION_INTERVAL_MS = 20;
+
+/** Least time between two probes of this instance, in milliseconds. */
+const PROBE_INTERVAL_MS = 100;
+
+/** Time for which a server that a stream of usual pace has passed, or that gave a report, is not asked, in milliseconds. */
+const CLEARED_MS = 2000;
+
+/** Age of a report from which on the server is asked again, in milliseconds. */
+const REFRESH_MS = 2000;
+
+/** Report timeout, in milliseconds. A report takes two link delays. */
+const REPORT_TIMEOUT_MS = 100;
+
+export class SlowStreamProbe {
+  private observedAt = -Infinity;
+
+  private probedAt = -Infinity;
+
+  /** Time at which each server was asked, or passed by a stream of usual pace, last. */
+  private readonly clearedAt = new Map<string, number>();
+
+  public constructor(private readonly dependencies: SlowStreamProbeDependencies) {}
+
+  /**
+   * Examines the pace of a running stream.
+   * @param gapMs - average gap between its events, in milliseconds
+   */
+  public observe(service: Service, stages: readonly Stage[], gapMs: number): void {
+    const { clock, routes, port } = this.dependencies;
+    const now = clock.now();
+    if (now - this.observedAt < OBSERVATION_INTERVAL_MS) return;
+    this.observedAt = now;
+    if (gapMs < SLOW_FACTOR * routes.predictGapMs(service, stages)) {
+      for (const { server } of stages) this.clearedAt.set(server, now);
+      return;
+    }
+    if (gapMs < NOTICEABLE_GAP_MS || now - this.probedAt < PROBE_INTERVAL_MS) return;
+    const stage = this.mostLikelySlow(stages, now);
+    if (stage === undefined) return;
+    this.probedAt = now;
+    this.clearedAt.set(stage.server, now);
+    // The reports of all servers, whoever asks for them, are recorded where they arrive.
+    port.report(stage.server, stage.address, REPORT_TIMEOUT_MS);
+  }
+
+  /**
+   * Asks the slow servers of a failure domain whether they still are, before their reports expire everywhere
+   * at once. One instance of each domain does so.
+   */
+  public refresh(failureDomain: string): void {
+    const { directory, slowness, port } = this.dependencies;
+    for (const { server, factor, ageMs } of slowness.list()) {
+      const record = directory.get(server)?.record;
+      if (factor === 1 || ageMs < REFRESH_MS || record?.failureDomain !== failureDomain) continue;
+      port.report(server, record.address, REPORT_TIMEOUT_MS);
+    }
+  }
+
+  /** Returns the stage whose server was cleared longest ago; undefined if no server of the route may be slow. */
+  private mostLikelySlow(stages: readonly Stage[], now: number): Stage | undefined {
+    let found: Stage | undefined;
+    let oldest = now - CLEARED_MS;
+    for (const stage of stages) {
+      const clearedAt = this.clearedAt.get(stage.server) ?? -Infinity;
+      if (clearedAt > oldest || this.dependencies.slowness.factor(stage.server) > 1) continue;
+      found = stage;
+      oldest = clearedAt;
+    }
+    return found;
+  }
+}
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -248,12 +248,13 @@
   }
 
   private recordEvent(): void {
-    const { clock, directory } = this.dependencies;
+    const { clock, directory, slowStreamProbe } = this.dependencies;
     const now = clock.now();
     if (this.answerBegun) {
       const gap = now - this.lastEventAt;
       this.averageGapMs =
         this.averageGapMs === 0 ? gap : this.averageGapMs + SMOOTHING * (gap - this.averageGapMs);
+      slowStreamProbe?.observe(this.assigned.service, this.stages, this.averageGapMs);
     }
     this.lastEventAt = now;
     for (const { server } of this.stages) directory.noteAlive(server);
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -4,7 +4,14 @@
 import { coversOnce, planCheapestRoute } from './RoutePlanner.js';
 import type { ServerLimits } from '../limits/ServerLimits.js';
 import type { ServerLoad } from './ServerLoad.js';
-import { kvCacheCapacity, predictCost, profileServer, type ServerProfile } from './ServerTime.js';
+import type { ServerSlowness } from './ServerSlowness.js';
+import {
+  kvCacheCapacity,
+  predictCost,
+  predictGap,
+  profileServer,
+  type ServerProfile,
+} from './ServerTime.js';
 import type { Candidate, ServerCost, Stage } from './Types.js';
 
 /** What a route has to satisfy. */
@@ -42,6 +49,11 @@
 /** Cost of the first server of a running request whose entry shows no layers any more: it stays in any case. */
 const UNKNOWN_SERVER_COST: ServerCost = { stageMs: 0, layerMs: 0 };
 
+/** What an instance knows of servers beyond their entries and the reported work. */
+export interface ServerInsights {
+  readonly slowness: ServerSlowness;
+}
+
 /** The servers of a service as route searches see them; replaced when any server changes. */
 interface ServiceFleet {
   readonly engine: EngineProfile;
@@ -52,11 +64,13 @@
 export class EngineRoutes {
   private readonly fleets = new Map<string, ServiceFleet>();
 
+  /** @param insights - absent where servers are judged by their entries and the reported work alone */
   public constructor(
     private readonly directory: ServerDirectory,
     private readonly load: ServerLoad,
     private readonly localDomain: string,
     private readonly serverLimits: ServerLimits,
+    private readonly insights?: ServerInsights,
   ) {
     directory.onChange(() => this.fleets.clear());
   }
@@ -177,10 +191,25 @@
     return (id) => {
       const profile = profiles.get(id);
       if (profile === undefined) return UNKNOWN_SERVER_COST;
-      return predictCost(profile, this.load.work(id), 1, 0);
+      const factor = this.insights?.slowness.factor(id) ?? 1;
+      return predictCost(profile, this.load.work(id), factor, 0);
     };
   }
 
+  /** Predicts the gap between two events of a stream on a route, with what is known of its servers. */
+  public predictGapMs(service: Service, stages: readonly Stage[]): number {
+    if (service.engine === undefined) return 0;
+    const { profiles } = this.fleetOf(service, service.engine);
+    let sumMs = 0;
+    for (const { server, from, to } of stages) {
+      const profile = profiles.get(server);
+      if (profile === undefined) continue;
+      const slowness = this.insights?.slowness.factor(server) ?? 1;
+      sumMs += slowness * predictGap(profile, this.load.work(server), to - from);
+    }
+    return sumMs;
+  }
+
   private isDeclining(id: string): boolean {
     const server = this.directory.get(id);
     return server !== undefined && this.directory.avoidReason(server) === AvoidReason.Declining;
--- a/src/platform/ServerClient.ts
+++ b/src/platform/ServerClient.ts
@@ -2,6 +2,7 @@
 import { connect } from 'node:net';
 import { z } from 'zod';
 import { hostAndPort, type HttpClient } from '../adapters/http/HttpClient.js';
+import { Emitter } from '../core/Emitter.js';
 import {
   OrderAnswer,
   type OrderPort,
@@ -30,6 +31,8 @@
   seq_no: z.number(),
   layer_count: z.unknown().optional(),
   blocked: z.array(z.object({ id: z.string(), address: z.string() })).default([]),
+  /** A multiple of the usual times; the same name in a layer kind's entry is a multiple of step times. */
+  pace: z.number().nonnegative().catch(1),
 });
 
 /** Interval at which open calls are checked for bytes that belong to no answer, in milliseconds. */
@@ -43,6 +46,11 @@
 
   private readonly openCalls = new Set<OpenCall>();
 
+  private readonly reports = new Emitter<{ server: string; report: ServerReport }>();
+
+  /** Fires with each report that a server gives, whoever asked for it. */
+  public readonly onReport = this.reports.event;
+
   private readonly framingTimer = setInterval(() => {
     for (const call of this.openCalls) call.checkFraming();
   }, FRAMING_CHECK_MS).unref();
@@ -146,12 +154,15 @@
       const parsed = REPORT.safeParse(value);
       if (status !== 200 || !parsed.success) return undefined;
       const { data } = parsed;
-      return {
+      const report = {
         ordersAccepted: data.seq_no,
         busy: data.busy,
         span: decodeSpan(data.layer_count),
+        slowness: data.pace,
         blocked: data.blocked,
       };
+      this.reports.fire({ server: id, report });
+      return report;
     } catch {
       // Not an error for callers: they treat a server without a report as silent.
       return undefined;
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -26,9 +26,11 @@
 import { InputQuarantine } from '../core/quarantine/InputQuarantine.js';
 import { PlacementDriver } from '../core/placement/PlacementDriver.js';
 import { SilenceDetector } from '../core/relay/SilenceDetector.js';
+import { SlowStreamProbe } from '../core/relay/SlowStreamProbe.js';
 import { RelayDispatcher } from '../core/relay/RelayDispatcher.js';
 import { EngineRoutes } from '../core/routing/EngineRoutes.js';
 import { ServerLoad } from '../core/routing/ServerLoad.js';
+import { ServerSlowness, type SlownessChange } from '../core/routing/ServerSlowness.js';
 import { Ingress } from '../platform/Ingress.js';
 import { Readiness } from '../platform/Readiness.js';
 import { ServerClient } from '../platform/ServerClient.js';
@@ -128,6 +130,8 @@
 
   private readonly load = new ServerLoad();
 
+  private readonly slowness = new ServerSlowness(this.clock);
+
   private readonly servers: ServerClient;
 
   private readonly retryBudget = new SharedRetryBudget(
@@ -145,6 +149,8 @@
 
   private readonly silenceDetector: SilenceDetector;
 
+  private readonly slowStreamProbe: SlowStreamProbe;
+
   private readonly dispatcher: RelayDispatcher;
 
   private readonly ingress: Ingress;
@@ -195,16 +201,27 @@
       decisions: log,
       rerouteLeavingAfterMs: bounds.drainMs * REROUTE_DRAIN_FRACTION,
     });
+    const routes = new EngineRoutes(directory, load, failureDomain, this.serverLimits, {
+      slowness: this.slowness,
+    });
+    this.slowStreamProbe = new SlowStreamProbe({
+      clock,
+      directory,
+      routes,
+      slowness: this.slowness,
+      port: servers,
+    });
     this.dispatcher = new RelayDispatcher({
       clock,
       random,
       deployments,
       directory,
       load,
-      routes: new EngineRoutes(directory, load, failureDomain, this.serverLimits),
+      routes,
       port: servers,
       // The detector monitors the streams that the dispatcher registers with it.
       streamRegistry: this.silenceDetector,
+      slowStreamProbe: this.slowStreamProbe,
       retryBudget: this.retryBudget,
       retryAfterEstimator: new RetryAfterEstimator(random),
       serverLimits: this.serverLimits,
@@ -267,6 +284,7 @@
       directory,
       load,
       serverLimits: this.serverLimits,
+      slowness: this.slowness,
       quarantine: this.quarantine,
       port: this.peers,
       seeds: settings.peers.seeds,
@@ -316,6 +334,8 @@
     });
     this.storeEra.onRise((rise) => this.handleRestoredStore(rise));
     deployments.onChange(() => this.ingress.applyLimits());
+    servers.onReport(({ server, report }) => this.slowness.record(server, report.slowness));
+    this.slowness.onChange((change) => this.recordSlowness(change));
     this.serverLimits.onChange((change) => this.recordServerLimit(change));
     this.quarantine.onChange((change) => this.recordQuarantine(change));
     this.addGauges();
@@ -456,6 +476,7 @@
 
   private sweep(): void {
     this.directory.sweep();
+    if (this.sharing.isHub) this.slowStreamProbe.refresh(this.settings.failureDomain);
     this.sweepTimer = this.clock.schedule(SWEEP_MS, () => this.sweep());
   }
 
@@ -463,6 +484,10 @@
     this.log.record('server-limit', { server, perSecond, ownPerSecond, heardFrom: source });
   }
 
+  private recordSlowness({ server, factor, source }: SlownessChange): void {
+    this.log.record('server-slowness', { server, factor, heardFrom: source });
+  }
+
   private recordQuarantine({ quarantined, isHeld, source }: QuarantineChange): void {
     const { part, crashes, lastCrashAt, heldUntil } = quarantined;
     const now = this.clock.now();
@@ -491,6 +516,7 @@
     metrics.addGauge('acaciadrum_live_instances', () => this.sharing.liveInstances);
     metrics.addGauge('acaciadrum_quarantined_parts', () => this.quarantine.size);
     metrics.addGauge('acaciadrum_limited_servers', () => this.serverLimits.size);
+    metrics.addGauge('acaciadrum_slow_servers', () => this.slowness.size);
     metrics.addGauge('acaciadrum_message_bytes', () => this.memory.used);
     metrics.addGauge('acaciadrum_evictions', () => this.memory.evictions);
     metrics.addGauge('acaciadrum_store_era', () => this.storeEra.current);
