Instances that choose at once spread over servers that could become full

Change: UnreportedWork draws for each search how much memory the peers' requests may have taken since their reports, by their rate and the reports' age, first for each failure domain and then for each server. It costs by the slope of the memory's cost at what is known to be taken, so that it decides between servers that are nearly full and changes nothing elsewhere.

Tests: features/core/routing/route-costs.feature.

--- /dev/null
+++ b/features/core/routing/route-costs.feature
@@ -0,0 +1,44 @@
+Feature: Costs of a route by predicted time
+  Load patterns: a full batch beside an idle server, servers that turn slow, and many instances that choose at
+  once among the same servers by the same old figures.
+
+  Scenario Outline: <case>
+    Given servers "<servers>" that hold the whole model
+    When the servers have the work "<work>"
+    Then a request goes to "<chosen>"
+
+    Examples: server:accelerator, server=requests x tokens
+      | case                                                 | servers                | work         | chosen |
+      | both idle: the faster kind                           | full:whole idle:slower |              | full   |
+      | a full batch of short requests beside an idle server | full:whole idle:slower | full=134x60  | idle   |
+
+  Scenario Outline: Streams avoid servers that turn slow: <case>
+    # Callers accept pauses of 200 ms; half of that leaves room for waits.
+    Given an uneven fleet of 87 servers over three failure domains
+    And <share> of 100 servers of each kind and domain take 12 times as long
+    When <instances> instances serve 80 requests a second for 8 seconds
+    Then at most 10 of 100 streams of the last second have gaps over 100 ms
+
+    Examples:
+      | case                        | share | instances |
+      | two in five, few instances  | 40    | 6         |
+      | two in five, many instances | 40    | 33        |
+
+  Scenario: No server is asked for a report while streams keep their pace
+    Given an uneven fleet of 87 servers over three failure domains
+    When 33 instances serve 80 requests a second for 2 seconds
+    Then no server is asked for a report
+
+  Scenario Outline: Instances that choose at once do not overrun servers: <case>
+    # A request that is turned away is tried once more: at one in ten, one in a hundred fails twice.
+    Given an uneven fleet of 87 servers over three failure domains
+    And memory is taken to between <least> and <most> percent
+    When <instances> instances choose <routes> routes each, of which they tell each other nothing
+    Then servers turn away at most 10 of 100 requests for want of memory
+
+    Examples: half a second of requests, reports up to 500 ms old
+      | case                    | instances | routes | least | most |
+      | small instances, uneven | 74        | 1      | 40    | 90   |
+      | small instances, crest  | 74        | 1      | 60    | 90   |
+      | twice as many requests  | 74        | 2      | 50    | 80   |
+      | larger instances        | 33        | 3      | 50    | 90   |
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -84,6 +84,9 @@
 
   private reportedInstances = 0;
 
+  /** Time at which the work of peers was last added up. */
+  private totalledAt = -Infinity;
+
   private peerRetries: readonly RetryUse[] = [];
 
   private readonly serverChanges = new ChangeSequence();
@@ -168,6 +171,14 @@
     return this.dependencies.clock.now() - this.exchangedAt;
   }
 
+  /**
+   * Mean age of the peers' work as it is counted here, in milliseconds. On its way through the hubs it waits for
+   * two rounds, for half of their interval each on average.
+   */
+  public get workAgeMs(): number {
+    return this.dependencies.clock.now() - this.totalledAt + ROUND_MS;
+  }
+
   /** Returns the requests and retries of all other instances for a service, as reported by peers. */
   public peerRetryUse(service: string): PeerRetryUse {
     const use = this.peerRetries.find((known) => known.service === service);
@@ -242,6 +253,7 @@
   private updateTotals(now: number): void {
     const { instances, work, retries } = this.work.totalOfPeers(now);
     this.reportedInstances = instances;
+    this.totalledAt = now;
     this.peerRetries = retries;
     this.dependencies.load.setPeerWork(work);
   }
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -13,6 +13,7 @@
   type ServerProfile,
 } from './ServerTime.js';
 import type { Candidate, ServerCost, Stage } from './Types.js';
+import type { EstimatedServer, UnreportedWork } from './UnreportedWork.js';
 
 /** What a route has to satisfy. */
 export interface RouteRequirements {
@@ -52,13 +53,16 @@
 /** What an instance knows of servers beyond their entries and the reported work. */
 export interface ServerInsights {
   readonly slowness: ServerSlowness;
+  readonly unreported: UnreportedWork;
 }
 
 /** The servers of a service as route searches see them; replaced when any server changes. */
 interface ServiceFleet {
   readonly engine: EngineProfile;
   readonly candidates: readonly Candidate[];
-  readonly profiles: ReadonlyMap<string, ServerProfile>;
+  readonly profiles: ReadonlyMap<string, ServerProfile & EstimatedServer>;
+  /** Number of routes without a common server that the held layers of each failure domain allow on average. */
+  readonly parallelRoutes: ReadonlyMap<string, number>;
 }
 
 export class EngineRoutes {
@@ -187,12 +191,14 @@
 
   /** Prepares the costs of servers for one search. */
   private serverCosts(service: Service, engine: EngineProfile): (id: string) => ServerCost {
-    const { profiles } = this.fleetOf(service, engine);
+    const { profiles, parallelRoutes } = this.fleetOf(service, engine);
+    const { slowness, unreported } = this.insights ?? {};
+    const draw = unreported?.draws(service.name, engine, parallelRoutes);
     return (id) => {
       const profile = profiles.get(id);
       if (profile === undefined) return UNKNOWN_SERVER_COST;
-      const factor = this.insights?.slowness.factor(id) ?? 1;
-      return predictCost(profile, this.load.work(id), factor, 0);
+      const factor = slowness?.factor(id) ?? 1;
+      return predictCost(profile, this.load.work(id), factor, draw?.(profile) ?? 0);
     };
   }
 
@@ -238,18 +244,21 @@
 
   private collectFleet(service: Service, engine: EngineProfile): ServiceFleet {
     const candidates: Candidate[] = [];
-    const profiles = new Map<string, ServerProfile>();
+    const profiles = new Map<string, ServerProfile & EstimatedServer>();
+    const parallelRoutes = new Map<string, number>();
     for (const { record } of this.directory.all()) {
-      const { id, span } = record;
+      const { id, span, failureDomain } = record;
       const accelerator = engine.accelerators.get(record.accelerator);
       if (record.service !== service.name || span === undefined || accelerator === undefined)
         continue;
       const layers = span.to - span.from;
       const profile = profileServer(engine, accelerator, layers);
-      profiles.set(id, profile);
+      profiles.set(id, { ...profile, failureDomain });
       candidates.push(toCandidate(record, span));
+      const routes = parallelRoutes.get(failureDomain) ?? 0;
+      parallelRoutes.set(failureDomain, routes + layers / engine.layers);
     }
-    return { engine, candidates, profiles };
+    return { engine, candidates, profiles, parallelRoutes };
   }
 }
 
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -31,6 +31,7 @@
 import { EngineRoutes } from '../core/routing/EngineRoutes.js';
 import { ServerLoad } from '../core/routing/ServerLoad.js';
 import { ServerSlowness, type SlownessChange } from '../core/routing/ServerSlowness.js';
+import { UnreportedWork } from '../core/routing/UnreportedWork.js';
 import { Ingress } from '../platform/Ingress.js';
 import { Readiness } from '../platform/Readiness.js';
 import { ServerClient } from '../platform/ServerClient.js';
@@ -203,6 +204,11 @@
     });
     const routes = new EngineRoutes(directory, load, failureDomain, this.serverLimits, {
       slowness: this.slowness,
+      unreported: new UnreportedWork(random, {
+        requestsPerMs: (service) =>
+          this.sharing.peerRetryUse(service).requests / this.retryLimits.windowMs,
+        reportAgeMs: () => this.sharing.workAgeMs,
+      }),
     });
     this.slowStreamProbe = new SlowStreamProbe({
       clock,
