Links between failure domains are priced by what waits for them

Cause: the transfer of a prompt between failure domains had a fixed price, while all transfers between two domains wait for each other.

Change: a stage names its failure domain; prompts that are transferred count as outstanding work of the link, here and in the reports of peers, under the link's name. A transfer costs as much more as waits for the link. A link carries only so many prompts until the next reports: each instance draws for each search whether the link has room for this one, by its peers' requests, and goes round a link without room if there is a route.

A domain's crest met by another's trough passed before as well (the price of filled memory does it), so it has no case.

--- a/features/core/routing/route-costs.feature
+++ b/features/core/routing/route-costs.feature
@@ -42,3 +42,17 @@
       | small instances, crest  | 74        | 1      | 60    | 90   |
       | twice as many requests  | 74        | 2      | 50    | 80   |
       | larger instances        | 33        | 3      | 50    | 90   |
+
+  Scenario Outline: A failure domain that returns is not met by more transfers than the links to it carry: <case>
+    # Callers expect the first event within 500 ms; half of that is left for the link.
+    Given an uneven fleet of 87 servers over three failure domains
+    And memory is taken to between <least> and <most> percent
+    And domain "a" returns with idle servers, of which those of the first layer are still suspect
+    When <instances> instances choose <routes> routes each, of which they tell each other nothing
+    Then transfers keep the link between any two domains busy for at most 250 ms
+
+    Examples: half a second of requests
+      | case            | instances | routes | least | most |
+      | at usual load   | 33        | 2      | 30    | 50   |
+      | at the crest    | 33        | 2      | 50    | 70   |
+      | small instances | 74        | 1      | 50    | 70   |
--- a/features/core/routing/route-costs.steps.ts
+++ b/features/core/routing/route-costs.steps.ts
@@ -2,6 +2,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import type { EngineProfile } from '../../../src/core/deployment/Types.js';
 import { planPlacement } from '../../../src/core/placement/PlacementPlanner.js';
+import { crossedLinks } from '../../../src/core/routing/DomainLinks.js';
 import { predictGap, profileServer } from '../../../src/core/routing/ServerTime.js';
 import type { Stage } from '../../../src/core/routing/Types.js';
 import { WorkReservation } from '../../../src/core/routing/WorkReservation.js';
@@ -239,3 +240,26 @@
     assert.ok(rejected * 100 <= share * all, `${rejected} of ${all}`);
   },
 );
+
+Given(
+  'domain {string} returns with idle servers, of which those of the first layer are still suspect',
+  function set(this: CostsWorld, domain: string) {
+    for (const { record } of this.directory.all()) {
+      if (record.failureDomain !== domain) continue;
+      this.work.delete(record.id);
+      if (record.span?.from === 0) this.directory.suspect(record.id);
+    }
+  },
+);
+
+Then(
+  'transfers keep the link between any two domains busy for at most {int} ms',
+  function check(this: CostsWorld, bound: number) {
+    const { activationBytes, crossDomainMbps } = SPREAD;
+    const transferMs = (REQUIREMENTS.tokens * activationBytes * 8) / (crossDomainMbps * 1000);
+    const busyMs = new Map<string, number>();
+    for (const link of this.routes.flatMap(crossedLinks))
+      busyMs.set(link, (busyMs.get(link) ?? 0) + transferMs);
+    for (const [link, ms] of busyMs) assert.ok(ms <= bound, `${link}: ${Math.round(ms)} ms`);
+  },
+);
--- a/src/core/relay/SlowStreamProbe.ts
+++ b/src/core/relay/SlowStreamProbe.ts
@@ -26,7 +26,10 @@
  * A gap of this many times the predicted one is slow; a full batch makes a request wait for up to one pass
  * more.
  */
-const SLOW_FACTOR = 2;
+const SLOW_FACTOR = 1.5;
+
+/** A smaller multiple shows that no server of the route is slow, not even one that runs few of its layers. */
+const USUAL_FACTOR = 1.3;
 
 /** Least time between two observations of a stream's pace, in milliseconds. */
 const OBSERVATION_INTERVAL_MS = 20;
@@ -62,11 +65,10 @@
     const now = clock.now();
     if (now - this.observedAt < OBSERVATION_INTERVAL_MS) return;
     this.observedAt = now;
-    if (gapMs < SLOW_FACTOR * routes.predictGapMs(service, stages)) {
-      for (const { server } of stages) this.clearedAt.set(server, now);
-      return;
-    }
-    if (gapMs < NOTICEABLE_GAP_MS || now - this.probedAt < PROBE_INTERVAL_MS) return;
+    const factor = gapMs / routes.predictGapMs(service, stages);
+    if (factor < USUAL_FACTOR) for (const { server } of stages) this.clearedAt.set(server, now);
+    if (factor < SLOW_FACTOR || gapMs < NOTICEABLE_GAP_MS) return;
+    if (now - this.probedAt < PROBE_INTERVAL_MS) return;
     const stage = this.mostLikelySlow(stages, now);
     if (stage === undefined) return;
     this.probedAt = now;
--- /dev/null
+++ b/src/core/routing/DomainLinks.ts
@@ -0,0 +1,69 @@
+/**
+ * Costs of transfers between failure domains. All transfers between two domains share a link, one after
+ * another, so that each waits for those before it.
+ */
+import type { EngineProfile } from '../deployment/Types.js';
+import type { ServerLoad } from './ServerLoad.js';
+import type { Stage } from './Types.js';
+
+/** Cost of a transfer from one failure domain to another, in milliseconds. */
+export type LinkCost = (from: string, to: string) => number;
+
+/** Factor on the time of a transfer, for the wait for transfers that are not known here. */
+const LINK_CONTENTION_FACTOR = 3;
+
+/**
+ * Cost of a transfer over a link that has no room for it, in milliseconds. The request would wait for others for
+ * longer than callers wait for the first event; it crosses only if there is no route without that.
+ */
+const CLOSED_LINK_MS = 1000;
+
+/** Decides whether a link has room for one more transfer; both times are in milliseconds. */
+export type LinkAdmission = (transferMs: number, backlogMs: number) => boolean;
+
+/** Returns the name under which the transfers between two failure domains count as outstanding work. */
+export function linkName(from: string, to: string): string {
+  return from < to ? `link:${from}|${to}` : `link:${to}|${from}`;
+}
+
+/** Lists the links that a route crosses, once for each crossing. */
+export function crossedLinks(stages: readonly Stage[]): string[] {
+  const links: string[] = [];
+  let previous: string | undefined;
+  for (const { failureDomain } of stages) {
+    if (previous !== undefined && failureDomain !== undefined && failureDomain !== previous)
+      links.push(linkName(previous, failureDomain));
+    previous = failureDomain;
+  }
+  return links;
+}
+
+/**
+ * Prepares the costs of the links for one route search.
+ * @param tokens - tokens whose activations the request transfers
+ * @param hasRoom - asked once for each link of the search
+ */
+export function linkCosts(
+  engine: EngineProfile,
+  load: ServerLoad,
+  tokens: number,
+  hasRoom: LinkAdmission,
+): LinkCost {
+  const tokenMs = (engine.activationBytes * 8) / (engine.crossDomainMbps * 1000);
+  const transferMs = tokenMs * tokens;
+  const known = new Map<string, number>();
+  const costOf = (link: string): number => {
+    const backlogMs = tokenMs * load.prefillTokens(link);
+    const closedMs = hasRoom(transferMs, backlogMs) ? 0 : CLOSED_LINK_MS;
+    return LINK_CONTENTION_FACTOR * transferMs + backlogMs + closedMs;
+  };
+  return (from, to) => {
+    const link = linkName(from, to);
+    let cost = known.get(link);
+    if (cost === undefined) {
+      cost = costOf(link);
+      known.set(link, cost);
+    }
+    return cost;
+  };
+}
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -1,6 +1,7 @@
 /** Chooses the servers that a request to an engine passes through. */
 import { AvoidReason, type ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { BackendServer, EngineProfile, LayerSpan, Service } from '../deployment/Types.js';
+import { linkCosts } from './DomainLinks.js';
 import { coversOnce, planCheapestRoute } from './RoutePlanner.js';
 import type { ServerLimits } from '../limits/ServerLimits.js';
 import type { ServerLoad } from './ServerLoad.js';
@@ -35,18 +36,6 @@
 /** Cost of a route that begins in a remote domain, in milliseconds: a partition would end the request. */
 const REMOTE_ENTRY_MS = 30;
 
-/** Factor on the time of a transfer between failure domains, for its wait for other transfers on the link. */
-const LINK_CONTENTION_FACTOR = 3;
-
-/**
- * Cost of transferring the activations of `tokens` tokens between failure domains, in milliseconds, with
- * the wait for other transfers.
- */
-function crossDomainMs(engine: EngineProfile, tokens: number): number {
-  const bitsPerMs = engine.crossDomainMbps * 1000;
-  return (LINK_CONTENTION_FACTOR * tokens * engine.activationBytes * 8) / bitsPerMs;
-}
-
 /** Cost of the first server of a running request whose entry shows no layers any more: it stays in any case. */
 const UNKNOWN_SERVER_COST: ServerCost = { stageMs: 0, layerMs: 0 };
 
@@ -120,7 +109,9 @@
     candidates: readonly Candidate[],
     usable: (id: string) => boolean,
   ): readonly Stage[] | undefined {
-    const { engine } = requirements;
+    const { service, engine } = requirements;
+    const hasRoom = (transferMs: number, backlogMs: number): boolean =>
+      this.insights?.unreported.admitsTransfer(service.name, transferMs, backlogMs) ?? true;
     const route = planCheapestRoute({
       candidates,
       layers: engine.layers,
@@ -129,9 +120,9 @@
       kept: requirements.kept,
       rebuildLayerMs: requirements.tokens / (engine.readTokensPerMs * engine.layers),
       costs: {
-        crossDomainMs: crossDomainMs(engine, requirements.tokens),
+        crossDomainMs: linkCosts(engine, this.load, requirements.tokens, hasRoom),
         remoteEntryMs: REMOTE_ENTRY_MS,
-        server: this.serverCosts(requirements.service, engine),
+        server: this.serverCosts(service, engine),
       },
     });
     if (route === undefined) return undefined;
--- a/src/core/routing/RoutePlanner.ts
+++ b/src/core/routing/RoutePlanner.ts
@@ -52,8 +52,8 @@
 interface Search extends RouteSearch {
   /** Cost of a stage with a number of layers, without rebuilding its KV cache, in milliseconds. */
   readonly stageMs: (candidate: Candidate, layers: number) => number;
-  /** Cost of a link between two failure domains, in milliseconds. */
-  readonly crossDomainMs: number;
+  /** Cost of the link from one failure domain to another, in milliseconds. */
+  readonly crossDomainMs: (from: string, to: string) => number;
   /** Cost of a route that begins in a remote failure domain, in milliseconds. */
   readonly remoteEntryMs: number;
 }
@@ -61,7 +61,7 @@
 function toBusyTimeSearch(query: RouteQuery): Search {
   return {
     ...query,
-    crossDomainMs: CROSS_DOMAIN_LINK_MS,
+    crossDomainMs: () => CROSS_DOMAIN_LINK_MS,
     remoteEntryMs: CROSS_DOMAIN_LINK_MS,
     stageMs: (candidate, layers) =>
       layers * layerCost(candidate.layerMs, query.busyMs(candidate.server)) +
@@ -109,7 +109,8 @@
 
 function linkMs(search: Search, { candidate }: PartialRoute, toDomain: string): number {
   if (candidate === undefined) return toDomain === search.localDomain ? 0 : search.remoteEntryMs;
-  return candidate.failureDomain === toDomain ? 0 : search.crossDomainMs;
+  const { failureDomain } = candidate;
+  return failureDomain === toDomain ? 0 : search.crossDomainMs(failureDomain, toDomain);
 }
 
 function toRoute(last: PartialRoute, boundaries: readonly number[], end: number): Route {
@@ -118,8 +119,8 @@
   let partial: PartialRoute | undefined = last;
   while (partial?.candidate !== undefined) {
     const from = boundaries[partial.fromBoundary];
-    const { server, address } = partial.candidate;
-    stages.unshift({ server, address, from, to });
+    const { server, address, failureDomain } = partial.candidate;
+    stages.unshift({ server, address, failureDomain, from, to });
     to = from;
     partial = partial.previous;
   }
--- a/src/core/routing/ServerLoad.ts
+++ b/src/core/routing/ServerLoad.ts
@@ -2,9 +2,10 @@
  * Tracks the outstanding work at each server, as far as this instance knows. Used by router instances;
  * entry instances use `LoadTable`.
  */
+import { crossedLinks } from './DomainLinks.js';
 import type { Stage } from './Types.js';
 
-/** Outstanding work at one server. The work reports to peers have properties of the same names. */
+/** Outstanding work at one server, or on the link between two failure domains. The work reports to peers have properties of the same names. */
 export interface OutstandingWork {
   /** Requests in progress. */
   requests: number;
@@ -57,7 +58,7 @@
   }
 
   /**
-   * Adds a request's work to every server of its route; negative values remove it.
+   * Adds a request's work to every server of its route and every link that it crosses; negative values remove it.
    * @param tokens - tokens of prompt and answer that take up KV cache
    * @param prefillTokens - prompt tokens in prefill
    */
@@ -67,17 +68,26 @@
     tokens: number,
     prefillTokens: number,
   ): void {
-    for (const { server, from, to } of stages) {
-      let work = this.ownWorkByServer.get(server);
-      if (work === undefined) {
-        work = { requests: 0, readingTokens: 0, tokenLayers: 0 };
-        this.ownWorkByServer.set(server, work);
-      }
-      work.requests += requests;
-      work.readingTokens += prefillTokens;
-      work.tokenLayers += tokens * (to - from);
-      if (work.requests === 0) this.ownWorkByServer.delete(server);
+    for (const { server, from, to } of stages)
+      this.addWork(server, requests, tokens * (to - from), prefillTokens);
+    for (const link of crossedLinks(stages)) this.addWork(link, requests, 0, prefillTokens);
+  }
+
+  private addWork(
+    server: string,
+    requests: number,
+    tokenLayers: number,
+    prefillTokens: number,
+  ): void {
+    let work = this.ownWorkByServer.get(server);
+    if (work === undefined) {
+      work = { requests: 0, readingTokens: 0, tokenLayers: 0 };
+      this.ownWorkByServer.set(server, work);
     }
+    work.requests += requests;
+    work.readingTokens += prefillTokens;
+    work.tokenLayers += tokenLayers;
+    if (work.requests === 0) this.ownWorkByServer.delete(server);
   }
 
   /** Replaces the work that other instances have reported. */
--- a/src/core/routing/Types.ts
+++ b/src/core/routing/Types.ts
@@ -4,6 +4,8 @@
 export interface Stage {
   readonly server: string;
   readonly address: string;
+  /** Undefined for stages whose transfers are not counted. */
+  readonly failureDomain?: string;
   readonly from: number;
   readonly to: number;
 }
@@ -60,7 +62,7 @@
 /** Costs of a route in milliseconds, for engines whose profile states the time of their work. */
 export interface RouteCosts {
   /** Transfer of a request's activations from one failure domain to another. */
-  readonly crossDomainMs: number;
+  readonly crossDomainMs: (from: string, to: string) => number;
   /** Start in a remote failure domain: only the request's text and its answer pass between the domains. */
   readonly remoteEntryMs: number;
   readonly server: (server: string) => ServerCost;
--- a/src/core/routing/UnreportedWork.ts
+++ b/src/core/routing/UnreportedWork.ts
@@ -23,6 +23,15 @@
 /** Returns a draw of the KV cache that unreported work takes at a server, in tokens times layers. */
 export type UnreportedCache = (server: EstimatedServer) => number;
 
+/**
+ * Share of the time in which a link may be busy with prompts that could do without it. The rest is for those that
+ * could not, for rerouted streams, and for the chance that many instances draw alike.
+ */
+const LINK_SHARE = 0.25;
+
+/** Transfers of a route over the same link: one that leaves its domain mostly comes back. */
+const TRANSFERS_PER_ROUTE = 2;
+
 /**
  * Number of servers that hold a layer in a failure domain, for each one that peers prefer: they judge by the same
  * figures.
@@ -35,6 +44,24 @@
     private readonly peers: PeerActivity,
   ) {}
 
+  /**
+   * Decides whether a request may be transferred over a link for whose room peers compete. What makes a crossing
+   * attractive here makes it so for peers; each admits as many of its requests as the link carries of all.
+   * @param transferMs - time of the transfer on the link
+   * @param backlogMs - time of the known transfers before it
+   */
+  public admitsTransfer(service: string, transferMs: number, backlogMs: number): boolean {
+    const demandMs = TRANSFERS_PER_ROUTE * this.requests(service) * transferMs;
+    const roomMs = LINK_SHARE * this.peers.reportAgeMs() - backlogMs;
+    return demandMs === 0 || this.random.next() * demandMs < roomMs;
+  }
+
+  /** Estimates the number of requests for a service that peers have sent since their reports. */
+  private requests(service: string): number {
+    const requests = this.peers.requestsPerMs(service) * this.peers.reportAgeMs();
+    return requests > 0 ? requests : 0;
+  }
+
   /**
    * Prepares the draws of one route search.
    * @param parallelRoutes - number of routes without a common server that each failure domain allows
@@ -45,8 +72,8 @@
     engine: EngineProfile,
     parallelRoutes: ReadonlyMap<string, number>,
   ): UnreportedCache | undefined {
-    const requests = this.peers.requestsPerMs(service) * this.peers.reportAgeMs();
-    if (!(requests > 0)) return undefined;
+    const requests = this.requests(service);
+    if (requests === 0) return undefined;
     const tokens = engine.usualPromptTokens + engine.usualAnswerTokens;
     const tokensPerServer = new Map<string, number>();
     for (const [domain, routes] of parallelRoutes) {
