--- a/features/core/routing/RouteChoosers.ts
+++ b/features/core/routing/RouteChoosers.ts
@@ -3,6 +3,7 @@
 import { ServerDirectory } from '../../../src/core/deployment/ServerDirectory.js';
 import { SlowStreamProbe } from '../../../src/core/relay/SlowStreamProbe.js';
 import { EngineRoutes } from '../../../src/core/routing/EngineRoutes.js';
+import { RemoteRouteLog } from '../../../src/core/routing/RemoteRouteLog.js';
 import { ServerLoad, type OutstandingWork } from '../../../src/core/routing/ServerLoad.js';
 import { ServerSlowness } from '../../../src/core/routing/ServerSlowness.js';
 import type { Stage } from '../../../src/core/routing/Types.js';
@@ -27,6 +28,8 @@
   /** Longest gap of each stream of the last second, in milliseconds. */
   gaps: number[];
   routes: (readonly Stage[])[];
+  /** Lines of the log. */
+  logged: { event: string; fields: object }[];
   /** Reports that servers were asked for. */
   reports: number;
 }
@@ -66,7 +69,16 @@
   const peers = { requestsPerMs: () => requestsPerMs, reportAgeMs: () => 500 };
   const unreported = new UnreportedWork(new SeededRandom(seed), peers);
   const limits = unlimitedServers(world.clock);
-  const routes = new EngineRoutes(world.directory, load, domain, limits, { slowness, unreported });
+  const remoteRoutes = new RemoteRouteLog({
+    clock: world.clock,
+    directory: world.directory,
+    load,
+    slowness,
+    decisions: { record: (event, fields) => world.logged.push({ event, fields }) },
+    localDomain: domain,
+  });
+  const insights = { slowness, unreported, remoteRoutes };
+  const routes = new EngineRoutes(world.directory, load, domain, limits, insights);
   const port = {
     report: (server: string) => {
       world.reports += 1;
@@ -98,6 +110,7 @@
   world.slow = new Set();
   world.gaps = [];
   world.routes = [];
+  world.logged = [];
   world.reports = 0;
 }
 
@@ -107,7 +120,7 @@
     const sums = new Map<string, OutstandingWork>();
     for (const peer of instances) {
       if (peer.load === load) continue;
-      slowness.merge(peer.slowness.list(), 'peer');
+      slowness.merge(peer.slowness.listForPeers(), 'peer');
       for (const [server, work] of peer.load.listOwnWork()) {
         const sum = sums.get(server) ?? { requests: 0, readingTokens: 0, tokenLayers: 0 };
         sum.requests += work.requests;
--- a/features/core/routing/route-costs.feature
+++ b/features/core/routing/route-costs.feature
@@ -29,6 +29,14 @@
     When 33 instances serve 80 requests a second for 2 seconds
     Then no server is asked for a report
 
+  Scenario: Requests leave a domain at its crest for others at their trough, and the log says why
+    Given an uneven fleet of 87 servers over three failure domains
+    And 85 percent of domain "a"'s memory is taken
+    And 20 percent of domain "b"'s memory is taken
+    And 20 percent of domain "c"'s memory is taken
+    When 1 instances choose 20 routes each, of which they tell each other nothing
+    Then no route stays in domain "a", and one line a domain says what its servers have
+
   Scenario Outline: Instances that choose at once do not overrun servers: <case>
     # A request that is turned away is tried once more: at one in ten, one in a hundred fails twice.
     Given an uneven fleet of 87 servers over three failure domains
--- a/features/core/routing/route-costs.steps.ts
+++ b/features/core/routing/route-costs.steps.ts
@@ -193,6 +193,29 @@
   assert.equal(this.reports, 0);
 });
 
+Given(
+  "{int} percent of domain {string}'s memory is taken",
+  function set(this: CostsWorld, percent: number, domain: string) {
+    for (const { record } of this.directory.all()) {
+      if (record.failureDomain !== domain) continue;
+      const { kvCacheCapacity, layers } = profileOf(this, record.id);
+      const tokenLayers = (kvCacheCapacity * percent) / 100;
+      const requests = Math.round(tokenLayers / (REQUIREMENTS.tokens * layers));
+      this.work.set(record.id, { requests, readingTokens: 0, tokenLayers });
+    }
+  },
+);
+
+Then(
+  'no route stays in domain {string}, and one line a domain says what its servers have',
+  function check(this: CostsWorld, domain: string) {
+    for (const stages of this.routes)
+      assert.ok(stages.every(({ failureDomain }) => failureDomain !== domain));
+    const lines = this.logged.filter(({ event }) => event === 'domain-load');
+    assert.equal(lines.length, Object.keys(UNEVEN_FLEET).length);
+  },
+);
+
 Given(
   'memory is taken to between {int} and {int} percent',
   function set(this: CostsWorld, least: number, most: number) {
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -402,7 +402,7 @@
     const isNew = peer !== undefined && peer.acknowledged === undefined;
     const storeAgeMs = Math.ceil(Math.min(this.dependencies.storeAgeMs(), this.peerStoreAgeMs));
     const serverLimits = this.dependencies.serverLimits.list();
-    const slowServers = this.dependencies.slowness.list();
+    const slowServers = this.dependencies.slowness.listForPeers();
     const evidence = this.dependencies.quarantine.evidence();
     return {
       from: self,
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -6,7 +6,7 @@
 import type { ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { BackendServer, EngineProfile } from '../deployment/Types.js';
 import type { RouteRequirements } from '../routing/EngineRoutes.js';
-import { describeStages } from '../routing/StageText.js';
+import { describeDomains, describeStages } from '../routing/StageText.js';
 import { describeRevision } from '../store/Revision.js';
 import type { Stage } from '../routing/Types.js';
 import { choosePlainServer } from '../routing/PlainServerChoice.js';
@@ -176,6 +176,7 @@
       server: target.server,
       revision: describeRevision(server.revision),
       route: describeStages(stages),
+      domains: describeDomains(stages),
       inputs: this.assigned.inputs.join(','),
       msLeft: Math.round(this.msLeft),
     });
--- a/src/core/routing/DomainLinks.ts
+++ b/src/core/routing/DomainLinks.ts
@@ -51,18 +51,28 @@
 ): LinkCost {
   const tokenMs = (engine.activationBytes * 8) / (engine.crossDomainMbps * 1000);
   const transferMs = tokenMs * tokens;
-  const known = new Map<string, number>();
   const costOf = (link: string): number => {
     const backlogMs = tokenMs * load.prefillTokens(link);
     const closedMs = hasRoom(transferMs, backlogMs) ? 0 : CLOSED_LINK_MS;
     return LINK_CONTENTION_FACTOR * transferMs + backlogMs + closedMs;
   };
+  // A search asks for each link at each layer boundary; both directions share the cost.
+  const known = new Map<string, Map<string, number>>();
+  const costsFrom = (domain: string): Map<string, number> => {
+    let costs = known.get(domain);
+    if (costs === undefined) {
+      costs = new Map();
+      known.set(domain, costs);
+    }
+    return costs;
+  };
   return (from, to) => {
-    const link = linkName(from, to);
-    let cost = known.get(link);
+    const costs = costsFrom(from);
+    let cost = costs.get(to);
     if (cost === undefined) {
-      cost = costOf(link);
-      known.set(link, cost);
+      cost = costOf(linkName(from, to));
+      costs.set(to, cost);
+      costsFrom(to).set(from, cost);
     }
     return cost;
   };
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -3,6 +3,7 @@
 import type { BackendServer, EngineProfile, LayerSpan, Service } from '../deployment/Types.js';
 import { linkCosts } from './DomainLinks.js';
 import { coversOnce, planCheapestRoute } from './RoutePlanner.js';
+import type { RemoteRouteLog } from './RemoteRouteLog.js';
 import type { ServerLimits } from '../limits/ServerLimits.js';
 import type { ServerLoad } from './ServerLoad.js';
 import type { ServerSlowness } from './ServerSlowness.js';
@@ -43,6 +44,7 @@
 export interface ServerInsights {
   readonly slowness: ServerSlowness;
   readonly unreported: UnreportedWork;
+  readonly remoteRoutes?: RemoteRouteLog;
 }
 
 /** The servers of a service as route searches see them; replaced when any server changes. */
@@ -127,7 +129,9 @@
     });
     if (route === undefined) return undefined;
     const stages = mergeRevisits(route.stages);
-    return stages.length <= MAX_STAGES && coversOnce(stages, engine.layers) ? stages : undefined;
+    if (stages.length > MAX_STAGES || !coversOnce(stages, engine.layers)) return undefined;
+    this.insights?.remoteRoutes?.note(stages, this.fleetOf(service, engine).profiles);
+    return stages;
   }
 
   /**
--- a/src/core/routing/ServerSlowness.ts
+++ b/src/core/routing/ServerSlowness.ts
@@ -36,6 +36,9 @@
 /** Time for which a report counts, in milliseconds: slow servers recover within seconds. */
 const LIFETIME_MS = 5000;
 
+/** Largest number of reports that a digest tells of; 60 bytes each. Of more, it tells the newest ones. */
+const MAX_TOLD = 128;
+
 /**
  * Longest time that a report is on its way to a peer, in milliseconds: the time limit of digests. Reports
  * count as this much older, so that relaying one back and forth never makes it more recent.
@@ -70,7 +73,14 @@
     this.apply(server, factor, this.clock.now(), undefined);
   }
 
-  /** Returns the reports that count, for peers; a factor of 1 is told as long as a peer may know an older one. */
+  /** Returns the newest reports for peers; a factor of 1 is told as long as a peer may know an older one. */
+  public listForPeers(): SharedSlowness[] {
+    const list = this.list();
+    if (list.length <= MAX_TOLD) return list;
+    return list.sort((a, b) => a.ageMs - b.ageMs).slice(0, MAX_TOLD);
+  }
+
+  /** Returns the reports that count. */
   public list(): SharedSlowness[] {
     const now = this.clock.now();
     const list: SharedSlowness[] = [];
--- a/src/core/routing/ServerTime.ts
+++ b/src/core/routing/ServerTime.ts
@@ -99,8 +99,8 @@
  * that it makes a difference only between servers that could become full by it.
  */
 function memoryCostMs(fill: number, unreportedFill: number): number {
-  const slope = MEMORY_FILL_EXPONENT * fill ** (MEMORY_FILL_EXPONENT - 1);
-  return FULL_MEMORY_MS * (fill ** MEMORY_FILL_EXPONENT + slope * unreportedFill);
+  const weight = FULL_MEMORY_MS * fill ** (MEMORY_FILL_EXPONENT - 1);
+  return weight * (fill + MEMORY_FILL_EXPONENT * unreportedFill);
 }
 
 /**
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -29,6 +29,7 @@
 import { SlowStreamProbe } from '../core/relay/SlowStreamProbe.js';
 import { RelayDispatcher } from '../core/relay/RelayDispatcher.js';
 import { EngineRoutes } from '../core/routing/EngineRoutes.js';
+import { RemoteRouteLog } from '../core/routing/RemoteRouteLog.js';
 import { ServerLoad } from '../core/routing/ServerLoad.js';
 import { ServerSlowness, type SlownessChange } from '../core/routing/ServerSlowness.js';
 import { UnreportedWork } from '../core/routing/UnreportedWork.js';
@@ -152,6 +153,8 @@
 
   private readonly slowStreamProbe: SlowStreamProbe;
 
+  private readonly remoteRoutes: RemoteRouteLog;
+
   private readonly dispatcher: RelayDispatcher;
 
   private readonly ingress: Ingress;
@@ -202,6 +205,14 @@
       decisions: log,
       rerouteLeavingAfterMs: bounds.drainMs * REROUTE_DRAIN_FRACTION,
     });
+    this.remoteRoutes = new RemoteRouteLog({
+      clock,
+      directory,
+      load,
+      slowness: this.slowness,
+      decisions: log,
+      localDomain: failureDomain,
+    });
     const routes = new EngineRoutes(directory, load, failureDomain, this.serverLimits, {
       slowness: this.slowness,
       unreported: new UnreportedWork(random, {
@@ -209,6 +220,7 @@
           this.sharing.peerRetryUse(service).requests / this.retryLimits.windowMs,
         reportAgeMs: () => this.sharing.workAgeMs,
       }),
+      remoteRoutes: this.remoteRoutes,
     });
     this.slowStreamProbe = new SlowStreamProbe({
       clock,
@@ -522,6 +534,8 @@
     metrics.addGauge('acaciadrum_live_instances', () => this.sharing.liveInstances);
     metrics.addGauge('acaciadrum_quarantined_parts', () => this.quarantine.size);
     metrics.addGauge('acaciadrum_limited_servers', () => this.serverLimits.size);
+    metrics.addGauge('acaciadrum_remote_routes', () => this.remoteRoutes.remoteCount);
+    metrics.addGauge('acaciadrum_domain_crossings', () => this.remoteRoutes.crossingCount);
     metrics.addGauge('acaciadrum_slow_servers', () => this.slowness.size);
     metrics.addGauge('acaciadrum_message_bytes', () => this.memory.used);
     metrics.addGauge('acaciadrum_evictions', () => this.memory.evictions);
