Servers of slow streams are asked ever less while their reports name no slowness

Cause: gaps can be long for other reasons, such as a full batch, a link or the instance's own load; an instance would then ask ten servers a second for as long as it lasts.

Change: each probe that finds no slow server lengthens the time to the next by a quarter, up to 2 s; one that finds a slow one starts over. Servers that were cleared long ago are forgotten.

--- a/features/core/routing/RouteChoosers.ts
+++ b/features/core/routing/RouteChoosers.ts
@@ -1,4 +1,5 @@
 /** Instances that choose routes among the servers of an uneven fleet, each with its own view of the work. */
+import assert from 'node:assert/strict';
 import type { EngineProfile, Service } from '../../../src/core/deployment/Types.js';
 import { ServerDirectory } from '../../../src/core/deployment/ServerDirectory.js';
 import { SlowStreamProbe } from '../../../src/core/relay/SlowStreamProbe.js';
@@ -6,6 +7,7 @@
 import { RemoteRouteLog } from '../../../src/core/routing/RemoteRouteLog.js';
 import { ServerLoad, type OutstandingWork } from '../../../src/core/routing/ServerLoad.js';
 import { ServerSlowness } from '../../../src/core/routing/ServerSlowness.js';
+import { profileServer } from '../../../src/core/routing/ServerTime.js';
 import type { Stage } from '../../../src/core/routing/Types.js';
 import { UnreportedWork } from '../../../src/core/routing/UnreportedWork.js';
 import { SeededRandom } from '../../../src/fakes/SeededRandom.js';
@@ -28,6 +30,8 @@
   /** Longest gap of each stream of the last second, in milliseconds. */
   gaps: number[];
   routes: (readonly Stage[])[];
+  /** Factor by which the instances themselves, or links, lengthen gaps. */
+  delayFactor: number;
   /** Lines of the log. */
   logged: { event: string; fields: object }[];
   /** Reports that servers were asked for. */
@@ -110,6 +114,7 @@
   world.slow = new Set();
   world.gaps = [];
   world.routes = [];
+  world.delayFactor = 1;
   world.logged = [];
   world.reports = 0;
 }
@@ -132,3 +137,17 @@
     load.setPeerWork(sums);
   }
 }
+
+function layersOf(world: CostsWorld, server: string): { kind: string; layers: number } {
+  const record = world.directory.get(server)?.record;
+  assert.ok(record?.span);
+  return { kind: record.accelerator, layers: record.span.to - record.span.from };
+}
+
+/** Returns what a server of the uneven fleet can do. */
+export function profileOf(world: CostsWorld, server: string): ReturnType<typeof profileServer> {
+  const { kind, layers } = layersOf(world, server);
+  const accelerator = SPREAD.accelerators.get(kind);
+  assert.ok(accelerator);
+  return profileServer(SPREAD, accelerator, layers);
+}
--- a/features/core/routing/route-costs.feature
+++ b/features/core/routing/route-costs.feature
@@ -29,6 +29,12 @@
     When 33 instances serve 80 requests a second for 2 seconds
     Then no server is asked for a report
 
+  Scenario: Servers are asked ever less while their reports name no slowness
+    Given an uneven fleet of 87 servers over three failure domains
+    And gaps are 4 times as long for other reasons
+    When 6 instances serve 80 requests a second for 8 seconds
+    Then servers are asked for at most 3 reports a second by each of 6 instances in 8 seconds
+
   Scenario: Requests leave a domain at its crest for others at their trough, and the log says why
     Given an uneven fleet of 87 servers over three failure domains
     And 85 percent of domain "a"'s memory is taken
--- a/features/core/routing/route-costs.steps.ts
+++ b/features/core/routing/route-costs.steps.ts
@@ -3,7 +3,7 @@
 import type { EngineProfile } from '../../../src/core/deployment/Types.js';
 import { planPlacement } from '../../../src/core/placement/PlacementPlanner.js';
 import { crossedLinks } from '../../../src/core/routing/DomainLinks.js';
-import { predictGap, profileServer } from '../../../src/core/routing/ServerTime.js';
+import { predictGap } from '../../../src/core/routing/ServerTime.js';
 import type { Stage } from '../../../src/core/routing/Types.js';
 import { WorkReservation } from '../../../src/core/routing/WorkReservation.js';
 import { SeededRandom } from '../../../src/fakes/SeededRandom.js';
@@ -12,6 +12,7 @@
   chooser,
   choosers,
   exchangeReports,
+  profileOf,
   REQUIREMENTS,
   requirementsOf,
   reset,
@@ -113,19 +114,6 @@
   },
 );
 
-function layersOf(world: CostsWorld, server: string): { kind: string; layers: number } {
-  const record = world.directory.get(server)?.record;
-  assert.ok(record?.span);
-  return { kind: record.accelerator, layers: record.span.to - record.span.from };
-}
-
-function profileOf(world: CostsWorld, server: string): ReturnType<typeof profileServer> {
-  const { kind, layers } = layersOf(world, server);
-  const accelerator = SPREAD.accelerators.get(kind);
-  assert.ok(accelerator);
-  return profileServer(SPREAD, accelerator, layers);
-}
-
 /** Time between two events of a stream, with what the servers really take, in milliseconds. */
 function trueGapMs(world: CostsWorld, { stages, instance: { load } }: RunningStream): number {
   let sumMs = 0;
@@ -133,7 +121,7 @@
     const slowness = world.slow.has(server) ? SLOWNESS : 1;
     sumMs += slowness * predictGap(profileOf(world, server), load.work(server), to - from);
   }
-  return sumMs;
+  return sumMs * world.delayFactor;
 }
 
 function startStream(instance: Chooser, startedAt: number): RunningStream {
@@ -189,6 +177,21 @@
   },
 );
 
+Given(
+  'gaps are {int} times as long for other reasons',
+  function set(this: CostsWorld, factor: number) {
+    this.delayFactor = factor;
+  },
+);
+
+Then(
+  'servers are asked for at most {int} reports a second by each of {int} instances in {int} seconds',
+  function check(this: CostsWorld, rate: number, instances: number, seconds: number) {
+    const bound = rate * instances * seconds;
+    assert.ok(this.reports <= bound, `${this.reports} reports, bound ${bound}`);
+  },
+);
+
 Then('no server is asked for a report', function check(this: CostsWorld) {
   assert.equal(this.reports, 0);
 });
--- a/src/core/relay/SlowStreamProbe.ts
+++ b/src/core/relay/SlowStreamProbe.ts
@@ -34,8 +34,17 @@
 /** Least time between two observations of a stream's pace, in milliseconds. */
 const OBSERVATION_INTERVAL_MS = 20;
 
-/** Least time between two probes of this instance, in milliseconds. */
-const PROBE_INTERVAL_MS = 100;
+/** Time between two probes of this instance after one that found a slow server, in milliseconds. */
+const MIN_PROBE_INTERVAL_MS = 100;
+
+/** Longest time between two probes, in milliseconds. */
+const MAX_PROBE_INTERVAL_MS = 2000;
+
+/**
+ * Factor by which the time grows with each probe that finds none: streams can be slow for other reasons, such as
+ * the load of this instance.
+ */
+const PROBE_INTERVAL_GROWTH = 1.25;
 
 /** Time for which a server that a stream of usual pace has passed, or that gave a report, is not asked, in milliseconds. */
 const CLEARED_MS = 2000;
@@ -51,6 +60,11 @@
 
   private probedAt = -Infinity;
 
+  /** Server of the last probe. */
+  private asked: string | undefined;
+
+  private intervalMs = MIN_PROBE_INTERVAL_MS;
+
   /** Time at which each server was asked, or passed by a stream of usual pace, last. */
   private readonly clearedAt = new Map<string, number>();
 
@@ -68,9 +82,11 @@
     const factor = gapMs / routes.predictGapMs(service, stages);
     if (factor < USUAL_FACTOR) for (const { server } of stages) this.clearedAt.set(server, now);
     if (factor < SLOW_FACTOR || gapMs < NOTICEABLE_GAP_MS) return;
-    if (now - this.probedAt < PROBE_INTERVAL_MS) return;
+    if (now - this.probedAt < this.intervalMs) return;
     const stage = this.mostLikelySlow(stages, now);
     if (stage === undefined) return;
+    this.adaptInterval();
+    this.asked = stage.server;
     this.probedAt = now;
     this.clearedAt.set(stage.server, now);
     // The reports of all servers, whoever asks for them, are recorded where they arrive.
@@ -90,6 +106,22 @@
     }
   }
 
+  /** Removes what has no effect any more. */
+  public sweep(): void {
+    const now = this.dependencies.clock.now();
+    for (const [server, clearedAt] of this.clearedAt)
+      if (now - clearedAt > CLEARED_MS) this.clearedAt.delete(server);
+  }
+
+  /** Probes less often after a probe that found no slow server. */
+  private adaptInterval(): void {
+    if (this.asked === undefined) return;
+    const hasFound = this.dependencies.slowness.factor(this.asked) > 1;
+    this.intervalMs = hasFound
+      ? MIN_PROBE_INTERVAL_MS
+      : Math.min(MAX_PROBE_INTERVAL_MS, this.intervalMs * PROBE_INTERVAL_GROWTH);
+  }
+
   /** Returns the stage whose server was cleared longest ago; undefined if no server of the route may be slow. */
   private mostLikelySlow(stages: readonly Stage[], now: number): Stage | undefined {
     let found: Stage | undefined;
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -494,6 +494,7 @@
 
   private sweep(): void {
     this.directory.sweep();
+    this.slowStreamProbe.sweep();
     if (this.sharing.isHub) this.slowStreamProbe.refresh(this.settings.failureDomain);
     this.sweepTimer = this.clock.schedule(SWEEP_MS, () => this.sweep());
   }
