The age of the peers' work counts from the arrival of their reports

Cause: the age was that of the last sum, which an instance that is cut off goes on making from old reports.

Change: PeerSharing.workAgeMs counts from the mean arrival of the reports and half a round for the hub. A stream none of whose servers is known has no predicted gap and is not examined.

--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -84,8 +84,8 @@
 
   private reportedInstances = 0;
 
-  /** Time at which the work of peers was last added up. */
-  private totalledAt = -Infinity;
+  /** Mean time at which the reports arrived that the work of peers was last added up from. */
+  private reportedAt = -Infinity;
 
   private peerRetries: readonly RetryUse[] = [];
 
@@ -172,11 +172,11 @@
   }
 
   /**
-   * Mean age of the peers' work as it is counted here, in milliseconds. On its way through the hubs it waits for
-   * two rounds, for half of their interval each on average.
+   * Mean age of the peers' work as it is counted here, in milliseconds. A hub relays it half a round after its
+   * arrival on average.
    */
   public get workAgeMs(): number {
-    return this.dependencies.clock.now() - this.totalledAt + ROUND_MS;
+    return this.dependencies.clock.now() - this.reportedAt + ROUND_MS / 2;
   }
 
   /** Returns the requests and retries of all other instances for a service, as reported by peers. */
@@ -251,9 +251,9 @@
   }
 
   private updateTotals(now: number): void {
-    const { instances, work, retries } = this.work.totalOfPeers(now);
+    const { instances, work, retries, ageMs } = this.work.totalOfPeers(now);
     this.reportedInstances = instances;
-    this.totalledAt = now;
+    this.reportedAt = now - ageMs;
     this.peerRetries = retries;
     this.dependencies.load.setPeerWork(work);
   }
--- a/src/core/peers/WorkAggregator.ts
+++ b/src/core/peers/WorkAggregator.ts
@@ -4,6 +4,12 @@
 import { WorkScope, type PeerIdentity, type WorkReport } from './Types.js';
 import { toServerWork, sumWork, WorkReportTable, type WorkTotal } from './WorkReportTable.js';
 
+/** The work of all other instances. */
+export interface PeerTotal extends WorkTotal {
+  /** Mean time since the reports arrived here, in milliseconds. */
+  readonly ageMs: number;
+}
+
 export class WorkAggregator {
   /** Reports of instances in the local failure domain, by instance. */
   private readonly localReports = new WorkReportTable();
@@ -34,11 +40,15 @@
    * @returns either the total collected here or the local hub's, whichever covers more instances: after a
    * change of the hub, one of them is still incomplete
    */
-  public totalOfPeers(now: number): WorkTotal {
+  public totalOfPeers(now: number): PeerTotal {
     for (const table of [this.localReports, this.remoteReports, this.hubReports]) table.expire(now);
     const collected = sumWork([...this.localReports.reports(), ...this.remoteReports.reports()]);
     const fromHub = sumWork(this.hubReports.reports());
-    return fromHub.instances > collected.instances ? fromHub : collected;
+    const isFromHub = fromHub.instances > collected.instances;
+    const sources = isFromHub ? [this.hubReports] : [this.localReports, this.remoteReports];
+    const ages = sources.flatMap((table) => table.ages(now));
+    const ageMs = ages.length === 0 ? 0 : ages.reduce((sum, age) => sum + age) / ages.length;
+    return { ...(isFromHub ? fromHub : collected), ageMs };
   }
 
   /** Returns the work of this instance. */
--- a/src/core/peers/WorkReportTable.ts
+++ b/src/core/peers/WorkReportTable.ts
@@ -80,6 +80,11 @@
     }
   }
 
+  /** Returns the ages of all reports, in milliseconds. */
+  public ages(now: number): number[] {
+    return [...this.received.values()].map(({ receivedAt }) => now - receivedAt);
+  }
+
   /** Returns the reports of all sources, optionally except one. */
   public reports(excluded?: string): WorkReport[] {
     const reports: WorkReport[] = [];
--- a/src/core/relay/SlowStreamProbe.ts
+++ b/src/core/relay/SlowStreamProbe.ts
@@ -79,7 +79,9 @@
     const now = clock.now();
     if (now - this.observedAt < OBSERVATION_INTERVAL_MS) return;
     this.observedAt = now;
-    const factor = gapMs / routes.predictGapMs(service, stages);
+    const predictedMs = routes.predictGapMs(service, stages);
+    if (predictedMs === 0) return;
+    const factor = gapMs / predictedMs;
     if (factor < USUAL_FACTOR) for (const { server } of stages) this.clearedAt.set(server, now);
     if (factor < SLOW_FACTOR || gapMs < NOTICEABLE_GAP_MS) return;
     if (now - this.probedAt < this.intervalMs) return;
