--- a/features/core/peers/peer-sharing.feature
+++ b/features/core/peers/peer-sharing.feature
@@ -44,6 +44,25 @@
     And instance 0 is unreachable for 4000 ms
     Then within 1000 ms the others count 22 requests at server "s"
 
+  Scenario: The age of the peers' work grows while no report arrives, and falls with the next
+    Given 3 failure domains of 4 instances that know each other
+    When each has 2 requests at server "s"
+    Then after 2000 ms all take the work of peers to be between 125 and 750 ms old
+    When instance 11 is cut off for 1500 ms
+    Then it takes the work of peers to be between 1500 and 2500 ms old
+    # A hub's total of all instances is used until it expires, since the one collected meanwhile is incomplete.
+    And after 3000 ms all take the work of peers to be between 125 and 750 ms old
+
+  Scenario Outline: What a server reported of its slowness reaches all: <factor>
+    Given 3 failure domains of 4 instances that know each other
+    When a server tells instance 5 that it takes <factor> times as long
+    Then after 1500 ms all take it to be <counted> times as slow
+
+    Examples:
+      | factor | counted |
+      | 12     | 12      |
+      | 1      | 1       |
+
   Scenario: An outdated entry does not replace a newer one
     Given 2 instances that know each other
     When instance 0 learns the leaving state of a server from the store
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -19,6 +19,7 @@
   readonly deployments: Deployments;
   readonly directory: ServerDirectory;
   readonly load: ServerLoad;
+  readonly slowness: ServerSlowness;
   readonly domain: string;
   readonly capacity: number;
   isUnreachable: boolean;
@@ -36,6 +37,8 @@
   /** Time that a message is on its way, in milliseconds. */
   transitMs: number;
   instances: Instance[];
+  /** Age of the peers' work at an instance at the end of its cut, in milliseconds. */
+  cutOffAgeMs: number;
 }
 
 function copyThroughJson(digest: PeerDigest): PeerDigest {
@@ -58,6 +61,7 @@
   const deployments = new Deployments();
   const directory = new ServerDirectory(clock);
   const load = new ServerLoad();
+  const slowness = new ServerSlowness(clock);
   const reach = (address: string): Instance => {
     const peer = world.instances[Number(address)];
     if (!peer.isUnreachable && !world.instances[index].isUnreachable) return peer;
@@ -90,7 +94,7 @@
     directory,
     load,
     serverLimits: unlimitedServers(clock),
-    slowness: new ServerSlowness(clock),
+    slowness,
     quarantine: new PartQuarantine(clock, (): ProbationTurn => sharing.probationTurn),
     seeds,
     port: { send, fetchUpdate },
@@ -106,6 +110,7 @@
     deployments,
     directory,
     load,
+    slowness,
     domain,
     capacity,
     isUnreachable: false,
@@ -450,3 +455,44 @@
     }
   },
 );
+
+When(
+  'instance {int} is cut off for {int} ms',
+  async function run(this: SharingWorld, cut: number, ms: number) {
+    this.instances[cut].isUnreachable = true;
+    await this.clock.runUntil(this.clock.now() + ms);
+    this.cutOffAgeMs = this.instances[cut].sharing.workAgeMs;
+    this.instances[cut].isUnreachable = false;
+  },
+);
+
+Then(
+  'it takes the work of peers to be between {int} and {int} ms old',
+  function check(this: SharingWorld, least: number, most: number) {
+    assert.ok(this.cutOffAgeMs >= least && this.cutOffAgeMs <= most, `${this.cutOffAgeMs} ms`);
+  },
+);
+
+Then(
+  'after {int} ms all take the work of peers to be between {int} and {int} ms old',
+  async function check(this: SharingWorld, ms: number, least: number, most: number) {
+    await this.clock.runUntil(this.clock.now() + ms);
+    for (const { sharing } of this.instances)
+      assert.ok(sharing.workAgeMs >= least && sharing.workAgeMs <= most, `${sharing.workAgeMs} ms`);
+  },
+);
+
+When(
+  'a server tells instance {int} that it takes {int} times as long',
+  function run(this: SharingWorld, told: number, factor: number) {
+    this.instances[told].slowness.record('s', factor);
+  },
+);
+
+Then(
+  'after {int} ms all take it to be {int} times as slow',
+  async function check(this: SharingWorld, ms: number, factor: number) {
+    await this.clock.runUntil(this.clock.now() + ms);
+    for (const { slowness } of this.instances) assert.equal(slowness.factor('s'), factor);
+  },
+);
