--- a/features/core/pace/server-pace.steps.ts
+++ b/features/core/pace/server-pace.steps.ts
@@ -365,14 +365,11 @@
     this.directory.put(backendServer('other', { ...WHOLE, failureDomain: 'b' }));
     putServer(this);
     if (paced === 'beyond its pace') this.load.add([STAGE], 17, 0, 0);
-    this.routes = new EngineRoutes(
-      this.directory,
-      this.load,
-      'a',
-      openServerAdmission(this.clock),
-      domainLinks(this.clock),
-      this.pace,
-    );
+    this.routes = new EngineRoutes(this.directory, this.load, 'a', {
+      serverAdmission: openServerAdmission(this.clock),
+      links: domainLinks(this.clock),
+      pace: this.pace,
+    });
   },
 );
 
--- a/features/core/routing/domain-links.feature
+++ b/features/core/routing/domain-links.feature
@@ -10,10 +10,10 @@
 
     Examples: callers of a stream expect its first event within 500 ms
       | case                                                | instances | idle | rate | wait | used     |
-      | a link that carries all streams withholds few       | 6         | 0    | 20   | 500  | 30 to 75 |
-      | a few instances with far more streams than it takes | 6         | 0    | 140  | 500  | 30 to 75 |
-      | many instances, each with few streams               | 80        | 0    | 140  | 500  | 30 to 75 |
-      | many instances that have all been idle              | 80        | 9000 | 600  | 500  | 30 to 75 |
+      | a link that carries all streams withholds few       | 6         | 0    | 20   | 500  | 25 to 75 |
+      | a few instances with far more streams than it takes | 6         | 0    | 140  | 500  | 25 to 75 |
+      | many instances, each with few streams               | 80        | 0    | 140  | 500  | 25 to 75 |
+      | many instances that have all been idle              | 80        | 9000 | 600  | 500  | 25 to 75 |
 
   Scenario: A route crosses to another domain only with an allowance
     Given a route over servers of two domains, and no other
--- a/features/core/routing/domain-links.steps.ts
+++ b/features/core/routing/domain-links.steps.ts
@@ -41,7 +41,7 @@
       { length: count },
       () => new DomainLinks(this.clock, this.random, () => count),
     );
-    for (const links of this.instances) links.costMs(ENGINE, PAIR, TOKENS);
+    for (const links of this.instances) links.hasRoom(ENGINE, PAIR);
     this.clock.runSync(idleMs);
   },
 );
@@ -56,7 +56,7 @@
     for (let ms = 0; ms < PLAYED_MS; ms += 1000 / rate) {
       this.clock.runSync(startedAt + ms);
       const links = this.instances[Math.floor(this.random.next() * this.instances.length)];
-      if (links.costMs(ENGINE, PAIR, TOKENS) === Infinity) continue;
+      if (!links.hasRoom(ENGINE, PAIR)) continue;
       links.recordTransfer(ENGINE, PAIR, TOKENS);
       freeAt = Math.max(freeAt, this.clock.now()) + TRANSFER_MS;
       this.longestWaitMs = Math.max(this.longestWaitMs, freeAt - this.clock.now());
@@ -92,7 +92,10 @@
     const span = { from, to: from + half };
     directory.put(backendServer(id, { failureDomain, accelerator: 'whole', span }));
   }
-  const routes = new EngineRoutes(directory, load, 'a', serverAdmission, domainLinks(clock));
+  const routes = new EngineRoutes(directory, load, 'a', {
+    serverAdmission,
+    links: domainLinks(clock),
+  });
   const requirements = {
     service: ENGINE_SERVICE,
     engine: ENGINE,
--- a/features/core/routing/engine-routes.steps.ts
+++ b/features/core/routing/engine-routes.steps.ts
@@ -37,7 +37,10 @@
 
 function planner({ fixture }: RoutesWorld, domain: string): EngineRoutes {
   const { directory, load, serverAdmission } = fixture;
-  return new EngineRoutes(directory, load, domain, serverAdmission, domainLinks(fixture.clock));
+  return new EngineRoutes(directory, load, domain, {
+    serverAdmission,
+    links: domainLinks(fixture.clock),
+  });
 }
 
 function start(world: RoutesWorld, count: number, domains: readonly string[]): void {
--- a/src/core/pace/Capacity.ts
+++ b/src/core/pace/Capacity.ts
@@ -2,7 +2,7 @@
 import type { Deployments } from '../deployment/Deployments.js';
 import type { ServerDirectory } from '../deployment/ServerDirectory.js';
 import type { BackendServer, EngineProfile } from '../deployment/Types.js';
-import { kvCacheCapacity } from '../routing/EngineRoutes.js';
+import { kvCacheCapacity } from '../routing/ServerTime.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
 
 /** Share of a server's capacity with which it begins: two rounds of sound answers lead to all of it. */
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -19,6 +19,7 @@
 import type { ServerPace } from '../pace/ServerPace.js';
 import type { ProbationTurn, Quarantine } from '../quarantine/Types.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
+import type { ServerSlowness } from '../routing/ServerSlowness.js';
 import { describeRevision } from '../store/Revision.js';
 import { ChangeSequence, type PeerProcess } from './ChangeSequence.js';
 import { PeerTable, type Peer } from './PeerTable.js';
@@ -35,6 +36,7 @@
   readonly load: ServerLoad;
   readonly serverLimits: ServerLimits;
   readonly pace: ServerPace;
+  readonly slowness: ServerSlowness;
   readonly quarantine: Quarantine;
   readonly decisions: DecisionLog;
   readonly isLeaving: () => boolean;
@@ -84,6 +86,9 @@
 
   private reportedInstances = 0;
 
+  /** Mean time at which the reports arrived that the work of peers was last added up from. */
+  private reportedAt = -Infinity;
+
   private peerRetries: readonly RetryUse[] = [];
 
   private readonly serverChanges = new ChangeSequence();
@@ -168,6 +173,14 @@
     return this.dependencies.clock.now() - this.exchangedAt;
   }
 
+  /**
+   * Mean age of the peers' work as it is counted here, in milliseconds. A hub relays it half a round after its
+   * arrival on average.
+   */
+  public get workAgeMs(): number {
+    return this.dependencies.clock.now() - this.reportedAt + ROUND_MS / 2;
+  }
+
   /** Returns the requests and retries of all other instances for a service, as reported by peers. */
   public peerRetryUse(service: string): PeerRetryUse {
     const use = this.peerRetries.find((known) => known.service === service);
@@ -254,8 +267,9 @@
   }
 
   private updateTotals(now: number): void {
-    const { instances, work, retries } = this.work.totalOfPeers(now);
+    const { instances, work, retries, ageMs } = this.work.totalOfPeers(now);
     this.reportedInstances = instances;
+    this.reportedAt = now - ageMs;
     this.peerRetries = retries;
     this.dependencies.load.setPeerWork(work);
   }
@@ -310,6 +324,8 @@
     if (digest.serverLimits !== undefined)
       this.dependencies.serverLimits.merge(digest.serverLimits, from.instance);
     if (digest.pace !== undefined) this.dependencies.pace.merge(digest.pace, from.instance);
+    if (digest.slowServers !== undefined)
+      this.dependencies.slowness.merge(digest.slowServers, from.instance);
     if (digest.evidence !== undefined)
       this.dependencies.quarantine.merge(digest.evidence, from.instance);
     this.preparedByPeer ||= digest.isPrepared === true;
@@ -404,6 +420,7 @@
     const storeAgeMs = Math.ceil(Math.min(this.dependencies.storeAgeMs(), this.peerStoreAgeMs));
     const serverLimits = this.dependencies.serverLimits.list();
     const pace = this.dependencies.pace.list();
+    const slowServers = this.dependencies.slowness.listForPeers();
     const evidence = this.dependencies.quarantine.evidence();
     return {
       from: self,
@@ -417,6 +434,7 @@
       ...(Number.isFinite(storeAgeMs) && { storeAgeMs }),
       ...(serverLimits.length > 0 && { serverLimits }),
       ...(pace.length > 0 && { pace }),
+      ...(slowServers.length > 0 && { slowServers }),
       ...(evidence !== undefined && { evidence }),
     };
   }
--- a/src/core/peers/Types.ts
+++ b/src/core/peers/Types.ts
@@ -9,6 +9,7 @@
 import type { SharedPace } from '../pace/Types.js';
 import type { CrashEvidence } from '../quarantine/Types.js';
 import type { SharedServerLimit } from '../limits/ServerLimits.js';
+import type { SharedSlowness } from '../routing/ServerSlowness.js';
 import type { RetryUse } from '../limits/SharedRetryBudget.js';
 
 /** The address and identity of a router instance. */
@@ -83,6 +84,8 @@
   readonly serverLimits?: readonly SharedServerLimit[];
   /** Servers that are paced or whose pace ended lately, a bounded number of them; absent if there are none. */
   readonly pace?: readonly SharedPace[];
+  /** Servers that reported within the last seconds that they are slow, or slow no more; absent if there are none. */
+  readonly slowServers?: readonly SharedSlowness[];
   /** Evidence of parts of requests under which servers crash; absent if there is none. */
   readonly evidence?: CrashEvidence;
 }
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -8,7 +8,7 @@
 import type { RetryAfterEstimator } from '../limits/RetryAfterEstimator.js';
 import type { PaceTrial } from '../pace/PaceTrial.js';
 import type { NoRouteReason, RouteRequirements } from '../routing/EngineRoutes.js';
-import { describeStages } from '../routing/StageText.js';
+import { describeDomains, describeStages } from '../routing/StageText.js';
 import { describeRevision } from '../store/Revision.js';
 import { ServerRole, type Stage } from '../routing/Types.js';
 import { choosePlainServer } from '../routing/PlainServerChoice.js';
@@ -229,6 +229,7 @@
       server: target.server,
       revision: describeRevision(server.revision),
       route: describeStages(stages),
+      domains: describeDomains(stages),
       inputs: this.assigned.inputs.join(','),
       msLeft: Math.round(this.msLeft),
     });
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -18,6 +18,7 @@
 import type { ServerLoad } from '../routing/ServerLoad.js';
 import type { Stage } from '../routing/Types.js';
 import type { StandstillGuard } from '../standstill/StandstillGuard.js';
+import type { SlowStreamProbe } from './SlowStreamProbe.js';
 import type { CallerReply, CallerRequest, ServerPort } from './Types.js';
 
 /** A stream that is monitored for silence. */
@@ -66,6 +67,8 @@
   readonly routes: EngineRoutes;
   readonly port: ServerPort;
   readonly streamRegistry: StreamRegistry;
+  /** Finds the servers that slow streams down; absent where servers report no slowness. */
+  readonly slowStreamProbe?: SlowStreamProbe;
   readonly retryBudget: RetryLimiter;
   readonly retryAfterEstimator: RetryAfterEstimator;
   /** Admission to services for which requests of different ranks compete. */
--- a/src/core/routing/DomainLinks.ts
+++ b/src/core/routing/DomainLinks.ts
@@ -10,6 +10,7 @@
  */
 import type { Clock, Random } from '../../ports/Types.js';
 import type { EngineProfile } from '../deployment/Types.js';
+import type { Stage } from './Types.js';
 
 /** Share of a link's time that is given out; the rest is left for errors in the size of answers. */
 const USABLE_SHARE = 0.6;
@@ -18,10 +19,7 @@
  * Time after which an allowance that is not used lapses, in milliseconds: instances that have been idle must
  * not start more transfers together than callers can wait for.
  */
-const ALLOWANCE_LIFETIME_MS = 700;
-
-/** Factor on the time of a transfer between failure domains, for its wait for other transfers on the link. */
-const CONTENTION_FACTOR = 3;
+const ALLOWANCE_LIFETIME_MS = 350;
 
 /** Two failure domains, in the order of a transfer or not. */
 export interface DomainPair {
@@ -63,17 +61,40 @@
     return this.withheldCount;
   }
 
+  /** Whether a search may cross a link. */
+  public hasRoom(engine: EngineProfile, pair: DomainPair): boolean {
+    const isWithheld = this.isWithheld(engine, pair);
+    if (isWithheld) this.withheldCount += 1;
+    return !isWithheld;
+  }
+
+  /** Lists the links between failure domains that have no allowance, for example `a|b`. */
+  public withheldAmong(engine: EngineProfile, domains: readonly string[]): string[] {
+    const withheld: string[] = [];
+    for (const [index, from] of domains.entries()) {
+      for (const to of domains.slice(index + 1))
+        if (this.isWithheld(engine, { from, to })) withheld.push(`${from}|${to}`);
+    }
+    return withheld;
+  }
+
   /**
-   * Prices a transfer between two failure domains.
+   * Uses the allowances of a route that a request is about to take.
    * @param tokens - tokens of prompt and answer whose activations are transferred
-   * @returns the expected time with its wait for others, in milliseconds; Infinity without an allowance
+   * @param before - stages of the route that it leaves; links between them are not used again
    */
-  public costMs(engine: EngineProfile, pair: DomainPair, tokens: number): number {
-    if (this.isWithheld(engine, pair)) {
-      this.withheldCount += 1;
-      return Infinity;
+  public recordRoute(
+    engine: EngineProfile,
+    stages: readonly Stage[],
+    tokens: number,
+    before: readonly Stage[],
+  ): void {
+    for (const [index, { server, failureDomain: from }] of stages.entries()) {
+      const next = stages[index + 1];
+      if (from === undefined || next?.failureDomain === undefined) continue;
+      if (from === next.failureDomain || hasStep(before, server, next.server)) continue;
+      this.recordTransfer(engine, { from, to: next.failureDomain }, tokens);
     }
-    return CONTENTION_FACTOR * transferMs(engine, tokens);
   }
 
   /** Whether this instance has no allowance on a link now. */
@@ -116,6 +137,11 @@
   }
 }
 
+/** Whether a route passes from one server to another. */
+function hasStep(stages: readonly Stage[], from: string, to: string): boolean {
+  return stages.some(({ server }, at) => server === from && stages[at + 1]?.server === to);
+}
+
 /** Number of the next allowance that can be used, now or later. Those that lapsed are passed over. */
 function nextAllowance({ arisen, used }: Link, rate: number): number {
   const firstValid = Math.ceil(arisen - rate * ALLOWANCE_LIFETIME_MS);
--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -1,17 +1,24 @@
 /** Chooses the servers that a request to an engine passes through. */
-import {
-  AvoidReason,
-  type KnownServer,
-  type ServerDirectory,
-} from '../deployment/ServerDirectory.js';
+import { AvoidReason, type ServerDirectory } from '../deployment/ServerDirectory.js';
+import type { BackendServer, EngineProfile, LayerSpan, Service } from '../deployment/Types.js';
 import { prefillBacklogMs, WHOLE_ROOM, type RoomLimits } from '../admission/RoomLimits.js';
-import type { Accelerator, EngineProfile, Service } from '../deployment/Types.js';
-import type { DomainLinks, DomainPair } from './DomainLinks.js';
 import { UNPACED, type PaceLimit } from '../pace/Types.js';
+import type { DomainLinks, DomainPair } from './DomainLinks.js';
+import { linkCosts } from './LinkCosts.js';
 import { coversOnce, planCheapestRoute } from './RoutePlanner.js';
+import type { RemoteRouteLog } from './RemoteRouteLog.js';
 import type { ServerAdmission } from './ServerAdmission.js';
 import type { ServerLoad } from './ServerLoad.js';
-import { ServerRole, type Candidate, type Stage } from './Types.js';
+import type { ServerSlowness } from './ServerSlowness.js';
+import {
+  kvCacheCapacity,
+  predictCost,
+  predictGap,
+  profileServer,
+  type ServerProfile,
+} from './ServerTime.js';
+import { ServerRole, type Candidate, type ServerCost, type Stage } from './Types.js';
+import type { EstimatedServer, UnreportedWork } from './UnreportedWork.js';
 
 /** What a route has to satisfy. */
 export interface RouteRequirements {
@@ -39,59 +46,41 @@
 /** Maximum number of stages; servers reject requests with more. */
 const MAX_STAGES = 32;
 
-/** Share of a server's free memory that routes may use: answers can be longer than their estimate. */
-const MEMORY_SHARE = 0.9;
-
-/**
- * Fixed cost of another server on a route, in milliseconds: link delays and the wait for the server's next
- * batch step.
- */
-const STAGE_MS = 6;
-
-/** Cost of a server whose memory is full, in milliseconds. */
-const FULL_MEMORY_MS = 250;
-
-/** Exponent with which the cost rises as memory fills. */
-const MEMORY_FILL_EXPONENT = 3;
-
-/**
- * Weight of the decode time of an answer relative to the prefill time of its prompt, which determines the
- * time to the first event.
- */
-const ANSWER_WEIGHT = 0.03;
-
 /** Cost of a route that begins in a remote domain, in milliseconds: a partition would end the request. */
 const REMOTE_ENTRY_MS = 30;
 
-/** Time that one layer adds to a request, in milliseconds: prefill, and a share of the decode steps. */
-function layerMs(engine: EngineProfile, accelerator: Accelerator): number {
-  const prefillMs = (engine.usualPromptTokens / engine.readTokensPerMs) * accelerator.readFactor;
-  const stepsMs = engine.usualAnswerTokens * engine.stepMs * accelerator.stepFactor;
-  return (prefillMs + ANSWER_WEIGHT * stepsMs) / engine.layers;
+/** Cost of the first server of a running request whose entry shows no layers any more: it stays in any case. */
+const UNKNOWN_SERVER_COST: ServerCost = { stageMs: 0, layerMs: 0 };
+
+/** What decides on servers and links besides the servers' entries and the work known there. */
+export interface RouteInputs {
+  readonly serverAdmission: ServerAdmission;
+  readonly links: DomainLinks;
+  readonly pace?: PaceLimit;
+  readonly slowness?: ServerSlowness;
+  readonly unreported?: UnreportedWork;
+  readonly remoteRoutes?: RemoteRouteLog;
 }
 
-/** KV cache that a server has memory for besides its layers, in tokens times layers. */
-export function kvCacheCapacity(
-  engine: EngineProfile,
-  accelerator: Accelerator,
-  layers: number,
-): number {
-  const freeMb = (accelerator.memoryMb - layers * engine.layerMb) * MEMORY_SHARE;
-  return Math.max(1, (freeMb * engine.layers) / engine.tokenMb);
+/** The servers of a service as route searches see them; replaced when any server changes. */
+interface ServiceFleet {
+  readonly engine: EngineProfile;
+  readonly candidates: readonly Candidate[];
+  readonly profiles: ReadonlyMap<string, ServerProfile & EstimatedServer>;
+  /** Number of routes without a common server that the held layers of each failure domain allow on average. */
+  readonly parallelRoutes: ReadonlyMap<string, number>;
 }
 
 export class EngineRoutes {
-  private candidates = new Map<string, Candidate[]>();
+  private readonly fleets = new Map<string, ServiceFleet>();
 
   public constructor(
     private readonly directory: ServerDirectory,
     private readonly load: ServerLoad,
     private readonly localDomain: string,
-    private readonly serverAdmission: ServerAdmission,
-    private readonly links: DomainLinks,
-    private readonly pace: PaceLimit = UNPACED,
+    private readonly inputs: RouteInputs,
   ) {
-    directory.onChange(() => this.candidates.clear());
+    directory.onChange(() => this.fleets.clear());
   }
 
   /**
@@ -101,7 +90,7 @@
    */
   public plan(requirements: RouteRequirements): readonly Stage[] | undefined {
     const { service, engine, avoid, tokens, firstServers } = requirements;
-    const all = this.withPossibleFirstStages(this.candidatesOf(service, engine));
+    const all = this.withPossibleFirstStages(this.fleetOf(service, engine).candidates);
     const candidates =
       firstServers === undefined
         ? all
@@ -119,11 +108,11 @@
 
   /** Keeps servers that may not receive requests now from being the first of a route. */
   private withPossibleFirstStages(candidates: readonly Candidate[]): readonly Candidate[] {
-    if (!this.serverAdmission.dependsOnRole) return candidates;
+    if (!this.inputs.serverAdmission.dependsOnRole) return candidates;
     return candidates.flatMap((candidate) => {
       const server = this.directory.get(candidate.server);
       if (candidate.from > 0 || server === undefined) return [candidate];
-      if (this.serverAdmission.accepts(server, ServerRole.First)) return [candidate];
+      if (this.inputs.serverAdmission.accepts(server, ServerRole.First)) return [candidate];
       return candidate.to > 1 ? [{ ...candidate, from: 1 }] : [];
     });
   }
@@ -133,7 +122,8 @@
     candidates: readonly Candidate[],
     usable: (id: string) => boolean,
   ): readonly Stage[] | undefined {
-    const { engine } = requirements;
+    const { service, engine } = requirements;
+    const hasRoom = (pair: DomainPair): boolean => this.inputs.links.hasRoom(engine, pair);
     const route = planCheapestRoute({
       candidates,
       layers: engine.layers,
@@ -142,20 +132,22 @@
       kept: requirements.kept,
       rebuildLayerMs: requirements.tokens / (engine.readTokensPerMs * engine.layers),
       costs: {
-        crossDomainMs: this.linkCosts(engine, requirements.tokens),
+        crossDomainMs: linkCosts(engine, this.load, requirements.tokens, hasRoom),
         remoteEntryMs: REMOTE_ENTRY_MS,
-        serverMs: (id) => this.serverMs(id, engine),
+        server: this.serverCosts(service, engine),
       },
     });
     if (route === undefined) return undefined;
     const stages = mergeRevisits(route.stages);
+    if (stages.length > MAX_STAGES || !coversOnce(stages, engine.layers)) return undefined;
     const { maxBacklogMs } = requirements.limits ?? WHOLE_ROOM;
     if (
       maxBacklogMs < Infinity &&
       prefillBacklogMs(stages, engine, this.directory, this.load) > maxBacklogMs
     )
       return undefined;
-    return stages.length <= MAX_STAGES && coversOnce(stages, engine.layers) ? stages : undefined;
+    this.inputs.remoteRoutes?.note(stages, this.fleetOf(service, engine).profiles);
+    return stages;
   }
 
   /**
@@ -167,7 +159,7 @@
     const { engine } = requirements;
     if (first.to === engine.layers) return [first];
     const candidates: Candidate[] = [];
-    for (const candidate of this.candidatesOf(requirements.service, engine)) {
+    for (const candidate of this.fleetOf(requirements.service, engine).candidates) {
       if (candidate.server === first.server || candidate.to <= first.to) continue;
       candidates.push({ ...candidate, from: Math.max(candidate.from, first.to) });
     }
@@ -200,43 +192,7 @@
     stages: readonly Stage[],
     before: readonly Stage[] = [],
   ): void {
-    for (const [index, { server }] of stages.entries()) {
-      const next = stages[index + 1]?.server;
-      if (next === undefined || before.some((_stage, at) => isLink(before, at, server, next)))
-        continue;
-      const pair = this.domainPair(server, next);
-      if (pair !== undefined) this.links.recordTransfer(engine, pair, tokens);
-    }
-  }
-
-  private withheldLinks(engine: EngineProfile, domains: readonly string[]): string[] {
-    const withheld: string[] = [];
-    for (const [index, from] of domains.entries()) {
-      for (const to of domains.slice(index + 1))
-        if (this.links.isWithheld(engine, { from, to })) withheld.push(`${from}|${to}`);
-    }
-    return withheld;
-  }
-
-  /** Returns the failure domains of two servers; undefined if it is the same one, or unknown. */
-  private domainPair(first: string, second: string): DomainPair | undefined {
-    const from = this.directory.get(first)?.record.failureDomain;
-    const to = this.directory.get(second)?.record.failureDomain;
-    return from === undefined || to === undefined || from === to ? undefined : { from, to };
-  }
-
-  /** Prepares the costs of links for one search, which asks for each of them many times. */
-  private linkCosts(engine: EngineProfile, tokens: number): (from: string, to: string) => number {
-    const costs = new Map<string, number>();
-    return (from, to) => {
-      const key = `${from}|${to}`;
-      let cost = costs.get(key);
-      if (cost === undefined) {
-        cost = this.links.costMs(engine, { from, to }, tokens);
-        costs.set(key, cost);
-      }
-      return cost;
-    };
+    this.inputs.links.recordRoute(engine, stages, tokens, before);
   }
 
   /**
@@ -249,7 +205,7 @@
     const held = new Uint8Array(engine.layers);
     const withMemory = new Uint8Array(engine.layers);
     const domains = new Set<string>();
-    for (const { server, from, to, failureDomain } of this.candidatesOf(service, engine)) {
+    for (const { server, from, to, failureDomain } of this.fleetOf(service, engine).candidates) {
       domains.add(failureDomain);
       if (requirements.avoid.has(server) || this.avoidReason(server) !== undefined) continue;
       held.fill(1, from, to);
@@ -258,31 +214,47 @@
     return {
       missing: describeGaps(held),
       full: describeGaps(withMemory),
-      withheld: this.withheldLinks(engine, [...domains]).join(','),
+      withheld: this.inputs.links.withheldAmong(engine, [...domains]).join(','),
     };
   }
 
-  /** Expected wait at a server and the cost of memory that other requests will need, in milliseconds. */
-  private serverMs(id: string, engine: EngineProfile): number {
-    const server = this.directory.get(id);
-    const accelerator = engine.accelerators.get(server?.record.accelerator ?? '');
-    const span = server?.record.span;
-    if (accelerator === undefined || span === undefined) return STAGE_MS;
-    const layers = span.to - span.from;
-    const prefillTokensPerMs = engine.readTokensPerMs / accelerator.readFactor;
-    const backlogMs = ((this.load.prefillTokens(id) / prefillTokensPerMs) * layers) / engine.layers;
-    const fill = this.load.tokenLayers(id) / kvCacheCapacity(engine, accelerator, layers);
-    return STAGE_MS + backlogMs + FULL_MEMORY_MS * fill ** MEMORY_FILL_EXPONENT;
+  /** Prepares the costs of servers for one search. */
+  private serverCosts(service: Service, engine: EngineProfile): (id: string) => ServerCost {
+    const { profiles, parallelRoutes } = this.fleetOf(service, engine);
+    const { slowness, unreported } = this.inputs;
+    const draw = unreported?.draws(service.name, engine, parallelRoutes);
+    return (id) => {
+      const profile = profiles.get(id);
+      if (profile === undefined) return UNKNOWN_SERVER_COST;
+      const factor = slowness?.factor(id) ?? 1;
+      return predictCost(profile, this.load.work(id), factor, draw?.(profile) ?? 0);
+    };
+  }
+
+  /** Predicts the gap between two events of a stream on a route, with what is known of its servers. */
+  public predictGapMs(service: Service, stages: readonly Stage[]): number {
+    if (service.engine === undefined) return 0;
+    const { profiles } = this.fleetOf(service, service.engine);
+    let sumMs = 0;
+    for (const { server, from, to } of stages) {
+      const profile = profiles.get(server);
+      if (profile === undefined) continue;
+      const slowness = this.inputs.slowness?.factor(server) ?? 1;
+      sumMs += slowness * predictGap(profile, this.load.work(server), to - from);
+    }
+    return sumMs;
   }
 
   private isLastResort(id: string): boolean {
-    return this.avoidReason(id) === AvoidReason.Declining || !this.pace.allows(id);
+    return (
+      this.avoidReason(id) === AvoidReason.Declining || !(this.inputs.pace ?? UNPACED).allows(id)
+    );
   }
 
   /** Returns why a server is avoided on routes that begin elsewhere; undefined if it is not. */
   private avoidReason(id: string): AvoidReason | undefined {
     const server = this.directory.get(id);
-    return server && this.serverAdmission.obstacle(server, ServerRole.Later)?.reason;
+    return server && this.inputs.serverAdmission.obstacle(server, ServerRole.Later)?.reason;
   }
 
   private canAccept(
@@ -305,42 +277,38 @@
     return this.load.tokenLayers(id) + tokens * layers <= capacity;
   }
 
-  private candidatesOf(service: Service, engine: EngineProfile): Candidate[] {
-    let found = this.candidates.get(service.name);
-    if (found === undefined) {
-      found = [];
-      for (const server of this.directory.all()) {
-        const candidate = toCandidate(server, service, engine);
-        if (candidate !== undefined) found.push(candidate);
-      }
-      this.candidates.set(service.name, found);
+  private fleetOf(service: Service, engine: EngineProfile): ServiceFleet {
+    let fleet = this.fleets.get(service.name);
+    if (fleet?.engine !== engine) {
+      fleet = this.collectFleet(service, engine);
+      this.fleets.set(service.name, fleet);
     }
-    return found;
+    return fleet;
   }
-}
 
-function toCandidate(
-  { record }: KnownServer,
-  service: Service,
-  engine: EngineProfile,
-): Candidate | undefined {
-  const accelerator = engine.accelerators.get(record.accelerator);
-  if (record.service !== service.name || record.span === undefined || accelerator === undefined)
-    return undefined;
-  return {
-    server: record.id,
-    address: record.address,
-    failureDomain: record.failureDomain,
-    from: record.span.from,
-    to: record.span.to,
-    layerMs: layerMs(engine, accelerator),
-    linkMs: 0,
-  };
+  private collectFleet(service: Service, engine: EngineProfile): ServiceFleet {
+    const candidates: Candidate[] = [];
+    const profiles = new Map<string, ServerProfile & EstimatedServer>();
+    const parallelRoutes = new Map<string, number>();
+    for (const { record } of this.directory.all()) {
+      const { id, span, failureDomain } = record;
+      const accelerator = engine.accelerators.get(record.accelerator);
+      if (record.service !== service.name || span === undefined || accelerator === undefined)
+        continue;
+      const layers = span.to - span.from;
+      const profile = profileServer(engine, accelerator, layers);
+      profiles.set(id, { ...profile, failureDomain });
+      candidates.push(toCandidate(record, span));
+      const routes = parallelRoutes.get(failureDomain) ?? 0;
+      parallelRoutes.set(failureDomain, routes + layers / engine.layers);
+    }
+    return { engine, candidates, profiles, parallelRoutes };
+  }
 }
 
-/** Whether a route goes from one server to another at a stage. */
-function isLink(stages: readonly Stage[], at: number, from: string, to: string): boolean {
-  return stages[at].server === from && stages[at + 1]?.server === to;
+function toCandidate(record: BackendServer, { from, to }: LayerSpan): Candidate {
+  const { id, address, failureDomain } = record;
+  return { server: id, address, failureDomain, from, to, layerMs: 0, linkMs: 0 };
 }
 
 /** Formats the layers that are not covered, for example `8-16,40-48`. */
--- a/src/core/routing/ServerLoad.ts
+++ b/src/core/routing/ServerLoad.ts
@@ -3,9 +3,13 @@
  * entry instances use `LoadTable`.
  */
 import { Emitter } from '../Emitter.js';
+import { crossedLinks } from './LinkCosts.js';
 import type { Stage } from './Types.js';
 
-/** Outstanding work at one server. The work reports to peers have properties of the same names. */
+/**
+ * Outstanding work at one server, or on the link between two failure domains. The work reports to peers have
+ * properties of the same names.
+ */
 export interface OutstandingWork {
   /** Requests in progress. */
   requests: number;
@@ -21,7 +25,12 @@
   private readonly ownWorkByServer = new Map<string, OutstandingWork>();
 
   /** Work that other instances have reported, by server. */
-  private readonly peerWork = new Map<string, OutstandingWork>();
+  private readonly peerWorkByServer = new Map<string, OutstandingWork>();
+
+  /** Work at a server that other instances have reported. */
+  public peerWork(server: string): Readonly<OutstandingWork> {
+    return this.peerWorkByServer.get(server) ?? NO_WORK;
+  }
 
   private readonly releases = new Emitter<void>();
 
@@ -32,21 +41,33 @@
     return this.ownWorkByServer.get(server) ?? NO_WORK;
   }
 
+  /** Outstanding work of all instances at a server. */
+  public work(server: string): Readonly<OutstandingWork> {
+    const own = this.ownWorkByServer.get(server);
+    const peers = this.peerWorkByServer.get(server);
+    if (own === undefined || peers === undefined) return own ?? peers ?? NO_WORK;
+    return {
+      requests: own.requests + peers.requests,
+      readingTokens: own.readingTokens + peers.readingTokens,
+      tokenLayers: own.tokenLayers + peers.tokenLayers,
+    };
+  }
+
   /** Requests of all instances in progress at a server. */
   public requests(server: string): number {
-    return this.ownWork(server).requests + (this.peerWork.get(server)?.requests ?? 0);
+    return this.ownWork(server).requests + this.peerWork(server).requests;
   }
 
   public prefillTokens(server: string): number {
-    return this.ownWork(server).readingTokens + (this.peerWork.get(server)?.readingTokens ?? 0);
+    return this.ownWork(server).readingTokens + this.peerWork(server).readingTokens;
   }
 
   public tokenLayers(server: string): number {
-    return this.ownWork(server).tokenLayers + (this.peerWork.get(server)?.tokenLayers ?? 0);
+    return this.ownWork(server).tokenLayers + this.peerWork(server).tokenLayers;
   }
 
   /**
-   * Adds a request's work to every server of its route; negative values remove it.
+   * Adds a request's work to every server of its route and every link that it crosses; negative values remove it.
    * @param tokens - tokens of prompt and answer that take up KV cache
    * @param prefillTokens - prompt tokens in prefill
    */
@@ -56,24 +77,33 @@
     tokens: number,
     prefillTokens: number,
   ): void {
-    for (const { server, from, to } of stages) {
-      let work = this.ownWorkByServer.get(server);
-      if (work === undefined) {
-        work = { requests: 0, readingTokens: 0, tokenLayers: 0 };
-        this.ownWorkByServer.set(server, work);
-      }
-      work.requests += requests;
-      work.readingTokens += prefillTokens;
-      work.tokenLayers += tokens * (to - from);
-      if (work.requests === 0) this.ownWorkByServer.delete(server);
-    }
+    for (const { server, from, to } of stages)
+      this.addWork(server, requests, tokens * (to - from), prefillTokens);
+    for (const link of crossedLinks(stages)) this.addWork(link, requests, 0, prefillTokens);
     if (requests < 0 || prefillTokens < 0) this.releases.fire();
   }
 
+  private addWork(
+    server: string,
+    requests: number,
+    tokenLayers: number,
+    prefillTokens: number,
+  ): void {
+    let work = this.ownWorkByServer.get(server);
+    if (work === undefined) {
+      work = { requests: 0, readingTokens: 0, tokenLayers: 0 };
+      this.ownWorkByServer.set(server, work);
+    }
+    work.requests += requests;
+    work.readingTokens += prefillTokens;
+    work.tokenLayers += tokenLayers;
+    if (work.requests === 0) this.ownWorkByServer.delete(server);
+  }
+
   /** Replaces the work that other instances have reported. */
   public setPeerWork(work: ReadonlyMap<string, OutstandingWork>): void {
-    this.peerWork.clear();
-    for (const [server, sum] of work) this.peerWork.set(server, sum);
+    this.peerWorkByServer.clear();
+    for (const [server, sum] of work) this.peerWorkByServer.set(server, sum);
     this.releases.fire();
   }
 
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -33,12 +33,16 @@
 import { InputQuarantine } from '../core/quarantine/InputQuarantine.js';
 import { PlacementDriver } from '../core/placement/PlacementDriver.js';
 import { SilenceDetector } from '../core/relay/SilenceDetector.js';
+import { SlowStreamProbe } from '../core/relay/SlowStreamProbe.js';
 import { RelayDispatcher } from '../core/relay/RelayDispatcher.js';
 import { EngineRoutes } from '../core/routing/EngineRoutes.js';
 import { DomainLinks } from '../core/routing/DomainLinks.js';
 import { ServerAdmission } from '../core/routing/ServerAdmission.js';
 import { ServerLoad } from '../core/routing/ServerLoad.js';
 import { StandstillGuard } from '../core/standstill/StandstillGuard.js';
+import { RemoteRouteLog } from '../core/routing/RemoteRouteLog.js';
+import { ServerSlowness, type SlownessChange } from '../core/routing/ServerSlowness.js';
+import { UnreportedWork } from '../core/routing/UnreportedWork.js';
 import { Ingress } from '../platform/Ingress.js';
 import { Readiness } from '../platform/Readiness.js';
 import { ServerClient } from '../platform/ServerClient.js';
@@ -139,6 +143,8 @@
 
   private readonly load = new ServerLoad();
 
+  private readonly slowness = new ServerSlowness(this.clock);
+
   private readonly servers: ServerClient;
 
   private readonly retryBudget = new SharedRetryBudget(
@@ -184,6 +190,10 @@
 
   private readonly admission: RankedAdmission;
 
+  private readonly slowStreamProbe: SlowStreamProbe;
+
+  private readonly remoteRoutes: RemoteRouteLog;
+
   private readonly dispatcher: RelayDispatcher;
 
   private readonly ingress: Ingress;
@@ -260,23 +270,44 @@
       decisions: log,
       counters: this.metrics,
     });
+    this.remoteRoutes = new RemoteRouteLog({
+      clock,
+      directory,
+      load,
+      slowness: this.slowness,
+      decisions: log,
+      localDomain: failureDomain,
+    });
+    const routes = new EngineRoutes(directory, load, failureDomain, {
+      serverAdmission: this.serverAdmission,
+      links: this.domainLinks,
+      pace: this.pace,
+      slowness: this.slowness,
+      unreported: new UnreportedWork(random, {
+        requestsPerMs: (service) =>
+          this.sharing.peerRetryUse(service).requests / this.retryLimits.windowMs,
+        reportAgeMs: () => this.sharing.workAgeMs,
+      }),
+      remoteRoutes: this.remoteRoutes,
+    });
+    this.slowStreamProbe = new SlowStreamProbe({
+      clock,
+      directory,
+      routes,
+      slowness: this.slowness,
+      port: servers,
+    });
     this.dispatcher = new RelayDispatcher({
       clock,
       random,
       deployments,
       directory,
       load,
-      routes: new EngineRoutes(
-        directory,
-        load,
-        failureDomain,
-        this.serverAdmission,
-        this.domainLinks,
-        this.pace,
-      ),
+      routes,
       port: servers,
       // The detector monitors the streams that the dispatcher registers with it.
       streamRegistry: this.silenceDetector,
+      slowStreamProbe: this.slowStreamProbe,
       retryBudget: this.retryBudget,
       retryAfterEstimator: new RetryAfterEstimator(random),
       admission: this.admission,
@@ -346,6 +377,7 @@
       load,
       serverLimits: this.serverLimits,
       pace: this.pace,
+      slowness: this.slowness,
       quarantine: this.quarantine,
       port: this.peers,
       seeds: settings.peers.seeds,
@@ -395,6 +427,8 @@
     });
     this.storeEra.onRise((rise) => this.handleRestoredStore(rise));
     deployments.onChange(() => this.ingress.applyLimits());
+    servers.onReport(({ server, report }) => this.slowness.record(server, report.slowness));
+    this.slowness.onChange((change) => this.recordSlowness(change));
     this.serverLimits.onChange((change) => this.recordServerLimit(change));
     this.startWindows.onChange((change) => this.recordStartWindow(change));
     this.pace.onChange((change) => this.recordPace(change));
@@ -541,6 +575,8 @@
 
   private sweep(): void {
     this.directory.sweep();
+    this.slowStreamProbe.sweep();
+    if (this.sharing.isHub) this.slowStreamProbe.refresh(this.settings.failureDomain);
     this.sweepTimer = this.clock.schedule(SWEEP_MS, () => this.sweep());
   }
 
@@ -570,6 +606,10 @@
     });
   }
 
+  private recordSlowness({ server, factor, source }: SlownessChange): void {
+    this.log.record('server-slowness', { server, factor, heardFrom: source });
+  }
+
   private recordQuarantine({ quarantined, isHeld, source }: QuarantineChange): void {
     const { part, crashes, lastCrashAt, heldUntil } = quarantined;
     const now = this.clock.now();
@@ -621,6 +661,9 @@
     metrics.addGauge('acaciadrum_held_servers', () => this.heldServers.size);
     metrics.addGauge('acaciadrum_leaving_servers', () => this.directory.leavingCount);
     metrics.addGauge('acaciadrum_paced_servers', () => this.pace.size);
+    metrics.addGauge('acaciadrum_remote_routes', () => this.remoteRoutes.remoteCount);
+    metrics.addGauge('acaciadrum_domain_crossings', () => this.remoteRoutes.crossingCount);
+    metrics.addGauge('acaciadrum_slow_servers', () => this.slowness.size);
     metrics.addGauge('acaciadrum_message_bytes', () => this.memory.used);
     metrics.addGauge('acaciadrum_evictions', () => this.memory.evictions);
     for (const listener of Object.values(Listener)) {
