Pace: a test that digests carry it to all instances

Cause: no test showed that instances pass a pace on. Change: a scenario of peer-sharing.feature; the step 'instance 0 learns the ... from the store' also takes 'from its answers', its other uses are as before. Measured: core/peers, 24 scenarios pass; without the merge of digests in PeerSharing this one fails.

--- a/features/core/peers/peer-sharing.feature
+++ b/features/core/peers/peer-sharing.feature
@@ -22,6 +22,11 @@
       | leaving state of a server |
       | removal of a server       |
 
+  Scenario: The pace of a server reaches all instances
+    Given 3 instances that know each other
+    When instance 0 learns the pace of a server from its answers
+    Then within 1000 ms all know the pace of a server
+
   Scenario: A process that started after its clock went back is accepted once its predecessor is silent
     Given 2 instances that know each other
     When instance 0 starts again after its clock went back
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -7,6 +7,7 @@
 import { Failure, FailureKind } from '../../../src/core/Failure.js';
 import { PeerSharing } from '../../../src/core/peers/PeerSharing.js';
 import { WorkScope, type PeerIdentity, type PeerDigest } from '../../../src/core/peers/Types.js';
+import type { ServerPace } from '../../../src/core/pace/ServerPace.js';
 import { PartQuarantine } from '../../../src/core/quarantine/PartQuarantine.js';
 import type { ProbationTurn } from '../../../src/core/quarantine/Types.js';
 import { ServerLoad } from '../../../src/core/routing/ServerLoad.js';
@@ -18,6 +19,7 @@
   readonly deployments: Deployments;
   readonly directory: ServerDirectory;
   readonly load: ServerLoad;
+  readonly pace: ServerPace;
   readonly domain: string;
   readonly capacity: number;
   isUnreachable: boolean;
@@ -83,13 +85,14 @@
     const bytes = encodeUpdate(peer.deployments.updateSince(ticket));
     return { update: decodeUpdate(bytes), bytes: bytes.length };
   };
+  const pace = ownPace({ clock, directory, load, deployments });
   const sharing: PeerSharing = new PeerSharing({
     clock,
     deployments,
     directory,
     load,
     serverLimits: unlimitedServers(clock),
-    pace: ownPace({ clock, directory, load, deployments }),
+    pace,
     quarantine: new PartQuarantine(clock, (): ProbationTurn => sharing.probationTurn),
     seeds,
     port: { send, fetchUpdate },
@@ -105,6 +108,7 @@
     deployments,
     directory,
     load,
+    pace,
     domain,
     capacity,
     isUnreachable: false,
@@ -288,6 +292,15 @@
     },
     knows: ({ directory }) => directory.get('server')?.leaving === true,
   },
+  'pace of a server': {
+    learn: ({ directory, pace }) => {
+      const service = { name: 'plain', engine: undefined };
+      pace.startTrial(service, [], 'another', 0);
+      directory.put(backendServer('server', { service: 'plain' }));
+      pace.recordRejection(pace.startTrial(service, [], 'server', 0), 'server');
+    },
+    knows: ({ pace }) => pace.windowOf('server') === 16,
+  },
   'leaving state of a server': {
     learn: ({ directory }) =>
       directory.put(backendServer('server', { revision: 1e6, leaving: true })),
@@ -296,7 +309,7 @@
 };
 
 When(
-  /^instance 0 learns the (.+) from the store$/,
+  /^instance 0 learns the (.+) from (?:the store|its answers)$/,
   async function run(this: SharingWorld, what: string) {
     await this.clock.runUntil(this.clock.now() + 500);
     FACTS[what].learn(this.instances[0]);
