--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -203,6 +203,12 @@
   readonly headers: Readonly<Record<string, string>>;
 }
 
+/** Returns the pause that a refusal asks for, in milliseconds; undefined if it asks for none. */
+function pauseOf(refusal: Refusal | undefined): number | undefined {
+  const seconds = refusal?.headers['retry-after'];
+  return seconds === undefined ? undefined : Number(seconds) * 1000;
+}
+
 /** A request as it arrived at a server. */
 export interface Arrival {
   readonly id: string;
@@ -212,6 +218,10 @@
   readonly saidLeaving: boolean;
   /** Whether its answer is a refusal. */
   readonly wasRefused: boolean;
+  /** Pause that its answer asks for, in milliseconds; undefined if it asks for none. */
+  readonly pauseMs: number | undefined;
+  /** Start time of the process, as its entry states it. */
+  readonly incarnation: number;
 }
 
 export class FakeBackendServer {
@@ -416,6 +426,8 @@
       at: performance.now(),
       saidLeaving: this.saysLeaving,
       wasRefused: refusal !== undefined,
+      pauseMs: pauseOf(refusal),
+      incarnation: this.startedAt,
     });
     if (refusal !== undefined) {
       const { status, headers: refusalHeaders } = refusal;
--- a/features/soak/FaultInjector.ts
+++ b/features/soak/FaultInjector.ts
@@ -6,6 +6,7 @@
 import { StoreFault } from '../platform/FakeStore.js';
 import type { Callers } from './Callers.js';
 import { LinkFault } from './FaultProxy.js';
+import type { LinkDisruption } from './NoticeChecker.js';
 import type { SoakFleet } from './SoakFleet.js';
 import {
   RESTART_AFTER_LEAVING_MS,
@@ -28,6 +29,9 @@
   /** Time spans of the faults that may cut off answers of servers. */
   readonly interruptions: TimeSpan[];
   readonly disruptions: Disruption[];
+  readonly linkDisruptions: LinkDisruption[];
+  /** Whether servers say in their answers that they are leaving. */
+  readonly hasServerNotices: boolean;
   readonly violations: string[];
 }
 
@@ -52,8 +56,13 @@
   DegradeStoreLink = 'an instance is cut off from the store',
   /** A new configuration replaces the key of the callers; the previous key is revoked. */
   Reconfigure = 'the configuration changes',
+  /** A server turns requests away with 503 and Retry-After for `REFUSING_MS`. */
+  AskForPause = 'a server asks for a pause',
 }
 
+/** Time for which a server turns requests away when it asks for a pause, in milliseconds. */
+const REFUSING_MS = 300;
+
 const ANSWER_STYLES = [
   AnswerStyle.OfAnotherRequest,
   AnswerStyle.Rejected,
@@ -75,6 +84,15 @@
 
 type Injector = (context: FaultContext, durationMs: number) => Promise<void> | void;
 
+/** Records a disruption of the link to a server until the returned function is called. */
+function disruptLink({ linkDisruptions }: FaultContext, server: string): () => void {
+  const disruption = { server, at: performance.now(), endedAt: Infinity };
+  linkDisruptions.push(disruption);
+  return () => {
+    disruption.endedAt = performance.now();
+  };
+}
+
 /** Records a disruption of an instance until the returned function is called. */
 function disrupt({ disruptions }: FaultContext, instance: string): () => void {
   const disruption = { instance, at: performance.now(), endedAt: Infinity };
@@ -114,7 +132,8 @@
   end();
 }
 
-async function drainServer({ fleet, random, leavingServers }: FaultContext): Promise<void> {
+async function drainServer(context: FaultContext): Promise<void> {
+  const { fleet, random, leavingServers } = context;
   const linked = random.pick(fleet.servers);
   if (!linked.isUp || linked.isLeaving) return;
   linked.isLeaving = true;
@@ -124,12 +143,14 @@
     fleet.store.fault === StoreFault.None &&
     fleet.storeLinks.every(({ fault }) => fault === LinkFault.None);
   linked.server.announce('draining');
+  linked.server.saysLeaving = context.hasServerNotices;
   const at = performance.now();
   await pause(RESTART_AFTER_LEAVING_MS);
   if (isStoreReachable && fleet.store.fault === StoreFault.None)
     leavingServers.push({ server: linked.server, at, drainMs: DRAIN_MS });
   fleet.crash(linked);
   fleet.store.remove('servers', linked.server.id);
+  linked.server.saysLeaving = false;
   await pause(200);
   await fleet.restart(linked);
   linked.isLeaving = false;
@@ -170,13 +191,29 @@
     await pause(durationMs);
     server.style = AnswerStyle.Whole;
   },
-  [SoakFault.DegradeServerLink]: async ({ fleet, random }, durationMs) => {
-    const { link } = random.pick(fleet.servers);
+  [SoakFault.DegradeServerLink]: async (context, durationMs) => {
+    const { fleet, random } = context;
+    const { link, server } = random.pick(fleet.servers);
+    const end = disruptLink(context, server.id);
     link.fault = random.pick(LINK_FAULTS);
     await pause(durationMs);
     link.fault = LinkFault.None;
+    end();
+  },
+  [SoakFault.ResetServerLink]: (context) => {
+    const { link, server } = context.random.pick(context.fleet.servers);
+    const end = disruptLink(context, server.id);
+    link.reset();
+    end();
+  },
+  [SoakFault.AskForPause]: async ({ fleet, random }, durationMs) => {
+    const { server } = random.pick(fleet.servers);
+    const retryAfter = (durationMs / 1000).toFixed(2);
+    const headers = { 'x-not-executed': '1', 'retry-after': retryAfter };
+    server.refusal = { status: 503, headers };
+    await pause(REFUSING_MS);
+    server.refusal = undefined;
   },
-  [SoakFault.ResetServerLink]: ({ fleet, random }) => random.pick(fleet.servers).link.reset(),
   [SoakFault.FailStore]: async ({ fleet, random }, durationMs) => {
     fleet.store.fault = random.pick(STORE_FAULTS);
     await pause(durationMs);
--- a/features/soak/Soak.ts
+++ b/features/soak/Soak.ts
@@ -10,6 +10,7 @@
 import { Callers } from './Callers.js';
 import { SoakFleet, folderFor } from './SoakFleet.js';
 import { GuaranteeChecker } from './GuaranteeChecker.js';
+import { checkNotices } from './NoticeChecker.js';
 import { injectFault, SoakFault, type FaultContext } from './FaultInjector.js';
 
 export interface SoakOptions {
@@ -20,6 +21,8 @@
   readonly faultsMs: number;
   /** Whether some requests have a part under which the engine servers crash. */
   readonly hasCrashingPart?: boolean;
+  /** Whether servers say in their answers that they are leaving, and ask for pauses. */
+  readonly hasServerNotices?: boolean;
 }
 
 export interface ProcessSoakResult {
@@ -43,7 +46,10 @@
 
 const CRASHING_PART = 'crashing';
 
-const FAULTS = Object.values(SoakFault);
+const ALL_FAULTS = Object.values(SoakFault);
+
+/** Faults of seeds without servers' notices, whose series must stay the same. */
+const USUAL_FAULTS = ALL_FAULTS.filter((fault) => fault !== SoakFault.AskForPause);
 
 /** Ranges of the duration of a fault and of the interval until the next one, in milliseconds. */
 const FAULT_DURATION_MS = { from: 200, to: 3000 };
@@ -76,7 +82,7 @@
   const pending: Promise<void>[] = [];
   const startedAt = performance.now();
   while (performance.now() - startedAt < faultsMs) {
-    const next = random.pick(FAULTS);
+    const next = random.pick(context.hasServerNotices ? ALL_FAULTS : USUAL_FAULTS);
     const durationMs = random.between(FAULT_DURATION_MS.from, FAULT_DURATION_MS.to);
     injected.push(
       `${Math.round(performance.now() - startedAt)} ${next} (${Math.round(durationMs)} ms)`,
@@ -105,6 +111,8 @@
     stops: [],
     interruptions: [],
     disruptions: [],
+    linkDisruptions: [],
+    hasServerNotices: options.hasServerNotices === true,
   };
   let faults: string[] = [];
   try {
@@ -135,6 +143,8 @@
   checker.checkLeaving(context.leavingServers);
   checker.checkCrashingPart(CRASHING_PART, attempts, servers, context.disruptions);
   checker.checkStops(attempts, context.stops, context.interruptions);
+  const { disruptions, linkDisruptions } = context;
+  violations.push(...checkNotices({ attempts, servers, disruptions, linkDisruptions }));
   return {
     attempts: attempts.length,
     served: attempts.filter(({ status, isComplete }) => status === 200 && isComplete).length,
--- a/features/soak/SoakFleet.ts
+++ b/features/soak/SoakFleet.ts
@@ -68,6 +68,7 @@
     for (const linked of this.servers) {
       linked.link.fault = LinkFault.None;
       linked.server.style = AnswerStyle.Whole;
+      linked.server.refusal = undefined;
       if (!linked.isUp && !linked.isLeaving) await this.restart(linked);
     }
     for (const router of this.routers) {
--- a/features/soak/main.ts
+++ b/features/soak/main.ts
@@ -24,6 +24,10 @@
     description: 'some requests have a prompt part under which engine servers crash',
   });
 
+  public serverNotices = Option.Boolean('--server-notices', false, {
+    description: 'servers say in their answers that they are leaving, and ask for pauses',
+  });
+
   public async execute(): Promise<number> {
     let failed = 0;
     const first = Number(this.first);
@@ -34,6 +38,7 @@
         callers: Number(this.callers),
         faultsMs: Number(this.seconds) * 1000,
         hasCrashingPart: this.crashingPart,
+        hasServerNotices: this.serverNotices,
       });
       this.context.stdout.write(
         `seed ${seed}: ${attempts} requests, ${served} served, ${faults.length} faults, ` +
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -17,6 +17,10 @@
       | seed | cause                                                                   |
       | 2    | the test restarted a leaving server while another fault was draining it |
 
+  Scenario: Servers leave and ask for pauses in their answers
+    When 4 instances and 12 callers run under the faults of seed 9001 for 6 seconds, with servers that leave and ask for pauses in their answers
+    Then no guarantee was violated
+
   # Guards against a prompt part that ends servers until none is left: without quarantine 112 requests with it followed five crashes.
   Scenario Outline: A part of some prompts crashes the engine servers, under the faults of seed <seed> for <seconds> seconds
     When 4 instances and 12 callers run under the faults of seed <seed> for <seconds> seconds, with a crashing prompt part
--- a/features/soak/soak.steps.ts
+++ b/features/soak/soak.steps.ts
@@ -7,7 +7,7 @@
 }
 
 When(
-  /^(\d+) instances and (\d+) callers run under the faults of seed (\d+) for (\d+) seconds(, with a crashing prompt part)?$/,
+  /^(\d+) instances and (\d+) callers run under the faults of seed (\d+) for (\d+) seconds(, with a crashing prompt part|, with servers that leave and ask for pauses in their answers)?$/,
   { timeout: 90_000 },
   async function run(
     this: SoakWorld,
@@ -15,14 +15,15 @@
     callers: string,
     seed: string,
     seconds: string,
-    crashingPart: string | null,
+    kind: string | null,
   ) {
     this.result = await soakProcesses({
       seed: Number(seed),
       instances: Number(instances),
       callers: Number(callers),
       faultsMs: Number(seconds) * 1000,
-      hasCrashingPart: crashingPart !== null,
+      hasCrashingPart: kind?.includes('crashing') === true,
+      hasServerNotices: kind?.includes('servers') === true,
     });
   },
 );
