Server directory: the question whether a server may be given work stands in ServerAdmission alone

Cause: ServerDirectory still answered it for tests and, as a comparison, for the silence detector, without limits and pauses. Change: avoidReason and isUsable are gone; the silence detector asks isSuspect, which is what it compared with. Tests ask an admission without limits and pauses instead (isUsable of the fixture): they check the same.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -26,6 +26,7 @@
 import { CallFailure, type AnswerHead, type CallerRequest } from '../../src/core/relay/Types.js';
 import { EngineRoutes } from '../../src/core/routing/EngineRoutes.js';
 import { ServerAdmission } from '../../src/core/routing/ServerAdmission.js';
+import { ServerRole } from '../../src/core/routing/Types.js';
 import { ServerLoad } from '../../src/core/routing/ServerLoad.js';
 import { StandstillGuard } from '../../src/core/standstill/StandstillGuard.js';
 import { VirtualClock } from '../../src/fakes/VirtualClock.js';
@@ -133,6 +134,13 @@
   return new ServerLimits(clock, NO_RANDOM, () => 1);
 }
 
+/** Whether a server may be given work at a time, with none that names a limit or asked for a pause. */
+export function isUsable(directory: ServerDirectory, clock: Clock, id: string): boolean {
+  const admission = new ServerAdmission(clock, unlimitedServers(clock), new HeldServers(clock));
+  const server = directory.get(id);
+  return server !== undefined && admission.obstacle(server, ServerRole.First) === undefined;
+}
+
 const NO_OP_COUNTERS: RelayCounters = {
   countEnd: () => {},
   countRefusal: () => {},
--- a/features/core/deployment/deployment.steps.ts
+++ b/features/core/deployment/deployment.steps.ts
@@ -6,7 +6,7 @@
 import type { BackendServer } from '../../../src/core/deployment/Types.js';
 import { toRevision } from '../../../src/core/store/Revision.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
-import { deployment, backendServer, route } from '../FleetFixture.js';
+import { deployment, backendServer, isUsable, route } from '../FleetFixture.js';
 
 interface DeploymentWorld {
   table: RouteTable;
@@ -114,6 +114,6 @@
   async function check(this: DeploymentWorld, ms: number, usable: string) {
     await this.clock.runUntil(this.clock.now() + ms);
     this.directory.sweep();
-    assert.equal(this.directory.isUsable('server'), usable === 'yes');
+    assert.equal(isUsable(this.directory, this.clock, 'server'), usable === 'yes');
   },
 );
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -11,7 +11,7 @@
 import type { ProbationTurn } from '../../../src/core/quarantine/Types.js';
 import { ServerLoad } from '../../../src/core/routing/ServerLoad.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
-import { deployment, backendServer, route, unlimitedServers } from '../FleetFixture.js';
+import { deployment, backendServer, isUsable, route, unlimitedServers } from '../FleetFixture.js';
 
 interface Instance {
   readonly sharing: PeerSharing;
@@ -278,7 +278,7 @@
   },
   'server entries': {
     learn: ({ directory }) => directory.put(backendServer('server')),
-    knows: ({ directory }) => directory.isUsable('server'),
+    knows: ({ directory }) => isUsable(directory, new VirtualClock(), 'server'),
   },
   'removal of a server': {
     learn: ({ directory }) => {
@@ -363,8 +363,8 @@
   async function check(this: SharingWorld, ms: number) {
     await this.clock.runUntil(this.clock.now() + ms);
     for (const { directory } of this.instances) {
-      assert.ok(directory.isUsable('other'));
-      assert.equal(directory.isUsable('server'), false);
+      assert.ok(isUsable(directory, this.clock, 'other'));
+      assert.equal(isUsable(directory, this.clock, 'server'), false);
     }
   },
 );
--- a/features/core/relay/silence.steps.ts
+++ b/features/core/relay/silence.steps.ts
@@ -3,7 +3,14 @@
 import { SuspectProbe } from '../../../src/core/relay/SuspectProbe.js';
 import { RelayDispatcher } from '../../../src/core/relay/RelayDispatcher.js';
 import { FakeCaller } from '../FakeCaller.js';
-import { answerHead, deployment, backendServer, RelayFixture, route } from '../FleetFixture.js';
+import {
+  answerHead,
+  deployment,
+  backendServer,
+  isUsable,
+  RelayFixture,
+  route,
+} from '../FleetFixture.js';
 
 interface SilenceWorld {
   fixture: RelayFixture;
@@ -179,10 +186,10 @@
 Then(
   'its other servers get no work either, except one that answered just now',
   function check(this: SilenceWorld) {
-    const { directory } = this.fixture;
-    for (const id of this.lost) assert.ok(!directory.isUsable(id), id);
-    assert.ok(directory.isUsable('lost-4'));
-    assert.ok(directory.isUsable('s1'));
+    const { clock, directory } = this.fixture;
+    for (const id of this.lost) assert.ok(!isUsable(directory, clock, id), id);
+    assert.ok(isUsable(directory, clock, 'lost-4'));
+    assert.ok(isUsable(directory, clock, 's1'));
   },
 );
 
@@ -190,7 +197,8 @@
   const { clock, directory, servers } = this.fixture;
   const endsAt = clock.now() + ms;
   while (clock.now() < endsAt) {
-    for (const id of this.lost) assert.ok(!directory.isUsable(id), `${id} at ${clock.now()}`);
+    for (const id of this.lost)
+      assert.ok(!isUsable(directory, clock, id), `${id} at ${clock.now()}`);
     await clock.runUntil(clock.now() + 50);
   }
   for (const id of this.lost) servers.silent.delete(id);
@@ -199,5 +207,5 @@
 Then('they get work again within {int} ms', async function check(this: SilenceWorld, ms: number) {
   const { clock, directory } = this.fixture;
   await clock.runUntil(clock.now() + ms);
-  for (const id of this.lost) assert.ok(directory.isUsable(id), id);
+  for (const id of this.lost) assert.ok(isUsable(directory, clock, id), id);
 });
--- a/src/core/deployment/ServerDirectory.ts
+++ b/src/core/deployment/ServerDirectory.ts
@@ -321,18 +321,9 @@
     return this.known.values();
   }
 
-  /** Returns why a server is avoided for new work; undefined if it is not. */
-  public avoidReason(server: KnownServer): AvoidReason | undefined {
-    if (server.leaving) return AvoidReason.Leaving;
-    const now = this.clock.now();
-    if (server.suspectUntil > now) return AvoidReason.Suspect;
-    if (server.fullUntil > now) return AvoidReason.Full;
-    return server.decliningUntil > now ? AvoidReason.Declining : undefined;
-  }
-
-  public isUsable(id: string): boolean {
-    const server = this.known.get(id);
-    return server !== undefined && this.avoidReason(server) === undefined;
+  /** Whether a server that is not leaving gives no sign of life. `ServerAdmission` tells whether it may be given work. */
+  public isSuspect({ leaving, suspectUntil }: KnownServer): boolean {
+    return !leaving && suspectUntil > this.clock.now();
   }
 
   /**
--- a/src/core/relay/SilenceDetector.ts
+++ b/src/core/relay/SilenceDetector.ts
@@ -8,7 +8,7 @@
  */
 import type { Clock, Disposable } from '../../ports/Types.js';
 import type { DecisionLog } from '../DecisionLog.js';
-import { AvoidReason, type ServerDirectory } from '../deployment/ServerDirectory.js';
+import type { ServerDirectory } from '../deployment/ServerDirectory.js';
 import { RetryReason } from '../Outcome.js';
 import type { ReportPort, ServerReport } from '../placement/Types.js';
 import type { StreamRegistry, WatchedStream } from './RelayDependencies.js';
@@ -120,10 +120,7 @@
     const suspects = new Set<string>();
     for (const { server, address } of stream.stages) {
       const known = this.dependencies.directory.get(server);
-      if (
-        known === undefined ||
-        this.dependencies.directory.avoidReason(known) === AvoidReason.Suspect
-      ) {
+      if (known === undefined || this.dependencies.directory.isSuspect(known)) {
         suspects.add(server);
         continue;
       }
