--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -33,6 +33,7 @@
 import { EngineRoutes } from '../../src/core/routing/EngineRoutes.js';
 import { DomainLinks } from '../../src/core/routing/DomainLinks.js';
 import { ServerAdmission } from '../../src/core/routing/ServerAdmission.js';
+import { ServerRole } from '../../src/core/routing/Types.js';
 import { ServerLoad } from '../../src/core/routing/ServerLoad.js';
 import { StandstillGuard } from '../../src/core/standstill/StandstillGuard.js';
 import { VirtualClock } from '../../src/fakes/VirtualClock.js';
@@ -156,6 +157,15 @@
   return new ServerPace({ ...dependencies, turn: () => ({ rank: 0, instances: 1 }) });
 }
 
+/** Whether a server may be given work at a time, with none that names a limit or asked for a pause. */
+export function isUsable(directory: ServerDirectory, clock: Clock, id: string): boolean {
+  const server = directory.get(id);
+  return (
+    server !== undefined &&
+    openServerAdmission(clock).obstacle(server, ServerRole.First) === undefined
+  );
+}
+
 const NO_OP_COUNTERS: RelayCounters & AdmissionCounters = {
   countAdmission: () => {},
   recordWait: () => {},
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -13,7 +13,14 @@
 import { ServerLoad } from '../../../src/core/routing/ServerLoad.js';
 import { ServerSlowness } from '../../../src/core/routing/ServerSlowness.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
-import { deployment, backendServer, route, ownPace, unlimitedServers } from '../FleetFixture.js';
+import {
+  deployment,
+  backendServer,
+  isUsable,
+  ownPace,
+  route,
+  unlimitedServers,
+} from '../FleetFixture.js';
 
 interface Instance {
   readonly sharing: PeerSharing;
@@ -290,7 +297,7 @@
   },
   'server entries': {
     learn: ({ directory }) => directory.put(backendServer('server')),
-    knows: ({ directory }) => directory.isUsable('server'),
+    knows: ({ directory }) => isUsable(directory, new VirtualClock(), 'server'),
   },
   'removal of a server': {
     learn: ({ directory }) => {
@@ -384,8 +391,8 @@
   async function check(this: SharingWorld, ms: number) {
     await this.clock.runUntil(this.clock.now() + ms);
     for (const { directory } of this.instances) {
-      assert.ok(directory.isUsable('other'));
-      assert.equal(directory.isUsable('server'), false);
+      assert.ok(isUsable(directory, this.clock, 'other'));
+      assert.equal(isUsable(directory, this.clock, 'server'), false);
     }
   },
 );
--- a/features/core/routing/RouteChoosers.ts
+++ b/features/core/routing/RouteChoosers.ts
@@ -84,16 +84,18 @@
   const slowness = new ServerSlowness(world.clock);
   const peers = { requestsPerMs: () => requestsPerMs, reportAgeMs: () => 500 };
   const unreported = new UnreportedWork(new SeededRandom(seed), peers);
+  const serverAdmission = openServerAdmission(world.clock);
   const remoteRoutes = new RemoteRouteLog({
     clock: world.clock,
     directory: world.directory,
     load,
     slowness,
+    serverAdmission,
     decisions: { record: (event, fields) => world.logged.push({ event, fields }) },
     localDomain: domain,
   });
   const routes = new EngineRoutes(world.directory, load, domain, {
-    serverAdmission: openServerAdmission(world.clock),
+    serverAdmission,
     links: new DomainLinks(world.clock, linkRandom(seed), () => instances),
     slowness,
     unreported,
--- a/src/core/routing/RemoteRouteLog.ts
+++ b/src/core/routing/RemoteRouteLog.ts
@@ -6,16 +6,18 @@
 import type { DecisionLog } from '../DecisionLog.js';
 import type { ServerDirectory } from '../deployment/ServerDirectory.js';
 import { crossedLinks } from './LinkCosts.js';
+import type { ServerAdmission } from './ServerAdmission.js';
 import type { ServerLoad } from './ServerLoad.js';
 import type { ServerSlowness } from './ServerSlowness.js';
 import type { ServerProfile } from './ServerTime.js';
-import type { Stage } from './Types.js';
+import { ServerRole, type Stage } from './Types.js';
 
 export interface RemoteRouteLogDependencies {
   readonly clock: Clock;
   readonly directory: ServerDirectory;
   readonly load: ServerLoad;
   readonly slowness: ServerSlowness;
+  readonly serverAdmission: ServerAdmission;
   readonly decisions: DecisionLog;
   readonly localDomain: string;
 }
@@ -75,11 +77,12 @@
   }
 
   private summarize(profiles: ReadonlyMap<string, ServerProfile>): Map<string, DomainLoad> {
-    const { directory, load, slowness } = this.dependencies;
+    const { directory, load, slowness, serverAdmission } = this.dependencies;
     const domains = new Map<string, DomainLoad>();
     for (const [id, profile] of profiles) {
-      const failureDomain = directory.get(id)?.record.failureDomain;
-      if (failureDomain === undefined) continue;
+      const server = directory.get(id);
+      if (server === undefined) continue;
+      const { failureDomain } = server.record;
       const sum = domains.get(failureDomain) ?? {
         servers: 0,
         usable: 0,
@@ -89,7 +92,7 @@
       };
       domains.set(failureDomain, sum);
       sum.servers += 1;
-      if (!directory.isUsable(id)) continue;
+      if (serverAdmission.obstacle(server, ServerRole.Later) !== undefined) continue;
       const { requests, tokenLayers } = load.work(id);
       sum.usable += 1;
       sum.slow += slowness.factor(id) > 1 ? 1 : 0;
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -275,6 +275,7 @@
       directory,
       load,
       slowness: this.slowness,
+      serverAdmission: this.serverAdmission,
       decisions: log,
       localDomain: failureDomain,
     });
