--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -16,10 +16,9 @@
 import { MemoryBudget } from '../core/limits/MemoryBudget.js';
 import { HeldServers } from '../core/limits/HeldServers.js';
 import { SharedRetryBudget, type SharedRetryLimits } from '../core/limits/SharedRetryBudget.js';
-import { StartWindows, type StartWindowChange } from '../core/limits/StartWindows.js';
-import { ServerLimits, type ServerLimitChange } from '../core/limits/ServerLimits.js';
+import { StartWindows } from '../core/limits/StartWindows.js';
+import { ServerLimits } from '../core/limits/ServerLimits.js';
 import { ServerPace } from '../core/pace/ServerPace.js';
-import type { PaceChange } from '../core/pace/Types.js';
 import { PeerSharing } from '../core/peers/PeerSharing.js';
 import { decodePeerIdentity, InstanceRegistration } from '../core/peers/InstanceRegistration.js';
 import {
@@ -41,15 +40,15 @@
 import { ServerLoad } from '../core/routing/ServerLoad.js';
 import { StandstillGuard } from '../core/standstill/StandstillGuard.js';
 import { RemoteRouteLog } from '../core/routing/RemoteRouteLog.js';
-import { ServerSlowness, type SlownessChange } from '../core/routing/ServerSlowness.js';
+import { ServerSlowness } from '../core/routing/ServerSlowness.js';
 import { UnreportedWork } from '../core/routing/UnreportedWork.js';
 import { Ingress } from '../platform/Ingress.js';
 import { Readiness } from '../platform/Readiness.js';
 import { ServerClient } from '../platform/ServerClient.js';
 import { StoreClient } from '../platform/StoreClient.js';
-import type { QuarantineChange } from '../core/quarantine/Types.js';
 import type { Disposable } from '../ports/Types.js';
 import { connectionBudgets, Listener, type ConnectionBudgets } from './ConnectionBudgets.js';
+import { ChangeLog } from './ChangeLog.js';
 import { RouterMetrics } from './RouterMetrics.js';
 import type { RouterSettings } from './Settings.js';
 import { StoreTablesFollower } from './StoreTablesFollower.js';
@@ -218,6 +217,8 @@
 
   private readonly storeFollowController: StoreFollowController;
 
+  private readonly changeLog: ChangeLog;
+
   private leaving = false;
 
   private sweepTimer: Disposable | undefined;
@@ -429,11 +430,16 @@
     this.storeEra.onRise((rise) => this.handleRestoredStore(rise));
     deployments.onChange(() => this.ingress.applyLimits());
     servers.onReport(({ server, report }) => this.slowness.record(server, report.slowness));
-    this.slowness.onChange((change) => this.recordSlowness(change));
-    this.serverLimits.onChange((change) => this.recordServerLimit(change));
-    this.startWindows.onChange((change) => this.recordStartWindow(change));
-    this.pace.onChange((change) => this.recordPace(change));
-    this.quarantine.onChange((change) => this.recordQuarantine(change));
+    this.changeLog = new ChangeLog({
+      clock,
+      log,
+      metrics: this.metrics,
+      slowness: this.slowness,
+      serverLimits: this.serverLimits,
+      startWindows: this.startWindows,
+      pace: this.pace,
+      quarantine: this.quarantine,
+    });
     this.addGauges();
   }
 
@@ -523,6 +529,7 @@
     this.attempt('registration', () => this.registration.dispose());
     this.attempt('knowledge', () => this.knowledge.dispose());
     this.attempt('sharing', () => this.sharing.dispose());
+    this.attempt('changes', () => this.changeLog.dispose());
     this.attempt('pace', () => this.pace.dispose());
     this.attempt('peers', () => this.peers.dispose());
     this.attempt('callers', () => this.ingress.close());
@@ -581,49 +588,6 @@
     this.sweepTimer = this.clock.schedule(SWEEP_MS, () => this.sweep());
   }
 
-  private recordServerLimit({ server, perSecond, ownPerSecond, source }: ServerLimitChange): void {
-    this.log.record('server-limit', { server, perSecond, ownPerSecond, heardFrom: source });
-  }
-
-  private recordStartWindow({ service, limit, waiting }: StartWindowChange): void {
-    this.log.record('start-window', {
-      service,
-      limit: Number.isFinite(limit) ? limit : 'none',
-      waiting,
-    });
-  }
-
-  private recordPace({ server, cause, reason, window, before, source }: PaceChange): void {
-    this.metrics.countPaceChange(reason);
-    // Without a window, the log states none.
-    const stated = (requests: number) => (requests < Infinity ? requests : undefined);
-    this.log.record('pace', {
-      server,
-      cause,
-      reason,
-      window: stated(window),
-      before: stated(before),
-      heardFrom: source,
-    });
-  }
-
-  private recordSlowness({ server, factor, source }: SlownessChange): void {
-    this.log.record('server-slowness', { server, factor, heardFrom: source });
-  }
-
-  private recordQuarantine({ quarantined, isHeld, source }: QuarantineChange): void {
-    const { part, crashes, lastCrashAt, heldUntil } = quarantined;
-    const now = this.clock.now();
-    this.log.record('quarantine', {
-      part,
-      outcome: isHeld ? 'held' : 'released',
-      crashes,
-      lastCrashMsAgo: Math.round(now - lastCrashAt),
-      heldForMs: Math.round(heldUntil - now),
-      heardFrom: source,
-    });
-  }
-
   /** Returns what keeps the clients of a listener within bounds. */
   private protection(listener: Listener): ConnectionGuardDependencies {
     return {
