--- a/src/core/routing/EngineRoutes.ts
+++ b/src/core/routing/EngineRoutes.ts
@@ -1,6 +1,6 @@
 /** Chooses the servers that a request to an engine passes through. */
 import { AvoidReason, type ServerDirectory } from '../deployment/ServerDirectory.js';
-import type { BackendServer, EngineProfile, LayerSpan, Service } from '../deployment/Types.js';
+import type { EngineProfile, Service } from '../deployment/Types.js';
 import { prefillBacklogMs, WHOLE_ROOM, type RoomLimits } from '../admission/RoomLimits.js';
 import { UNPACED, type PaceLimit } from '../pace/Types.js';
 import type { DomainLinks, DomainPair } from './DomainLinks.js';
@@ -9,16 +9,11 @@
 import type { RemoteRouteLog } from './RemoteRouteLog.js';
 import type { ServerAdmission } from './ServerAdmission.js';
 import type { ServerLoad } from './ServerLoad.js';
+import { ServiceFleets } from './ServiceFleets.js';
 import type { ServerSlowness } from './ServerSlowness.js';
-import {
-  kvCacheCapacity,
-  predictCost,
-  predictGap,
-  profileServer,
-  type ServerProfile,
-} from './ServerTime.js';
+import { kvCacheCapacity, predictCost, predictGap } from './ServerTime.js';
 import { ServerRole, type Candidate, type ServerCost, type Stage } from './Types.js';
-import type { EstimatedServer, UnreportedWork } from './UnreportedWork.js';
+import type { UnreportedWork } from './UnreportedWork.js';
 
 /** What a route has to satisfy. */
 export interface RouteRequirements {
@@ -62,17 +57,8 @@
   readonly remoteRoutes?: RemoteRouteLog;
 }
 
-/** The servers of a service as route searches see them; replaced when any server changes. */
-interface ServiceFleet {
-  readonly engine: EngineProfile;
-  readonly candidates: readonly Candidate[];
-  readonly profiles: ReadonlyMap<string, ServerProfile & EstimatedServer>;
-  /** Number of routes without a common server that the held layers of each failure domain allow on average. */
-  readonly parallelRoutes: ReadonlyMap<string, number>;
-}
-
 export class EngineRoutes {
-  private readonly fleets = new Map<string, ServiceFleet>();
+  private readonly fleets: ServiceFleets;
 
   public constructor(
     private readonly directory: ServerDirectory,
@@ -80,7 +66,7 @@
     private readonly localDomain: string,
     private readonly inputs: RouteInputs,
   ) {
-    directory.onChange(() => this.fleets.clear());
+    this.fleets = new ServiceFleets(directory);
   }
 
   /**
@@ -90,7 +76,7 @@
    */
   public plan(requirements: RouteRequirements): readonly Stage[] | undefined {
     const { service, engine, avoid, tokens, firstServers } = requirements;
-    const all = this.withPossibleFirstStages(this.fleetOf(service, engine).candidates);
+    const all = this.withPossibleFirstStages(this.fleets.of(service, engine).candidates);
     const candidates =
       firstServers === undefined
         ? all
@@ -146,7 +132,7 @@
       prefillBacklogMs(stages, engine, this.directory, this.load) > maxBacklogMs
     )
       return undefined;
-    this.inputs.remoteRoutes?.note(stages, this.fleetOf(service, engine).profiles);
+    this.inputs.remoteRoutes?.note(stages, this.fleets.of(service, engine).profiles);
     return stages;
   }
 
@@ -159,7 +145,7 @@
     const { engine } = requirements;
     if (first.to === engine.layers) return [first];
     const candidates: Candidate[] = [];
-    for (const candidate of this.fleetOf(requirements.service, engine).candidates) {
+    for (const candidate of this.fleets.of(requirements.service, engine).candidates) {
       if (candidate.server === first.server || candidate.to <= first.to) continue;
       candidates.push({ ...candidate, from: Math.max(candidate.from, first.to) });
     }
@@ -205,7 +191,7 @@
     const held = new Uint8Array(engine.layers);
     const withMemory = new Uint8Array(engine.layers);
     const domains = new Set<string>();
-    for (const { server, from, to, failureDomain } of this.fleetOf(service, engine).candidates) {
+    for (const { server, from, to, failureDomain } of this.fleets.of(service, engine).candidates) {
       domains.add(failureDomain);
       if (requirements.avoid.has(server) || this.avoidReason(server) !== undefined) continue;
       held.fill(1, from, to);
@@ -220,7 +206,7 @@
 
   /** Prepares the costs of servers for one search. */
   private serverCosts(service: Service, engine: EngineProfile): (id: string) => ServerCost {
-    const { profiles, parallelRoutes } = this.fleetOf(service, engine);
+    const { profiles, parallelRoutes } = this.fleets.of(service, engine);
     const { slowness, unreported } = this.inputs;
     const draw = unreported?.draws(service.name, engine, parallelRoutes);
     return (id) => {
@@ -234,7 +220,7 @@
   /** Predicts the gap between two events of a stream on a route, with what is known of its servers. */
   public predictGapMs(service: Service, stages: readonly Stage[]): number {
     if (service.engine === undefined) return 0;
-    const { profiles } = this.fleetOf(service, service.engine);
+    const { profiles } = this.fleets.of(service, service.engine);
     let sumMs = 0;
     for (const { server, from, to } of stages) {
       const profile = profiles.get(server);
@@ -276,39 +262,6 @@
     const capacity = kvCacheCapacity(engine, kind, layers) * share;
     return this.load.tokenLayers(id) + tokens * layers <= capacity;
   }
-
-  private fleetOf(service: Service, engine: EngineProfile): ServiceFleet {
-    let fleet = this.fleets.get(service.name);
-    if (fleet?.engine !== engine) {
-      fleet = this.collectFleet(service, engine);
-      this.fleets.set(service.name, fleet);
-    }
-    return fleet;
-  }
-
-  private collectFleet(service: Service, engine: EngineProfile): ServiceFleet {
-    const candidates: Candidate[] = [];
-    const profiles = new Map<string, ServerProfile & EstimatedServer>();
-    const parallelRoutes = new Map<string, number>();
-    for (const { record } of this.directory.all()) {
-      const { id, span, failureDomain } = record;
-      const accelerator = engine.accelerators.get(record.accelerator);
-      if (record.service !== service.name || span === undefined || accelerator === undefined)
-        continue;
-      const layers = span.to - span.from;
-      const profile = profileServer(engine, accelerator, layers);
-      profiles.set(id, { ...profile, failureDomain });
-      candidates.push(toCandidate(record, span));
-      const routes = parallelRoutes.get(failureDomain) ?? 0;
-      parallelRoutes.set(failureDomain, routes + layers / engine.layers);
-    }
-    return { engine, candidates, profiles, parallelRoutes };
-  }
-}
-
-function toCandidate(record: BackendServer, { from, to }: LayerSpan): Candidate {
-  const { id, address, failureDomain } = record;
-  return { server: id, address, failureDomain, from, to, layerMs: 0, linkMs: 0 };
 }
 
 /** Formats the layers that are not covered, for example `8-16,40-48`. */
