--- a/features/platform/hostile-clients.feature
+++ b/features/platform/hostile-clients.feature
@@ -64,7 +64,7 @@
   # Guards against a bound that meets callers inside the limits.
   Scenario Outline: A caller inside the limits <request>
     Given a router process on a machine of 250 MB and 600 descriptors
-    When a caller <request>
+    When a lawful caller <request>
     Then <answers> answers come, all complete, and servers got each request whole
     And no connection was closed to stay within a bound
 
--- a/features/platform/hostile-clients.steps.ts
+++ b/features/platform/hostile-clients.steps.ts
@@ -158,7 +158,7 @@
 );
 
 When(
-  /^a caller (sends .+)$/,
+  /^a lawful caller (sends .+)$/,
   { timeout: STEP_LIMIT_MS },
   async function run(this: HostileWorld, request: string) {
     for (const victim of this.victims) victim.runs.length = 0;
