--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -284,6 +284,8 @@
 
   private readonly sockets = new Set<Socket>();
 
+  private isSilent = false;
+
   /** Id of the last rejected request, by connection. */
   private readonly rejected = new WeakMap<Socket, string>();
 
@@ -301,6 +303,7 @@
     this.server.maxHeadersCount = 0;
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
+      if (this.isSilent) socket.cork();
       socket.once('close', () => this.sockets.delete(socket));
     });
   }
@@ -339,6 +342,19 @@
     for (const socket of this.sockets) resetConnection(socket);
   }
 
+  /**
+   * Holds everything that the server sends, reports included, and sends it afterwards. The server accepts
+   * connections and works on meanwhile.
+   */
+  public async fallSilent(ms: number): Promise<void> {
+    if (this.isSilent) return;
+    this.isSilent = true;
+    for (const socket of this.sockets) socket.cork();
+    await pause(ms);
+    this.isSilent = false;
+    for (const socket of this.sockets) socket.uncork();
+  }
+
   /** Whether the server has accepted an order to hold layers since it started. */
   public get holdsLayers(): boolean {
     return this.span !== undefined;
