Filing a ticket waits for the instance list before it says where the ticket is in force

What operators saw: "In force on 1 of 1 live instances." while a second instance served.

Cause: an instance is ready once it has the tickets. If its first read of the platform's instance list failed, since both had just started, it knows no other instance for another second, and the command took an unknown fleet for a small one.

Change: the status says whether the instance list has been read; filing waits for it as long as for a first exchange, and says so if it stays unknown. The decision stands in FilingWait, in a table of cases.

The row "the other instances are not known yet" fails without the condition ('has ended' where 'waits' is due).

--- a/src/adapters/http/OperatorServer.ts
+++ b/src/adapters/http/OperatorServer.ts
@@ -46,6 +46,8 @@
   /** Number of the last ticket applied by the reporting instance. */
   readonly ticket: number;
   readonly instances: readonly InstanceStatus[];
+  /** Whether the reporting instance has read the platform's instance list since it started. */
+  readonly isInstanceListKnown: boolean;
   readonly servers: readonly ServerStatus[];
   /** Waiting and running completions of the reporting instance. */
   readonly queues: readonly { pipeline: string; waiting: number; running: number }[];
--- a/src/cli/TicketCommands.ts
+++ b/src/cli/TicketCommands.ts
@@ -3,7 +3,7 @@
 import { randomBytes } from 'node:crypto';
 import { Command, Option } from 'clipanion';
 import { stringify } from 'yaml';
-import type { InstanceStatus, Status } from '../adapters/http/OperatorServer.js';
+import type { Status } from '../adapters/http/OperatorServer.js';
 import { parseYaml } from '../adapters/yaml/CheckedYaml.js';
 import { describeFaults } from '../core/Failure.js';
 import { checkTicket } from '../core/tickets/TicketCheck.js';
@@ -14,20 +14,11 @@
   type ObjectInForce,
   type ObjectState,
 } from '../core/tickets/Types.js';
+import { isLive, mayChange } from './FilingWait.js';
 import { OperatorClient, type OperatorAnswer, type OperatorError } from './OperatorClient.js';
 import { table } from './Table.js';
 
-const IN_FORCE_WAIT_MS = 15_000;
 const POLL_INTERVAL_MS = 200;
-
-/** Maximum wait for a first exchange with a listed instance, in milliseconds. */
-const FIRST_EXCHANGE_WAIT_MS = 3000;
-
-/**
- * An instance counts as live if it is ready and its last exchange was at most this long ago, in
- * milliseconds.
- */
-const LIVE_WITHIN_MS = 5000;
 const SUBMISSION_ID_BYTES = 12;
 
 const EXIT_CODES: Readonly<Record<FilingStatus, number>> = {
@@ -36,10 +27,6 @@
   [FilingStatus.Unknown]: 2,
 };
 
-function isLive({ ready, heardMsAgo }: InstanceStatus): boolean {
-  return ready && heardMsAgo >= 0 && heardMsAgo <= LIVE_WITHIN_MS;
-}
-
 abstract class OperatorCommand extends Command {
   public server = Option.String('--server', process.env.ACACIADRUM_SERVER ?? '127.0.0.1:8090', {
     description: 'Operator address of any instance (or ACACIADRUM_SERVER).',
@@ -156,6 +143,11 @@
         [
           value.message,
           `In force on ${live.length - behind.length} of ${live.length} live instances.`,
+          ...(status.isInstanceListKnown
+            ? []
+            : [
+                `More instances may be live: ${status.instance} could not read the platform's instance list. Check the platform, then run "acaciadrum ticket status".`,
+              ]),
           ...status.instances
             .filter((instance) => !isLive(instance))
             .map(
@@ -176,12 +168,7 @@
     const startedAt = Date.now();
     for (;;) {
       const { value } = await client.get<Status>('/status');
-      const waitedMs = Date.now() - startedAt;
-      const behind = value.instances.filter((item) => isLive(item) && item.applied < number);
-      const neverHeardFrom = value.instances.filter((item) => item.heardMsAgo < 0);
-      const isWaiting =
-        behind.length > 0 || (neverHeardFrom.length > 0 && waitedMs < FIRST_EXCHANGE_WAIT_MS);
-      if (!isWaiting || waitedMs > IN_FORCE_WAIT_MS) return value;
+      if (!mayChange(value, number, Date.now() - startedAt)) return value;
       await new Promise((resolve) => {
         setTimeout(resolve, POLL_INTERVAL_MS);
       });
--- a/src/core/gossip/Gossip.ts
+++ b/src/core/gossip/Gossip.ts
@@ -82,6 +82,8 @@
 
   private rounds = 0;
 
+  private hasReadList = false;
+
   public constructor(private readonly dependencies: GossipDependencies) {}
 
   public start(): void {
@@ -101,6 +103,11 @@
     for (const timer of this.timers) timer.dispose();
   }
 
+  /** Whether the platform's instance list has been read since the start. */
+  public get isInstanceListKnown(): boolean {
+    return this.hasReadList;
+  }
+
   /**
    * Returns the state of this instance as sent in an exchange.
    * @param receiver - name of the receiving peer, whose acknowledged values are left out; if empty, none are
@@ -193,6 +200,7 @@
         await this.dependencies.list.list(),
         this.dependencies.clock.now(),
       );
+      this.hasReadList = true;
     } catch {
       this.dependencies.log(
         'Failed to read the instance list from the platform; the known peers are kept.',
--- a/src/entry/StatusReport.ts
+++ b/src/entry/StatusReport.ts
@@ -29,6 +29,7 @@
     instance,
     ticket: applied,
     instances: [own, ...others],
+    isInstanceListKnown: core.gossip.isInstanceListKnown,
     servers,
     queues: core.completions.queueLengths(),
   };
