Logs and metrics tell a stall of the process from the silence of servers

Change: StallMonitor takes the lateness of the standstill guard's timer, every 100 ms, and times the steps that grow with the deployment: decoding and applying a configuration, comparing two for a peer, replacing all servers. Metrics: acaciadrum_timer_lateness_ms, acaciadrum_stalls_total{during}, acaciadrum_longest_stall_ms. No timer is added. A stall that lies between two timers shows in part, or, unless a timed step ran, not at all.

The fixtures of PeerSharing in peer-sharing.steps.ts, configuration-transfer.steps.ts and fleet.steps.ts pass the new dependency, a timer that measures nothing; no check changed.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -35,6 +35,7 @@
 import { ServerAdmission } from '../../src/core/routing/ServerAdmission.js';
 import { ServerRole } from '../../src/core/routing/Types.js';
 import { ServerLoad } from '../../src/core/routing/ServerLoad.js';
+import type { ActivityTimer } from '../../src/core/standstill/StallMonitor.js';
 import { StandstillGuard } from '../../src/core/standstill/StandstillGuard.js';
 import { VirtualClock } from '../../src/fakes/VirtualClock.js';
 import { FakeServers } from './FakeServers.js';
@@ -152,6 +153,11 @@
   return new ServerAdmission(clock, unlimitedServers(clock), new HeldServers(clock));
 }
 
+/** Runs steps without taking their time. */
+export const UNTIMED: ActivityTimer = {
+  time: (_activity, _detail, step) => ({ value: step(), ms: 0 }),
+};
+
 /** The pace of servers that this instance alone knows. */
 export function ownPace(dependencies: Omit<ServerPaceDependencies, 'turn'>): ServerPace {
   return new ServerPace({ ...dependencies, turn: () => ({ rank: 0, instances: 1 }) });
--- a/features/core/peers/configuration-transfer.steps.ts
+++ b/features/core/peers/configuration-transfer.steps.ts
@@ -12,7 +12,7 @@
 import { ServerSlowness } from '../../../src/core/routing/ServerSlowness.js';
 import { StoreFollowController } from '../../../src/core/store/StoreFollowController.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
-import { deployment, route, ownPace, unlimitedServers } from '../FleetFixture.js';
+import { deployment, route, ownPace, unlimitedServers, UNTIMED } from '../FleetFixture.js';
 
 /** Time limit of a digest in the gRPC adapter, in milliseconds. */
 const DIGEST_LIMIT_MS = 500;
@@ -148,6 +148,7 @@
     },
     self: identityOf(index),
     decisions: { record: () => {} },
+    activityTimer: UNTIMED,
     isLeaving: () => false,
     isPrepared: () => true,
     storeAgeMs: () => (world.instances[index].followsStore ? STORE_MS : Infinity),
--- a/features/core/peers/peer-sharing.steps.ts
+++ b/features/core/peers/peer-sharing.steps.ts
@@ -20,6 +20,7 @@
   ownPace,
   route,
   unlimitedServers,
+  UNTIMED,
 } from '../FleetFixture.js';
 
 interface Instance {
@@ -111,6 +112,7 @@
     port: { send, fetchUpdate },
     self: { ...selfOf(index, domain, capacity), incarnation },
     decisions: { record: () => {} },
+    activityTimer: UNTIMED,
     isLeaving: () => false,
     isPrepared: () => true,
     storeAgeMs: () => Math.max(0, clock.now() - world.instances[index].storeAnsweredAt),
--- a/features/core/quarantine/fleet.steps.ts
+++ b/features/core/quarantine/fleet.steps.ts
@@ -11,7 +11,7 @@
 import { ServerSlowness } from '../../../src/core/routing/ServerSlowness.js';
 import { SeededRandom } from '../../../src/fakes/SeededRandom.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
-import { ownPace, unlimitedServers } from '../FleetFixture.js';
+import { ownPace, unlimitedServers, UNTIMED } from '../FleetFixture.js';
 
 interface Member {
   readonly domain: number;
@@ -90,6 +90,7 @@
     },
     self: identityOf(index, domain),
     decisions: { record: () => {} },
+    activityTimer: UNTIMED,
     isLeaving: () => false,
     isPrepared: () => true,
     storeAgeMs: () => 0,
--- a/src/core/peers/PeerSharing.ts
+++ b/src/core/peers/PeerSharing.ts
@@ -20,6 +20,7 @@
 import type { ProbationTurn, Quarantine } from '../quarantine/Types.js';
 import type { ServerLoad } from '../routing/ServerLoad.js';
 import type { ServerSlowness } from '../routing/ServerSlowness.js';
+import { Activity, type ActivityTimer } from '../standstill/StallMonitor.js';
 import { describeRevision } from '../store/Revision.js';
 import { ChangeSequence, type PeerProcess } from './ChangeSequence.js';
 import { PeerTable, type Peer } from './PeerTable.js';
@@ -39,6 +40,7 @@
   readonly slowness: ServerSlowness;
   readonly quarantine: Quarantine;
   readonly decisions: DecisionLog;
+  readonly activityTimer: ActivityTimer;
   readonly isLeaving: () => boolean;
   /** Whether this instance has everything that must be known before the first request. */
   readonly isPrepared: () => boolean;
@@ -347,19 +349,27 @@
   private async fetchFrom(peer: Peer): Promise<void> {
     if (this.isFetching) return;
     this.isFetching = true;
-    const { deployments, decisions, clock, port } = this.dependencies;
+    const { deployments, decisions, clock, port, activityTimer } = this.dependencies;
     const { instance, address } = peer.identity;
     const since = deployments.ticket;
     const startedAt = clock.now();
     try {
       const { update, bytes } = await port.fetchUpdate(address, since);
-      const deployment = update && applyUpdate(deployments.currentTable?.deployment, update);
-      if (deployment === undefined || !deployments.applyIfNewer(deployment)) return;
+      const ticket = update?.ticket;
+      const applied = activityTimer.time(Activity.ApplyConfiguration, { ticket, bytes }, () => {
+        const known = deployments.currentTable?.deployment;
+        const deployment = update && applyUpdate(known, update);
+        return deployment && deployments.applyIfNewer(deployment) ? deployment : undefined;
+      });
+      const deployment = applied.value;
+      if (deployment === undefined) return;
       decisions.record('configuration', {
-        ticket: deployment.ticket,
+        ticket,
         from: instance,
         base: update?.base,
         bytes,
+        routes: deployment.routes.length,
+        applyMs: applied.ms,
         ms: Math.round(clock.now() - startedAt),
       });
     } catch (error) {
--- a/src/core/standstill/StandstillGuard.ts
+++ b/src/core/standstill/StandstillGuard.ts
@@ -12,6 +12,8 @@
   readonly decisions: DecisionLog;
   /** Asks what has changed. Resolves once an answer has been applied, rejects if there is none. */
   readonly ask: () => Promise<unknown>;
+  /** Called with the lateness of each timer that looks for a standstill, in milliseconds. */
+  readonly onTimer?: (latenessMs: number) => void;
 }
 
 /** Interval of the timer whose lateness shows a standstill, in milliseconds. */
@@ -53,11 +55,14 @@
 
   private timer: Disposable | undefined;
 
+  /** Time at which the timer is due. */
+  private dueAt = 0;
+
   public constructor(private readonly dependencies: StandstillDependencies) {}
 
   public start(): void {
     this.seenAt = this.dependencies.clock.now();
-    this.tick();
+    this.schedule();
   }
 
   /** Stops the timers. What waits is dropped. */
@@ -81,9 +86,17 @@
     else step();
   }
 
+  private schedule(): void {
+    const { clock } = this.dependencies;
+    this.dueAt = clock.now() + TICK_MS;
+    this.timer = clock.schedule(TICK_MS, () => this.tick());
+  }
+
   private tick(): void {
+    const { clock, onTimer } = this.dependencies;
+    onTimer?.(Math.max(0, clock.now() - this.dueAt));
     this.check();
-    this.timer = this.dependencies.clock.schedule(TICK_MS, () => this.tick());
+    this.schedule();
   }
 
   private check(): void {
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -38,6 +38,7 @@
 import { DomainLinks } from '../core/routing/DomainLinks.js';
 import { ServerAdmission } from '../core/routing/ServerAdmission.js';
 import { ServerLoad } from '../core/routing/ServerLoad.js';
+import { Activity, StallMonitor } from '../core/standstill/StallMonitor.js';
 import { StandstillGuard } from '../core/standstill/StandstillGuard.js';
 import { RemoteRouteLog } from '../core/routing/RemoteRouteLog.js';
 import { ServerSlowness } from '../core/routing/ServerSlowness.js';
@@ -185,6 +186,8 @@
 
   private readonly silenceDetector: SilenceDetector;
 
+  private readonly stalls: StallMonitor;
+
   private readonly standstill: StandstillGuard;
 
   private readonly admission: RankedAdmission;
@@ -235,7 +238,10 @@
     this.peers = new SharingService(
       {
         receiveDigest: (digest) => this.sharing.receiveDigest(digest),
-        updateSince: (ticket) => deployments.updateSince(ticket),
+        updateSince: (since) =>
+          this.stalls.time(Activity.CompareConfigurations, { since }, () =>
+            deployments.updateSince(since),
+          ).value,
         handleFailure: ({ message }) => log.record('digest-rejected', { error: message }),
       },
       this.protection(Listener.Peers),
@@ -257,10 +263,12 @@
       decisions: log,
       rerouteLeavingAfterMs: bounds.drainMs * REROUTE_DRAIN_FRACTION,
     });
+    this.stalls = new StallMonitor({ clock, decisions: log, counters: this.metrics });
     this.standstill = new StandstillGuard({
       clock,
       decisions: log,
       ask: () => Promise.any([this.sharing.ask(), this.storeFollower.readServersNow()]),
+      onTimer: (latenessMs) => this.stalls.recordTimer(latenessMs),
     });
     this.admission = new RankedAdmission({
       clock,
@@ -384,6 +392,7 @@
       port: this.peers,
       seeds: settings.peers.seeds,
       decisions: log,
+      activityTimer: this.stalls,
       isLeaving: () => this.leaving,
       isPrepared: () => deployments.currentTable !== undefined && this.knowledge.isPrepared,
       storeAgeMs: () => this.storeFollower.ageMs,
@@ -420,6 +429,7 @@
       directory,
       sharing: this.sharing,
       decisions: log,
+      activityTimer: this.stalls,
     });
     this.storeFollowController = new StoreFollowController({
       clock,
@@ -635,6 +645,7 @@
       const connections = this.connections[listener];
       metrics.addGauge(`acaciadrum_connections{listener="${listener}"}`, () => connections.size);
     }
+    metrics.addGauge('acaciadrum_longest_stall_ms', () => Math.round(this.stalls.longestMs));
     metrics.addGauge('acaciadrum_store_era', () => this.storeEra.current);
     metrics.addGauge('acaciadrum_ticket', () => this.deployments.ticket);
     metrics.addGauge('acaciadrum_open_requests', () => this.dispatcher.active);
--- a/src/router/RouterMetrics.ts
+++ b/src/router/RouterMetrics.ts
@@ -14,6 +14,7 @@
 import type { PaceReason } from '../core/pace/Types.js';
 import type { RefusalReason, RetryReason } from '../core/Outcome.js';
 import type { RelayCounters, RelayEnd } from '../core/relay/RelayDependencies.js';
+import type { StallCounters } from '../core/standstill/StallMonitor.js';
 
 /** Longest recorded time in milliseconds; longer ones count as this. */
 const MAX_TRACKED_MS = 600_000;
@@ -28,7 +29,7 @@
 
 const PERCENTILES = [50, 95, 99];
 
-export class RouterMetrics implements RelayCounters, AdmissionCounters {
+export class RouterMetrics implements RelayCounters, AdmissionCounters, StallCounters {
   private readonly counts = new Map<string, number>();
 
   private readonly histograms = new Map<string, LabelledHistogram>();
@@ -73,6 +74,14 @@
     this.count(`acaciadrum_pace_changes_total{reason="${reason}"}`);
   }
 
+  public countStall(during: string): void {
+    this.count(`acaciadrum_stalls_total{during="${during}"}`);
+  }
+
+  public recordLateness(ms: number): void {
+    this.recordTime('acaciadrum_timer_lateness_ms', 'timer="standstill"', ms);
+  }
+
   public recordFirstByte(kind: string, ms: number): void {
     this.recordTime('acaciadrum_first_byte_ms', `kind="${kind}"`, ms);
   }
--- a/src/router/StoreTablesFollower.ts
+++ b/src/router/StoreTablesFollower.ts
@@ -5,6 +5,7 @@
 import type { BackendServer, Deployment } from '../core/deployment/Types.js';
 import type { PeerSharing } from '../core/peers/PeerSharing.js';
 import type { PeerIdentity } from '../core/peers/Types.js';
+import { Activity, type ActivityTimer } from '../core/standstill/StallMonitor.js';
 import { FeedFollower } from '../core/store/FeedFollower.js';
 import { describeRevision } from '../core/store/Revision.js';
 import type { StoreFollower } from '../core/store/StoreFollowController.js';
@@ -31,6 +32,7 @@
   readonly directory: ServerDirectory;
   readonly sharing: PeerSharing;
   readonly decisions: DecisionLog;
+  readonly activityTimer: ActivityTimer;
 }
 
 export class StoreTablesFollower implements StoreFollower {
@@ -40,6 +42,9 @@
 
   private readonly instanceFollower: FeedFollower<PeerIdentity>;
 
+  /** Time that decoding the newest configuration took, in milliseconds. */
+  private decodeMs = 0;
+
   public constructor(private readonly dependencies: StoreTablesFollowerDependencies) {
     const { clock, store, instances, directory, decisions } = dependencies;
     this.deploymentFollower = new FeedFollower({
@@ -47,7 +52,7 @@
       waitMs: FEED_WAIT_MS,
       clock,
       decisions,
-      feed: store.feed('op', (_key, _revision, value) => decodeDeployment(value)),
+      feed: store.feed('op', (_key, _revision, value) => this.decodeDeployment(value)),
       listener: {
         onSnapshot: (entries) => this.applyDeployments(entries),
         onChanges: (entries) => this.applyDeployments(entries),
@@ -103,17 +108,33 @@
     return this.serverFollower.readNow();
   }
 
+  private decodeDeployment(value: unknown): Deployment | undefined {
+    const decoded = this.dependencies.activityTimer.time(Activity.DecodeConfiguration, {}, () =>
+      decodeDeployment(value),
+    );
+    this.decodeMs = decoded.ms;
+    return decoded.value;
+  }
+
   private applyDeployments({ entries }: StoreEntries<Deployment>): void {
-    const { deployments, decisions } = this.dependencies;
+    const { deployments, decisions, activityTimer } = this.dependencies;
     for (const { key, value, revision: changedAt } of entries) {
       const revision = describeRevision(changedAt);
       if (value === undefined) decisions.record('configuration-unreadable', { key, revision });
-      if (value === undefined || !deployments.applyIfNewer(value)) continue;
+      if (value === undefined) continue;
+      const { ticket } = value;
+      const routes = value.routes.length;
+      const applied = activityTimer.time(Activity.ApplyConfiguration, { ticket, routes }, () =>
+        deployments.applyIfNewer(value),
+      );
+      if (!applied.value) continue;
       decisions.record('configuration', {
-        ticket: value.ticket,
+        ticket,
         revision,
-        routes: value.routes.length,
+        routes,
         accounts: value.accounts?.length,
+        decodeMs: this.decodeMs,
+        applyMs: applied.ms,
       });
     }
   }
@@ -126,7 +147,10 @@
   private replaceServers({ entries, revision }: StoreEntries<BackendServer>): void {
     const servers: BackendServer[] = [];
     for (const { value } of entries) if (value !== undefined) servers.push(value);
-    this.dependencies.directory.replaceAll(servers, revision);
+    const { activityTimer, directory } = this.dependencies;
+    activityTimer.time(Activity.ReplaceServers, { known: servers.length }, () =>
+      directory.replaceAll(servers, revision),
+    );
     this.dependencies.decisions.record('servers', {
       known: servers.length,
       revision: describeRevision(revision),
