The ranks of accounts are collected once for all routes of a configuration

Cause: for each route, the lookup table of a new configuration went through all accounts to collect their ranks: 1,650 routes x 710 accounts took more than half of the time for which a configuration holds the process up.

Change: the ranks are collected once, and once with those of public routes.

features/core/deployment and features/core/admission pass, which hold the ranks of public and other routes, with and without accounts.

--- a/src/core/deployment/RouteTable.ts
+++ b/src/core/deployment/RouteTable.ts
@@ -22,15 +22,10 @@
   return a.accountRank - b.accountRank || a.routeRank - b.routeRank;
 }
 
-/** Ranks of the accounts that may use a route. */
-function accountRanksOn(
-  { isPublic }: RequestRoute,
-  accounts: readonly ClientAccount[] | undefined,
-): ReadonlySet<number> {
-  const ranks = new Set<number>();
-  if (isPublic || accounts === undefined) ranks.add(DEFAULT_ACCOUNT_RANK);
-  for (const { rank = DEFAULT_ACCOUNT_RANK } of accounts ?? []) ranks.add(rank);
-  return ranks;
+/** Ranks of the accounts that may use a route that is not public. */
+function ranksOfAccounts(accounts: readonly ClientAccount[] | undefined): ReadonlySet<number> {
+  if (accounts === undefined) return new Set([DEFAULT_ACCOUNT_RANK]);
+  return new Set(accounts.map(({ rank = DEFAULT_ACCOUNT_RANK }) => rank));
 }
 
 /** Classes of the requests that each service may get, the most urgent first. */
@@ -39,10 +34,11 @@
   accounts,
 }: Deployment): ReadonlyMap<string, readonly RankClass[]> {
   const found = new Map<string, RankClass[]>();
-  for (const route of routes) {
-    const { rank: routeRank, objectiveMs } = route;
-    const accountRanks = accountRanksOn(route, accounts);
-    for (const { service } of route.shares) {
+  const ranks = ranksOfAccounts(accounts);
+  const publicRanks = new Set(ranks).add(DEFAULT_ACCOUNT_RANK);
+  for (const { rank: routeRank, objectiveMs, isPublic, shares } of routes) {
+    const accountRanks = isPublic ? publicRanks : ranks;
+    for (const { service } of shares) {
       const classes = found.get(service) ?? [];
       found.set(service, classes);
       for (const accountRank of accountRanks) {
