A waiting request keeps its rank when its route moves to another service

Callers saw: nothing was lost, but the least urgent request that waited for room was sent before more urgent ones, into the room that is kept for those, once a configuration moved its route to another service or removed its account.

Cause: rankOf looked up the rank of the route and account among the classes of the service that the request waits for. That service no longer has the class, and "not found" was taken for rank 0, the most urgent.

Change: rankOf returns undefined when the account or the class is gone, for which the admission keeps the rank that the request was accepted with.

The test failed before: A waiting request whose its route moves to another service is refused as not run + 'open' - '503 not-run' and passes now; so do features/core/admission, deployment and relay (282 scenarios). Two rows were added to an outline of ranks.feature, none changed.

--- a/features/core/admission/ranks.feature
+++ b/features/core/admission/ranks.feature
@@ -64,6 +64,8 @@
       | its wait ends                           | is refused as not run        | 503 not-run | 0     |
       | its process is paused and room came     | is sent late                 | open        | 1     |
       | its process is paused and no room came  | is refused as not run        | 503 not-run | 0     |
+      | its route is removed                    | is refused as not run        | 503 not-run | 0     |
+      | its route moves to another service      | is refused as not run        | 503 not-run | 0     |
       | its route becomes the most urgent one   | is sent at once              | open        | 1     |
       | the ranks become equal                  | is sent at once              | open        | 1     |
 
--- a/features/core/admission/ranks.steps.ts
+++ b/features/core/admission/ranks.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import type { RequestRoute } from '../../../src/core/deployment/Types.js';
 import { RelayDispatcher } from '../../../src/core/relay/RelayDispatcher.js';
 import type { Relay } from '../../../src/core/relay/Types.js';
 import { FakeCaller } from '../FakeCaller.js';
@@ -34,14 +35,21 @@
   answered: number;
 }
 
-function applyRanks(world: RanksWorld, ranks: readonly number[]): void {
-  world.ticket += 1;
-  const routes = ranks.map((rank, index) =>
+function rankedRoutes(ranks: readonly number[]): RequestRoute[] {
+  return ranks.map((rank, index) =>
     route({ rank, name: `r${index}`, prefix: `/${index}/`, objectiveMs: OBJECTIVES_MS[index] }),
   );
+}
+
+function applyRoutes(world: RanksWorld, routes: readonly RequestRoute[]): void {
+  world.ticket += 1;
   world.fixture.deployments.applyIfNewer(deployment(routes, { ticket: world.ticket }));
 }
 
+function applyRanks(world: RanksWorld, ranks: readonly number[]): void {
+  applyRoutes(world, rankedRoutes(ranks));
+}
+
 Given(
   'servers that are used by routes of ranks {string}',
   function set(this: RanksWorld, ranks: string) {
@@ -261,6 +269,12 @@
     for (const made of fixture.servers.calls) firstEvent(made);
   },
   'its process is paused and no room came': ({ fixture }) => fixture.clock.jump(3000),
+  'its route is removed': (world) => applyRoutes(world, rankedRoutes([0, 1])),
+  'its route moves to another service': (world) => {
+    const [first, second, last] = rankedRoutes([0, 1, 2]);
+    const shares = [{ service: 'plain', weight: 1 }];
+    applyRoutes(world, [first, second, { ...last, shares }]);
+  },
   'its route becomes the most urgent one': (world) => applyRanks(world, [1, 2, 0]),
   'the ranks become equal': (world) => applyRanks(world, [1, 1, 1]),
 };
--- a/src/core/deployment/RouteTable.ts
+++ b/src/core/deployment/RouteTable.ts
@@ -118,26 +118,17 @@
 
   /**
    * Returns the rank of requests to a service: 0 for the most urgent that the configuration allows.
+   * @param route - a route to the service
    * @param account - undefined if the requests need none
    */
-  public rankFor(
-    service: string,
-    { rank: routeRank }: RequestRoute,
-    account: ClientAccount | undefined,
-  ): number {
-    const accountRank = account?.rank ?? DEFAULT_ACCOUNT_RANK;
-    const own = { accountRank, routeRank, objectiveMs: undefined };
-    const classes = this.classesByService.get(service) ?? [];
-    return Math.max(
-      0,
-      classes.findIndex((other) => byUrgency(other, own) === 0),
-    );
+  public rankFor(service: string, route: RequestRoute, account: ClientAccount | undefined): number {
+    return this.findRank(service, route, account) ?? 0;
   }
 
   /**
    * Returns the rank of requests by the names of their route and account.
    * @param accountName - undefined if the requests need no account
-   * @returns undefined if there is no such route any more
+   * @returns undefined if there is no such account any more, or no such route to the service
    */
   public rankOf(
     service: string,
@@ -146,7 +137,20 @@
   ): number | undefined {
     const account = this.deployment.accounts?.find(({ name }) => name === accountName);
     const route = this.deployment.routes.find(({ name }) => name === routeName);
-    return route && this.rankFor(service, route, account);
+    if (route === undefined || account?.name !== accountName) return undefined;
+    return this.findRank(service, route, account);
+  }
+
+  private findRank(
+    service: string,
+    { rank: routeRank }: RequestRoute,
+    account: ClientAccount | undefined,
+  ): number | undefined {
+    const accountRank = account?.rank ?? DEFAULT_ACCOUNT_RANK;
+    const own = { accountRank, routeRank, objectiveMs: undefined };
+    const classes = this.classesByService.get(service) ?? [];
+    const rank = classes.findIndex((other) => byUrgency(other, own) === 0);
+    return rank === -1 ? undefined : rank;
   }
 
   public accountOf(key: string): ClientAccount | undefined {
