A stall of the process is no silence of its servers

Callers saw: requests refused or streams moved although every server worked. Cause: Node fires timers before it reads input, so that after a stall of its own the process takes the answers that wait in the kernel for missing ones: a report due within 60 ms (SilenceDetector, SuspectProbe) makes its server a suspect for all streams, a reroute due within 250 ms makes a stream leave a first server that works, and a connection due within 250 ms (500 ms on our own interface) is given up and its server suspected.

startInputTimer does not count the time for which the process itself stood still, up to the length of the limit, and reads the input first. HttpClient, OpenCall, ServerClient.isListening, HttpPlainTransport and HttpEngine use it. A server that answers nothing is noticed as before.

--- a/src/adapters/http/HttpClient.ts
+++ b/src/adapters/http/HttpClient.ts
@@ -8,6 +8,8 @@
 } from 'node:http';
 import { Failure, FailureKind } from '../../core/Failure.js';
 import type { MemoryBudget } from '../../core/limits/MemoryBudget.js';
+import type { Disposable } from '../../ports/Types.js';
+import { startInputTimer } from './InputTimer.js';
 
 /** A call whose body is in memory. */
 export interface HttpCall {
@@ -110,8 +112,8 @@
           ...(call.body !== undefined && { 'content-length': Buffer.byteLength(call.body) }),
         },
       });
-      const limit = (ms: number): NodeJS.Timeout =>
-        setTimeout(() => outgoing.destroy(new Error(`no response within ${ms} ms`)), ms);
+      const limit = (ms: number): Disposable =>
+        startInputTimer(ms, () => outgoing.destroy(new Error(`no response within ${ms} ms`)));
       let timer = limit(call.timeoutMs);
       const share = this.memory?.open({
         allowanceBytes: ALLOWANCE_BYTES,
@@ -119,11 +121,11 @@
       });
       const restartTimer = (): void => {
         if (call.idleTimeoutMs === undefined) return;
-        clearTimeout(timer);
+        timer.dispose();
         timer = limit(call.idleTimeoutMs);
       };
       const fail = (error: Error) => {
-        clearTimeout(timer);
+        timer.dispose();
         share?.dispose();
         const kind = connected ? FailureKind.ConnectionLost : FailureKind.NotConnected;
         reject(
@@ -150,7 +152,7 @@
         };
         readBody(message, call.maxAnswerBytes ?? MAX_ANSWER_BYTES, countPart)
           .then((body) => {
-            clearTimeout(timer);
+            timer.dispose();
             share?.dispose();
             resolve({
               status: message.statusCode ?? 0,
--- a/src/adapters/http/HttpEngine.ts
+++ b/src/adapters/http/HttpEngine.ts
@@ -11,6 +11,7 @@
 import { Failure, FailureKind } from '../../core/Failure.js';
 import type { Disposable } from '../../ports/Types.js';
 import { HttpClient, hostAndPort } from './HttpClient.js';
+import { startInputTimer } from './InputTimer.js';
 import { FrameDecoder } from './TokenFrames.js';
 
 const STATUS_FAILURES: Readonly<Record<number, EngineFailureKind>> = {
@@ -61,15 +62,14 @@
         connected = true;
         return;
       }
-      const timer = setTimeout(
-        () => outgoing.destroy(new Error('connect timeout')),
-        CONNECT_TIMEOUT_MS,
+      const timer = startInputTimer(CONNECT_TIMEOUT_MS, () =>
+        outgoing.destroy(new Error('connect timeout')),
       );
       socket.once('connect', () => {
         connected = true;
-        clearTimeout(timer);
+        timer.dispose();
       });
-      socket.once('close', () => clearTimeout(timer));
+      socket.once('close', () => timer.dispose());
     });
     outgoing.on('error', () =>
       fail(connected ? EngineFailureKind.ConnectionLost : EngineFailureKind.NotConnected),
--- a/src/adapters/http/HttpPlainTransport.ts
+++ b/src/adapters/http/HttpPlainTransport.ts
@@ -8,6 +8,7 @@
   PlainTransport,
 } from '../../core/requests/PlainTransport.js';
 import { hostAndPort } from './HttpClient.js';
+import { startInputTimer } from './InputTimer.js';
 
 /** Header with which a server states that it did not run the call. */
 const NOT_RUN_HEADER = 'acaciadrum-not-run';
@@ -71,12 +72,11 @@
         agent: false,
         headers,
       });
-      let timer = setTimeout(
-        () => outgoing.destroy(new Error('connect timeout')),
-        CONNECT_TIMEOUT_MS,
+      let timer = startInputTimer(CONNECT_TIMEOUT_MS, () =>
+        outgoing.destroy(new Error('connect timeout')),
       );
       const fail = (error: Error) => {
-        clearTimeout(timer);
+        timer.dispose();
         const kind = connected ? FailureKind.ConnectionLost : FailureKind.NotConnected;
         reject(
           new Failure(
@@ -89,16 +89,15 @@
       outgoing.on('socket', (socket) => {
         socket.once('connect', () => {
           connected = true;
-          clearTimeout(timer);
-          timer = setTimeout(
-            () => outgoing.destroy(new Error('no response in time')),
-            call.timeoutMs,
+          timer.dispose();
+          timer = startInputTimer(call.timeoutMs, () =>
+            outgoing.destroy(new Error('no response in time')),
           );
           sendBody(outgoing, call.body).catch((error: Error) => outgoing.destroy(error));
         });
       });
       outgoing.on('response', (message) => {
-        clearTimeout(timer);
+        timer.dispose();
         resolve({
           status: message.statusCode ?? 502,
           headers: endToEndHeaders(message.headers),
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -6,6 +6,7 @@
 } from 'node:http';
 import type { Socket } from 'node:net';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
+import { startInputTimer } from '../adapters/http/InputTimer.js';
 import {
   CallFailure,
   type AnswerHead,
@@ -15,6 +16,7 @@
 } from '../core/relay/Types.js';
 import { AnsweredCall, type NoticeListener } from '../core/deployment/ServerNotices.js';
 import type { Stage } from '../core/routing/Types.js';
+import type { Disposable } from '../ports/Types.js';
 import type { ServerAgent } from './ServerAgent.js';
 import { decodeNotice } from './NoticeDecoder.js';
 import { areSendable, isFinalStatus } from './HeaderText.js';
@@ -112,7 +114,7 @@
 
   private isPaused = false;
 
-  private connectTimer: NodeJS.Timeout | undefined;
+  private connectTimer: Disposable | undefined;
 
   private socket: Socket | undefined;
 
@@ -187,7 +189,7 @@
   private finish(): void {
     this.isFinished = true;
     this.onFinish(this);
-    clearTimeout(this.connectTimer);
+    this.connectTimer?.dispose();
     this.socket?.removeListener('end', this.checkForReset);
   }
 
@@ -204,13 +206,13 @@
       this.isReusedConnection = true;
       return;
     }
-    this.connectTimer = setTimeout(() => {
+    this.connectTimer = startInputTimer(CONNECT_TIMEOUT_MS, () => {
       this.fail(CallFailure.ConnectTimeout);
       this.outgoing.destroy();
-    }, CONNECT_TIMEOUT_MS);
+    });
     socket.once('connect', () => {
       this.connected = true;
-      clearTimeout(this.connectTimer);
+      this.connectTimer?.dispose();
     });
   }
 
--- a/src/platform/ServerClient.ts
+++ b/src/platform/ServerClient.ts
@@ -20,6 +20,7 @@
 } from '../core/relay/Types.js';
 import { AnsweredCall, type NoticeListener } from '../core/deployment/ServerNotices.js';
 import type { ListenPort } from '../core/quarantine/Types.js';
+import { startInputTimer } from '../adapters/http/InputTimer.js';
 import type { Stage } from '../core/routing/Types.js';
 import { decodeNotice } from './NoticeDecoder.js';
 import { formatStages, OpenCall } from './OpenCall.js';
@@ -148,13 +149,14 @@
 
   public isListening(address: string, timeoutMs: number): Promise<boolean> {
     return new Promise((resolve) => {
-      const socket = connect({ ...hostAndPort(address), timeout: timeoutMs });
+      const socket = connect(hostAndPort(address));
       const finish = (isListening: boolean): void => {
         socket.destroy();
         resolve(isListening);
       };
+      const timer = startInputTimer(timeoutMs, () => finish(false));
+      socket.once('close', () => timer.dispose());
       socket.once('connect', () => finish(true));
-      socket.once('timeout', () => finish(false));
       socket.once('error', () => finish(false));
     });
   }
