Marks about layers keep no plain call from its server

Cause: PlainDispatcher passed over every server with a mark, so that a server that loads its layers, or runs its steps slowly, was lost for plain services, too. Streams of an engine use degraded servers if there are no others.

Now a suspect or leaving server gets no call, a loading one is as good as another, and a degraded one is used if there is no other. The refusal names each server of the service with its mark.

--- a/src/core/requests/PlainDispatcher.ts
+++ b/src/core/requests/PlainDispatcher.ts
@@ -45,6 +45,12 @@
 
 type Server = ObjectInForce<ObjectKind.BackendServer>;
 
+/** Marks under which a server gets no calls; the others are about the layers of engines. */
+const UNUSABLE: ReadonlySet<ServerMark | undefined> = new Set([
+  ServerMark.Suspect,
+  ServerMark.Leaving,
+]);
+
 /** Whether a call may be repeated. Calls that match no rule may not. */
 export function isRepeatable(service: PlainService, method: string, path: string): boolean {
   for (const rule of service.rules) {
@@ -175,12 +181,18 @@
     }
   }
 
-  /** Chooses the less loaded of two random servers, from the local domain if it has usable ones. */
+  /**
+   * Chooses the less loaded of two random servers, from the local domain if it has usable ones. A degraded server
+   * is used only if there is no other.
+   */
   private chooseServer(service: string, triedServers: ReadonlySet<string>): Server | undefined {
     const now = this.dependencies.clock.now();
-    const usable = this.dependencies.configuration
+    const { configuration, health } = this.dependencies;
+    const all = configuration
       .list(ObjectKind.BackendServer)
       .filter((server) => this.isUsable(server, service, triedServers, now));
+    const sound = all.filter(({ name }) => health.markOf(name, now) !== ServerMark.Degraded);
+    const usable = sound.length > 0 ? sound : all;
     const local = usable.filter(
       (server) => server.state.failureDomain === this.dependencies.localDomain,
     );
@@ -200,7 +212,7 @@
     const state: BackendServer = server.state;
     if (!state.services.includes(service) || state.leaving || triedServers.has(server.name))
       return false;
-    return this.dependencies.health.markOf(server.name, now) === undefined;
+    return !UNUSABLE.has(this.dependencies.health.markOf(server.name, now));
   }
 
   private sample(pool: readonly Server[]): Server | undefined {
@@ -216,10 +228,22 @@
     return refusal(
       Outcome.NotRun,
       RefusalReason.NoRoute,
-      `No server of service ${request.service} can be reached. Retry after the delay given in Retry-After.`,
+      `No server of service ${request.service} can be reached (${this.describeServers(request.service)}). Retry after the delay given in Retry-After.`,
     );
   }
 
+  /** Lists the servers of a service with what keeps them from being used. */
+  private describeServers(service: string): string {
+    const { configuration, health, clock } = this.dependencies;
+    const servers = configuration
+      .list(ObjectKind.BackendServer)
+      .filter(({ state }) => state.services.includes(service))
+      .map(
+        ({ name }) => `${name}: ${health.markOf(name, clock.now()) ?? 'not connected or leaving'}`,
+      );
+    return servers.join(', ') || 'it has none';
+  }
+
   private serverLostRefusal(server: string): Refusal {
     return refusal(
       Outcome.Unknown,
