A peer's old mark does not come back after the server has worked

ServerHealth remembers when this instance last cleared a mark, and adopts from peers only one that was set later. Leaving marks are never cleared, so that they are adopted as before.

--- a/src/core/gossip/Gossip.ts
+++ b/src/core/gossip/Gossip.ts
@@ -244,7 +244,7 @@
     for (const { server, factor } of state.corrections)
       this.dependencies.load.applyPeerCorrection(server, factor === 0 ? 1 : factor, now);
     for (const { server, mark, remainingMs } of state.marks)
-      this.dependencies.health.mark(server, mark, now, remainingMs);
+      this.dependencies.health.adopt(server, mark, now, remainingMs);
     this.dependencies.limiter.applyPeerDemand(state.instance, state.guarantee, view.demands(), now);
     this.updateShareContext(now);
   }
--- a/src/core/membership/Prober.ts
+++ b/src/core/membership/Prober.ts
@@ -105,14 +105,14 @@
   private applyReport(server: string, report: EngineReport): void {
     const { health, load, clock, configuration } = this.dependencies;
     const now = clock.now();
-    health.clear(server, ServerMark.Suspect);
+    health.clear(server, ServerMark.Suspect, now);
     load.applyReport(server, report.busyMs, now, report.utilisation);
     if (report.leaving) health.mark(server, ServerMark.Leaving, now);
     this.markIfDegraded(server, report.slowdown, now);
     const wanted = configuration.state(ObjectKind.BackendServer, server)?.layerRanges ?? [];
     if (report.loaded !== undefined && !holdsAllRanges(report.loaded, wanted)) {
       health.mark(server, ServerMark.Loading, now);
-    } else health.clear(server, ServerMark.Loading);
+    } else health.clear(server, ServerMark.Loading, now);
   }
 
   /** Marks a server whose steps are much slower than expected; queueing time does not count. */
--- a/src/core/membership/ServerHealth.ts
+++ b/src/core/membership/ServerHealth.ts
@@ -36,6 +36,9 @@
 export class ServerHealth {
   private readonly marks = new Map<string, MarkEntry>();
 
+  /** Time at which a server was last seen to deserve no such mark, by server and mark. */
+  private readonly clearedAt = new Map<string, number>();
+
   private readonly listeners = new Set<(server: string, mark: ServerMark) => void>();
 
   /** Calls `listener` on each new mark. */
@@ -46,7 +49,7 @@
 
   /**
    * Marks a server. A leaving mark is not replaced by another mark.
-   * @param remainingMs - duration of the mark, in milliseconds; for a mark from a peer, what remains of it
+   * @param remainingMs - duration of the mark, in milliseconds
    */
   public mark(
     server: string,
@@ -63,8 +66,19 @@
     for (const listener of this.listeners) listener(server, mark);
   }
 
+  /**
+   * Adopts a mark from a peer, unless this instance has seen since then that the server does not deserve it.
+   * @param remainingMs - what remains of the mark, in milliseconds
+   */
+  public adopt(server: string, mark: ServerMark, now: number, remainingMs: number): void {
+    const setAt = now + remainingMs - LIFETIME_MS[mark];
+    if (setAt < (this.clearedAt.get(`${server}/${mark}`) ?? -Infinity)) return;
+    this.mark(server, mark, now, remainingMs);
+  }
+
   /** Removes a mark. A leaving mark cannot be removed; it only expires. */
-  public clear(server: string, mark: Exclude<ServerMark, ServerMark.Leaving>): void {
+  public clear(server: string, mark: Exclude<ServerMark, ServerMark.Leaving>, now: number): void {
+    this.clearedAt.set(`${server}/${mark}`, now);
     if (this.marks.get(server)?.mark === mark) this.marks.delete(server);
   }
 
