Router: what follows from a machine's limits stands in a file of its own

Cause: hubCapacity and messageBytes were private to RouterInstance, so a test of settings could not ask what they make of a limit. Change: both move to MachineLimits.ts with their constants; no logic changes.

--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -49,6 +49,7 @@
 import type { Disposable } from '../ports/Types.js';
 import { connectionBudgets, Listener, type ConnectionBudgets } from './ConnectionBudgets.js';
 import { ChangeLog } from './ChangeLog.js';
+import { hubCapacity, messageBytes } from './MachineLimits.js';
 import { RouterMetrics } from './RouterMetrics.js';
 import type { RouterSettings } from './Settings.js';
 import { StoreTablesFollower } from './StoreTablesFollower.js';
@@ -71,21 +72,6 @@
  */
 const LAST_REQUEST_MS = BALANCER_REMOVAL_MS - 100;
 
-/** Processor time that relaying to 40 instances takes, as a fraction of one core. */
-const HUB_PROCESSOR_SHARE = 0.25;
-
-/** Bandwidth that relaying a large configuration to 40 instances in time takes, in megabits per second. */
-const HUB_LINK_MBPS = 40;
-
-/** Memory of a machine whose settings state none, in megabytes: that of the smallest machines in use. */
-const DEFAULT_MEMORY_MB = 250;
-
-/**
- * Fraction of the machine's memory for messages in progress. The rest holds the program, its heap, and parts of
- * messages that the collector has not freed yet.
- */
-const MESSAGE_MEMORY_SHARE = 0.2;
-
 /** Time for which the address of a listener is tried while it is taken, in milliseconds. */
 const LISTEN_LIMIT_MS = 30_000;
 
@@ -107,24 +93,6 @@
  */
 const REROUTE_DRAIN_FRACTION = 0.6;
 
-/**
- * Returns what a machine can carry as hub: the smaller of its processor share and its link, each against what
- * relaying to a failure domain of 40 instances takes.
- */
-function hubCapacity(machine: RouterSettings['machine']): number {
-  if (machine === undefined) return 0;
-  const { processorShare, processorSpeed, linkMbps } = machine;
-  return Math.min(
-    (processorShare * processorSpeed) / HUB_PROCESSOR_SHARE,
-    linkMbps / HUB_LINK_MBPS,
-  );
-}
-
-/** Returns the bytes that all messages in progress together may take of the process. */
-function messageBytes(machine: RouterSettings['machine']): number {
-  return (machine?.memoryMb ?? DEFAULT_MEMORY_MB) * 1e6 * MESSAGE_MEMORY_SHARE;
-}
-
 export class RouterInstance {
   public readonly metrics = new RouterMetrics();
 
