--- a/src/router/RouterProgram.ts
+++ b/src/router/RouterProgram.ts
@@ -59,6 +59,7 @@
   const { file, settings } = await loadSettings();
   const log = new StructuredLog(settings.instance);
   watchErrors(log);
+  log.record('limits', settings.machine);
   const router = new RouterInstance(settings, log);
   const settingsFile = new SettingsFile(file, (result) => {
     if (result.isErr) log.record('reload', { outcome: 'kept', error: result.error.message });
