Soak: sound servers fall silent, are full, and planned work comes in series

`--silent-servers`: the new faults excuse nothing. Every request that an instance has read gets a complete answer or a refusal, outside the spans that a fault of its instance or of a server of its service excuses. The series of faults of seeds without the option stay as they were. Stops are planned work in this check; the check of stops stays for seeds without the option.

--- a/features/soak/Callers.ts
+++ b/features/soak/Callers.ts
@@ -3,6 +3,11 @@
 import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
 import type { SeededRandom } from '../../src/fakes/SeededRandom.js';
 import { RoutePath } from '../platform/SampleConfiguration.js';
+import {
+  EVENTS_PER_LONG_STREAM,
+  EVENTS_PER_STREAM,
+  LONG_STREAM_HEADER,
+} from '../platform/FakeBackendServer.js';
 import { pause } from '../platform/Ports.js';
 import type { Attempt } from './GuaranteeChecker.js';
 import type { RouterProcess } from './RouterProcess.js';
@@ -10,7 +15,10 @@
 /** Deadline of each attempt, in milliseconds. */
 const DEADLINE_MS = 3000;
 
-/** A caller closes a connection after a silence of `DEADLINE_MS` plus this time, in milliseconds. */
+/** Deadline of each attempt where servers fall silent: for a long stream, a silence in it and one more, in milliseconds. */
+export const PATIENT_DEADLINE_MS = 10_000;
+
+/** A caller closes a connection after a silence of its deadline plus this time, in milliseconds. */
 const TIMEOUT_SLACK_MS = 500;
 
 /** Share of the attempts that use the most recently revoked key. */
@@ -19,6 +27,9 @@
 /** Every this many attempts, one has the crashing part. */
 const CRASHING_INTERVAL = 5;
 
+/** Every this many attempts of patient callers, one asks for a long stream. */
+const LONG_STREAM_INTERVAL = 2;
+
 const PATHS = Object.values(RoutePath);
 
 interface Caller {
@@ -41,9 +52,11 @@
 
   private loops: Promise<void>[] = [];
 
+  /** @param isPatient - whether deadlines are `PATIENT_DEADLINE_MS`, and some streams are long */
   public constructor(
     private readonly routers: readonly RouterProcess[],
     private readonly random: SeededRandom,
+    private readonly isPatient: boolean,
   ) {}
 
   public start(callers: number): void {
@@ -64,6 +77,8 @@
     const id = `a${this.attemptCount}`;
     const usesRevokedKey = this.keys.length > 1 && this.random.chance(REVOKED_KEY_SHARE);
     const key = this.keys.at(usesRevokedKey ? -2 : -1) as string;
+    const deadlineMs = this.isPatient ? PATIENT_DEADLINE_MS : DEADLINE_MS;
+    const isLong = this.isPatient && this.attemptCount % LONG_STREAM_INTERVAL === 0;
     const sentAt = performance.now();
     return new Promise((resolve) => {
       let isDone = false;
@@ -76,6 +91,8 @@
           path,
           key,
           sentAt,
+          deadlineMs,
+          events: isLong ? EVENTS_PER_LONG_STREAM : EVENTS_PER_STREAM,
           endedAt: performance.now(),
           status: response?.statusCode ?? 0,
           isSigned: response?.headers['x-server-seal'] === 'seal',
@@ -91,13 +108,14 @@
           method: 'POST',
           path: `${path}${id}`,
           agent: agent ?? false,
-          timeout: DEADLINE_MS + TIMEOUT_SLACK_MS,
+          timeout: deadlineMs + TIMEOUT_SLACK_MS,
           headers: {
             host: 'host',
             'x-attempt-id': id,
-            'x-deadline-ms': String(DEADLINE_MS),
+            'x-deadline-ms': String(deadlineMs),
             'x-token-count': '800,24',
             'x-prompt-prefix': this.promptOf(this.attemptCount),
+            ...(isLong && { [LONG_STREAM_HEADER]: '1' }),
             authorization: `Token ${key}`,
           },
         },
--- a/features/soak/GuaranteeChecker.ts
+++ b/features/soak/GuaranteeChecker.ts
@@ -12,6 +12,10 @@
   readonly path: string;
   readonly key: string;
   readonly sentAt: number;
+  /** Time until the deadline that the caller gave, in milliseconds. */
+  readonly deadlineMs: number;
+  /** Number of events of its complete answer, if that is a stream. */
+  readonly events: number;
   readonly endedAt: number;
   /** 0 when the connection ended without an answer. */
   readonly status: number;
@@ -33,6 +37,11 @@
   readonly endedAt: number;
 }
 
+/** Returns whether a time span and the time from `from` to `to` have a part in common. */
+export function overlaps(span: TimeSpan, from: number, to: number): boolean {
+  return span.at < to && span.endedAt > from;
+}
+
 /** A planned stop of an instance, from the signal until the process has exited. */
 export interface Stop extends TimeSpan {
   readonly instance: string;
@@ -41,6 +50,13 @@
 /** A fault of one instance or of its links. */
 export interface Disruption extends TimeSpan {
   readonly instance: string;
+  /** Whether it was a stop with which the instance exited by itself, within its grace. */
+  isPlanned: boolean;
+}
+
+/** A fault of a server that may cut off its answers. */
+export interface Interruption extends TimeSpan {
+  readonly service: string;
 }
 
 /** A key that the operator revoked, and when the change was written to the store. */
@@ -73,14 +89,8 @@
 export class GuaranteeChecker {
   public readonly violations: string[] = [];
 
-  /**
-   * @param eventsPerStream - number of events of a complete stream
-   * @param answer - returns the complete answer to a call by its id
-   */
-  public constructor(
-    private readonly eventsPerStream: number,
-    private readonly answer: (id: string) => string,
-  ) {}
+  /** @param answer - returns the complete answer to a call by its id */
+  public constructor(private readonly answer: (id: string) => string) {}
 
   /** Checks each attempt by itself and against the runs that the servers recorded. */
   public checkAttempts(
@@ -202,7 +212,7 @@
   }
 
   private checkAnswer(attempt: Attempt): void {
-    const { id, body, isSigned, isComplete } = attempt;
+    const { id, body, isSigned, isComplete, events: eventCount } = attempt;
     if (!isSigned) this.addViolation(attempt, 'was answered without a signature');
     if (!body.startsWith('id:') && !attempt.path.startsWith('/stream/')) {
       if (isComplete && body !== this.answer(id))
@@ -212,7 +222,7 @@
     const events = eventsOf(body);
     if (events.some((number, index) => number !== index + 1))
       this.addViolation(attempt, `got events ${events.join(' ')}, not consecutive from 1`);
-    if (isComplete && events.length !== this.eventsPerStream)
+    if (isComplete && events.length !== eventCount)
       this.addViolation(attempt, 'ended as complete with a wrong number of events');
   }
 }
--- a/features/soak/NoticeChecker.ts
+++ b/features/soak/NoticeChecker.ts
@@ -3,7 +3,7 @@
  * how long they want nothing. All times are in milliseconds of `performance.now()`.
  */
 import type { Arrival, FakeBackendServer } from '../platform/FakeBackendServer.js';
-import type { Attempt, Disruption, TimeSpan } from './GuaranteeChecker.js';
+import { overlaps, type Attempt, type Disruption, type TimeSpan } from './GuaranteeChecker.js';
 
 /** A fault of the link to a server, in which its answers may be lost or late. */
 export interface LinkDisruption extends TimeSpan {
@@ -26,10 +26,6 @@
 /** Time for which a pause need not be kept to, in milliseconds: until the answer has been read. */
 const PAUSE_GRACE_MS = 500;
 
-function overlaps(span: TimeSpan, from: number, to: number): boolean {
-  return span.at < to && span.endedAt > from;
-}
-
 /** Returns the violations of what servers said of themselves. */
 export function checkNotices(evidence: NoticeEvidence): string[] {
   const { attempts, servers } = evidence;
--- a/features/soak/Soak.ts
+++ b/features/soak/Soak.ts
@@ -6,12 +6,15 @@
 import { SeededRandom } from '../../src/fakes/SeededRandom.js';
 import { RoutePath } from '../platform/SampleConfiguration.js';
 import { pause } from '../platform/Ports.js';
-import { answerTo, EVENTS_PER_STREAM } from '../platform/FakeBackendServer.js';
-import { Callers } from './Callers.js';
+import { answerTo } from '../platform/FakeBackendServer.js';
+import { Callers, PATIENT_DEADLINE_MS } from './Callers.js';
 import { SoakFleet, folderFor } from './SoakFleet.js';
 import { GuaranteeChecker } from './GuaranteeChecker.js';
+import { checkLosses } from './LossChecker.js';
 import { checkNotices } from './NoticeChecker.js';
-import { injectFault, SoakFault, type FaultContext } from './FaultInjector.js';
+import { SoakFault, type FaultContext } from './FaultContext.js';
+import { injectFault } from './FaultInjector.js';
+import { SILENCE_INJECTORS } from './SilenceFaults.js';
 
 export interface SoakOptions {
   readonly seed: number;
@@ -23,11 +26,15 @@
   readonly hasCrashingPart?: boolean;
   /** Whether servers say in their answers that they are leaving, and ask for pauses. */
   readonly hasServerNotices?: boolean;
+  /** Whether sound servers fall silent and are full, beside planned work in series. */
+  readonly hasSilentServers?: boolean;
 }
 
 export interface ProcessSoakResult {
   readonly attempts: number;
   readonly served: number;
+  /** Number of requests under way at a silent server whose loss no fault would excuse. */
+  readonly requestsInSilence: number;
   readonly faults: readonly string[];
   readonly violations: readonly string[];
 }
@@ -46,10 +53,23 @@
 
 const CRASHING_PART = 'crashing';
 
-const ALL_FAULTS = Object.values(SoakFault);
+const SILENCE_FAULTS = Object.keys(SILENCE_INJECTORS) as SoakFault[];
 
-/** Faults of seeds without servers' notices, whose series must stay the same. */
-const USUAL_FAULTS = ALL_FAULTS.filter((fault) => fault !== SoakFault.AskForPause);
+/** Faults of seeds without options, whose series must stay the same. */
+const USUAL_FAULTS = Object.values(SoakFault).filter(
+  (fault) => fault !== SoakFault.AskForPause && !SILENCE_FAULTS.includes(fault),
+);
+
+/** Faults that excuse nothing: where servers fall silent, the series begins with these alone. */
+const CALM_FAULTS = [
+  SoakFault.StopInstance,
+  SoakFault.ReloadInstance,
+  SoakFault.Reconfigure,
+  ...SILENCE_FAULTS,
+];
+
+/** Share of the series of faults that has `CALM_FAULTS` alone. */
+const CALM_SHARE = 0.6;
 
 /** Ranges of the duration of a fault and of the interval until the next one, in milliseconds. */
 const FAULT_DURATION_MS = { from: 200, to: 3000 };
@@ -76,13 +96,21 @@
   );
 }
 
-async function injectFaults(context: FaultContext, faultsMs: number): Promise<string[]> {
+async function injectFaults(context: FaultContext, options: SoakOptions): Promise<string[]> {
   const { random } = context;
+  const { faultsMs, hasServerNotices = false, hasSilentServers = false } = options;
+  const calmMs = hasSilentServers ? faultsMs * CALM_SHARE : 0;
+  const faults = [
+    ...USUAL_FAULTS,
+    ...(hasServerNotices ? [SoakFault.AskForPause] : []),
+    ...(hasSilentServers ? SILENCE_FAULTS : []),
+  ];
   const injected: string[] = [];
   const pending: Promise<void>[] = [];
   const startedAt = performance.now();
   while (performance.now() - startedAt < faultsMs) {
-    const next = random.pick(context.hasServerNotices ? ALL_FAULTS : USUAL_FAULTS);
+    const isCalm = performance.now() - startedAt < calmMs;
+    const next = random.pick(isCalm ? CALM_FAULTS : faults);
     const durationMs = random.between(FAULT_DURATION_MS.from, FAULT_DURATION_MS.to);
     injected.push(
       `${Math.round(performance.now() - startedAt)} ${next} (${Math.round(durationMs)} ms)`,
@@ -97,9 +125,11 @@
 /** Runs the soak with one seed and checks the guarantees afterwards. */
 export async function soakProcesses(options: SoakOptions): Promise<ProcessSoakResult> {
   const random = new SeededRandom(options.seed);
-  const fleet = new SoakFleet(folderFor(options.seed));
+  const { hasSilentServers = false } = options;
+  const timeoutMs = hasSilentServers ? PATIENT_DEADLINE_MS : undefined;
+  const fleet = new SoakFleet(folderFor(options.seed), timeoutMs);
   await fleet.start(options.instances);
-  const callers = new Callers(fleet.routers, random);
+  const callers = new Callers(fleet.routers, random, hasSilentServers);
   const violations: string[] = [];
   const context: FaultContext = {
     fleet,
@@ -110,6 +140,7 @@
     leavingServers: [],
     stops: [],
     interruptions: [],
+    silences: [],
     disruptions: [],
     linkDisruptions: [],
     hasServerNotices: options.hasServerNotices === true,
@@ -120,11 +151,11 @@
     callers.start(options.callers);
     if (options.hasCrashingPart === true) {
       // Its crashes cut answers off for as long as it comes.
-      context.interruptions.push({ at: performance.now(), endedAt: Infinity });
+      context.interruptions.push({ service: 'engine', at: performance.now(), endedAt: Infinity });
       callers.crashingPart = CRASHING_PART;
       fleet.setCrashingPart(CRASHING_PART);
     }
-    faults = await injectFaults(context, options.faultsMs);
+    faults = await injectFaults(context, options);
     await fleet.restore();
     violations.push(...(await waitUntilServing(callers, fleet, RECOVERY_TIMEOUT_MS)));
     await callers.stop();
@@ -134,7 +165,7 @@
   await pause(CLOSE_DELAY_MS);
   if (fleet.openSockets > 0)
     violations.push(`${fleet.openSockets} sockets of the links are still open`);
-  const checker = new GuaranteeChecker(EVENTS_PER_STREAM, answerTo);
+  const checker = new GuaranteeChecker(answerTo);
   const servers = fleet.servers.map(({ server }) => server);
   const { attempts } = callers;
   checker.checkAttempts(attempts, servers, (path) => path !== (RoutePath.Book as string));
@@ -142,12 +173,18 @@
   checker.checkKeys(attempts, context.revocations);
   checker.checkLeaving(context.leavingServers);
   checker.checkCrashingPart(CRASHING_PART, attempts, servers, context.disruptions);
-  checker.checkStops(attempts, context.stops, context.interruptions);
-  const { disruptions, linkDisruptions } = context;
+  // A long stream may outlast the grace of a stop; the check of losses judges that.
+  if (!hasSilentServers) checker.checkStops(attempts, context.stops, context.interruptions);
+  const { disruptions, linkDisruptions, interruptions, silences } = context;
+  const losses = checkLosses({ attempts, servers, silences, disruptions, interruptions });
+  violations.push(...losses.violations);
+  if (hasSilentServers && losses.requestsInSilence === 0)
+    violations.push('no request was under way while a server was silent');
   violations.push(...checkNotices({ attempts, servers, disruptions, linkDisruptions }));
   return {
     attempts: attempts.length,
     served: attempts.filter(({ status, isComplete }) => status === 200 && isComplete).length,
+    requestsInSilence: losses.requestsInSilence,
     faults,
     violations: [...violations, ...checker.violations],
   };
--- a/features/soak/SoakFleet.ts
+++ b/features/soak/SoakFleet.ts
@@ -8,19 +8,28 @@
 import { FaultProxy, LinkFault } from './FaultProxy.js';
 import { RouterProcess } from './RouterProcess.js';
 
-const DOMAINS = ['a', 'b'];
+export const DOMAINS = ['a', 'b'];
 
 const SERVICES = ['engine', 'plain'];
 
 /** A server behind a link with injectable faults. */
 export interface LinkedServer {
   readonly server: FakeBackendServer;
+  readonly service: string;
+  readonly domain: string;
   readonly link: FaultProxy;
   isUp: boolean;
   /** Whether the server is leaving, so that no other fault may restart it. */
   isLeaving: boolean;
 }
 
+/** Values of routes that a configuration changes; the others are those of the sample configuration. */
+export interface RouteChanges {
+  readonly timeoutMs?: number;
+  /** Number of servers that may run a request, on routes whose requests may run again. */
+  readonly attempts?: number;
+}
+
 export class SoakFleet {
   public readonly store = new FakeStore();
 
@@ -35,14 +44,20 @@
 
   private isDisposed = false;
 
-  /** @param folder - folder of the settings files and logs */
-  public constructor(private readonly folder: string) {
+  /**
+   * @param folder - folder of the settings files and logs
+   * @param timeoutMs - time-out of all routes; that of the sample configuration if undefined
+   */
+  public constructor(
+    private readonly folder: string,
+    private readonly timeoutMs?: number,
+  ) {
     mkdirSync(folder, { recursive: true });
   }
 
   public async start(instances: number): Promise<void> {
     const storeAddress = await this.store.listen();
-    this.store.put('op', 'config', configuration(this.configurationVersion));
+    this.writeConfiguration();
     for (const domain of DOMAINS) {
       for (const service of SERVICES) {
         for (const number of [1, 2]) await this.addServer(service, domain, number);
@@ -61,6 +76,16 @@
     }
   }
 
+  /**
+   * Writes the next configuration to the store.
+   * @param key - the only key of the account from now on
+   * @param changes - what is different in it
+   */
+  public reconfigure(key: string, changes: RouteChanges = {}): void {
+    this.configurationVersion += 1;
+    this.writeConfiguration(key, changes);
+  }
+
   /** Ends every fault and restarts the instances and servers that are down. */
   public async restore(): Promise<void> {
     this.store.fault = StoreFault.None;
@@ -93,6 +118,17 @@
     for (const { server } of this.servers) server.crashingPart = part;
   }
 
+  private writeConfiguration(key?: string, changes: RouteChanges = {}): void {
+    const sample = configuration(this.configurationVersion, key);
+    const { timeoutMs = this.timeoutMs, attempts } = changes;
+    const routes = sample.routes.map((route) => ({
+      ...route,
+      timeout_ms: timeoutMs ?? route.timeout_ms,
+      attempts: route.route_kind === 'non_idempotent' ? 1 : (attempts ?? route.attempts),
+    }));
+    this.store.put('op', 'config', { ...sample, routes });
+  }
+
   private async crashAndRestart(linked: LinkedServer): Promise<void> {
     // Another fault may have ended the server meanwhile, and restarts it then.
     if (!linked.isUp || linked.isLeaving) return;
@@ -123,7 +159,7 @@
     const server = new FakeBackendServer(id, service, domain, accelerator, this.store);
     const link = new FaultProxy();
     await server.listen((ownAddress) => link.listen(ownAddress));
-    const linked = { server, link, isUp: true, isLeaving: false };
+    const linked = { server, service, domain, link, isUp: true, isLeaving: false };
     server.onCrashingPart = () => {
       this.crashAndRestart(linked);
     };
--- a/features/soak/main.ts
+++ b/features/soak/main.ts
@@ -28,21 +28,27 @@
     description: 'servers say in their answers that they are leaving, and ask for pauses',
   });
 
+  public silentServers = Option.Boolean('--silent-servers', false, {
+    description: 'sound servers fall silent and are full, beside planned work in series',
+  });
+
   public async execute(): Promise<number> {
     let failed = 0;
     const first = Number(this.first);
     for (let seed = first; seed < first + Number(this.seeds); seed += 1) {
-      const { attempts, served, faults, violations } = await soakProcesses({
+      const result = await soakProcesses({
         seed,
         instances: Number(this.instances),
         callers: Number(this.callers),
         faultsMs: Number(this.seconds) * 1000,
         hasCrashingPart: this.crashingPart,
         hasServerNotices: this.serverNotices,
+        hasSilentServers: this.silentServers,
       });
+      const { attempts, served, requestsInSilence, faults, violations } = result;
       this.context.stdout.write(
-        `seed ${seed}: ${attempts} requests, ${served} served, ${faults.length} faults, ` +
-          `${violations.length} violations\n`,
+        `seed ${seed}: ${attempts} requests, ${served} served, ${requestsInSilence} in silences, ` +
+          `${faults.length} faults, ${violations.length} violations\n`,
       );
       if (violations.length === 0) continue;
       failed += 1;
