--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -142,6 +142,18 @@
     `${signedHead(id)}connection: close\r\n\r\nid: ${next + 1}\ndata: event ${next + 1}\n\n`,
 };
 
+/** Holds what is written to a socket. The end of an answer would undo a plain `cork`. */
+function holdOutput(socket: Socket): void {
+  socket.cork();
+  socket.uncork = () => undefined;
+}
+
+/** Sends what `holdOutput` has held. */
+function releaseOutput(socket: Socket): void {
+  delete (socket as Partial<Socket>).uncork;
+  while (socket.writableCorked > 0) socket.uncork();
+}
+
 /** Writes text again and again until the socket is closed. */
 function repeatUntilClosed(socket: Socket, text: string): void {
   const write = (): void => {
@@ -157,6 +169,14 @@
 
 const EVENT_INTERVAL_MS = 10;
 
+/** Header with which a request asks for a stream of `EVENTS_PER_LONG_STREAM` events. */
+export const LONG_STREAM_HEADER = 'x-test-long';
+
+/** Number of events in a complete long stream; it takes 3 s, longer than a server falls silent. */
+export const EVENTS_PER_LONG_STREAM = 60;
+
+const LONG_STREAM_INTERVAL_MS = 50;
+
 /** Interval between the events of a slow stream, in milliseconds; a whole one takes less than its deadline. */
 const SLOW_EVENT_INTERVAL_MS = 300;
 
@@ -303,7 +323,7 @@
     this.server.maxHeadersCount = 0;
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
-      if (this.isSilent) socket.cork();
+      if (this.isSilent) holdOutput(socket);
       socket.once('close', () => this.sockets.delete(socket));
     });
   }
@@ -349,10 +369,10 @@
   public async fallSilent(ms: number): Promise<void> {
     if (this.isSilent) return;
     this.isSilent = true;
-    for (const socket of this.sockets) socket.cork();
+    for (const socket of this.sockets) holdOutput(socket);
     await pause(ms);
     this.isSilent = false;
-    for (const socket of this.sockets) socket.uncork();
+    for (const socket of this.sockets) releaseOutput(socket);
   }
 
   /** Whether the server has accepted an order to hold layers since it started. */
@@ -587,6 +607,9 @@
     });
     let number = Number(headers['last-event-id'] ?? 0);
     const isSlow = this.style === AnswerStyle.Slow || this.style === AnswerStyle.Drips;
+    const isLong = headers[LONG_STREAM_HEADER] !== undefined;
+    const events = isLong ? EVENTS_PER_LONG_STREAM : EVENTS_PER_STREAM;
+    const intervalMs = isLong ? LONG_STREAM_INTERVAL_MS : EVENT_INTERVAL_MS;
     const timer = setInterval(
       () => {
         number += 1;
@@ -595,11 +618,11 @@
           return;
         }
         response.write(`id: ${number}\ndata: event ${number}\n\n`);
-        if (number < EVENTS_PER_STREAM) return;
+        if (number < events) return;
         clearInterval(timer);
         response.end();
       },
-      isSlow ? SLOW_EVENT_INTERVAL_MS : EVENT_INTERVAL_MS,
+      isSlow ? SLOW_EVENT_INTERVAL_MS : intervalMs,
     );
     response.once('close', () => clearInterval(timer));
   }
