Services that a new configuration leaves as they are keep their descriptions

Cause: each configuration is decoded into new objects. Routes and accounts that did not change were replaced by the known ones, services were not. ServiceFleets keeps the servers of a service for one description, told by its identity, so that after each configuration the streams accepted before and after it made it collect the servers anew in turn: with each search for a route and each look at the pace of a stream, for as long as older streams ran.

Change: shareUnchanged keeps services, too, and compares what their maps hold.

The test failed before: After a configuration with nothing new, requests from before and after it share what is known of the servers: yes: 'no' !== 'yes' and passes now; features/core/deployment, relay, routing, peers and admission pass (364 scenarios).

--- a/features/core/deployment/deployment.feature
+++ b/features/core/deployment/deployment.feature
@@ -34,6 +34,19 @@
       | a stale read changes nothing             | 7 3      | 7       |
       | a repeated read changes nothing          | 7 7      | 7       |
 
+  # Guards against route searches that collect the servers of a service anew for each stream in turn, after a
+  # configuration that did not change the service.
+  Scenario Outline: After a configuration with <change>, requests from before and after it share what is known of the servers: <shared>
+    Given servers of an engine, as the first configuration describes it
+    When a newer configuration describes the engine with "<change>"
+    Then requests accepted before and after it search the same fleet: "<shared>"
+
+    Examples:
+      | change                   | shared |
+      | nothing new              | yes    |
+      | another step time        | no     |
+      | another accelerator size | no     |
+
   Scenario Outline: <case>
     Given a server that is ready
     When its state changes by "<changes>"
--- a/features/core/deployment/deployment.steps.ts
+++ b/features/core/deployment/deployment.steps.ts
@@ -3,10 +3,11 @@
 import { Deployments } from '../../../src/core/deployment/Deployments.js';
 import { RouteTable } from '../../../src/core/deployment/RouteTable.js';
 import { ServerDirectory } from '../../../src/core/deployment/ServerDirectory.js';
-import type { BackendServer } from '../../../src/core/deployment/Types.js';
+import type { BackendServer, EngineProfile } from '../../../src/core/deployment/Types.js';
+import { ServiceFleets, type ServiceFleet } from '../../../src/core/routing/ServiceFleets.js';
 import { toRevision } from '../../../src/core/store/Revision.js';
 import { VirtualClock } from '../../../src/fakes/VirtualClock.js';
-import { deployment, backendServer, isUsable, route } from '../FleetFixture.js';
+import { deployment, backendServer, ENGINE, isUsable, route } from '../FleetFixture.js';
 
 interface DeploymentWorld {
   table: RouteTable;
@@ -14,6 +15,15 @@
   clock: VirtualClock;
   directory: ServerDirectory;
   first: BackendServer;
+  fleets: ServiceFleets;
+  fleet: ServiceFleet;
+}
+
+/** Returns the servers of the engine as requests of the newest configuration see them. */
+function findFleet({ deployments, fleets }: DeploymentWorld): ServiceFleet {
+  const service = deployments.currentTable?.deployment.services.get('engine');
+  assert.ok(service?.engine);
+  return fleets.of(service, service.engine);
 }
 
 Given('routes {string}', function set(this: DeploymentWorld, list: string) {
@@ -55,6 +65,46 @@
   },
 );
 
+Given(
+  'servers of an engine, as the first configuration describes it',
+  function set(this: DeploymentWorld) {
+    this.directory = new ServerDirectory(new VirtualClock());
+    this.directory.put(backendServer('whole', { accelerator: 'whole', span: { from: 0, to: 80 } }));
+    this.deployments = new Deployments();
+    this.deployments.applyIfNewer(deployment([route()]));
+    this.fleets = new ServiceFleets(this.directory);
+    this.fleet = findFleet(this);
+  },
+);
+
+/** Changes of an engine's description. */
+const ENGINE_CHANGES: Readonly<Record<string, Partial<EngineProfile>>> = {
+  'nothing new': {},
+  'another step time': { stepMs: 2 * ENGINE.stepMs },
+  'another accelerator size': {
+    accelerators: new Map(
+      [...ENGINE.accelerators].map(([name, kind]) => [name, { ...kind, memoryMb: 300_000 }]),
+    ),
+  },
+};
+
+When(
+  'a newer configuration describes the engine with {string}',
+  function run(this: DeploymentWorld, change: string) {
+    // Each configuration is decoded into objects of its own.
+    const engine = structuredClone({ ...ENGINE, ...ENGINE_CHANGES[change] });
+    const services = new Map([['engine', { name: 'engine', engine }]]);
+    this.deployments.applyIfNewer(deployment([route()], { ticket: 2, services }));
+  },
+);
+
+Then(
+  'requests accepted before and after it search the same fleet: {string}',
+  function check(this: DeploymentWorld, shared: string) {
+    assert.equal(findFleet(this) === this.fleet ? 'yes' : 'no', shared);
+  },
+);
+
 When(
   'deployments of tickets {string} arrive',
   function run(this: DeploymentWorld, arrivals: string) {
--- a/src/core/deployment/DeploymentUpdate.ts
+++ b/src/core/deployment/DeploymentUpdate.ts
@@ -31,6 +31,16 @@
   return a === b || JSON.stringify(a) === JSON.stringify(b);
 }
 
+/** Lists the entries of a map, which a JSON text would otherwise leave out. */
+function listEntries(_key: string, value: unknown): unknown {
+  return value instanceof Map ? [...value] : value;
+}
+
+/** Whether two items that hold maps are equal; slower than `isEqual`. */
+function isEqualWithMaps(a: unknown, b: unknown): boolean {
+  return JSON.stringify(a, listEntries) === JSON.stringify(b, listEntries);
+}
+
 function byName<T extends Named>(items: readonly T[]): Map<string, T> {
   return new Map(items.map((item) => [item.name, item]));
 }
@@ -62,22 +72,28 @@
 }
 
 /** Replaces items that equal one of `known` by that one. */
-function shareItems<T extends Named>(known: readonly T[], items: readonly T[]): readonly T[] {
+function shareItems<T extends Named>(
+  known: readonly T[],
+  items: readonly T[],
+  areEqual: (a: T, b: T) => boolean = isEqual,
+): readonly T[] {
   const old = byName(known);
   return items.map((item) => {
     const candidate = old.get(item.name);
-    return candidate !== undefined && isEqual(candidate, item) ? candidate : item;
+    return candidate !== undefined && areEqual(candidate, item) ? candidate : item;
   });
 }
 
 /**
- * Returns `deployment` with the unchanged routes and accounts of `previous`, so that a history of deployments
- * takes little memory and is compared fast.
+ * Returns `deployment` with the unchanged routes, services and accounts of `previous`, so that a history of
+ * deployments takes little memory and is compared fast, and what is derived from a service stays in use.
  */
 export function shareUnchanged(previous: Deployment, deployment: Deployment): Deployment {
+  const [before, after] = [previous, deployment].map(({ services }) => [...services.values()]);
   return {
     ...deployment,
     routes: shareItems(previous.routes, deployment.routes),
+    services: byName(shareItems(before, after, isEqualWithMaps)),
     accounts: deployment.accounts && shareItems(previous.accounts ?? [], deployment.accounts),
   };
 }
