Tests: a silent fake server holds the ends of answers and its reports

Cause: the end of a Node answer uncorks its socket entirely, so a server that was silent by `cork` alone sent reports, calls' answers and ends of streams at once: an instance saw a server that is alive. Change: `uncork` does nothing while the server is silent. Test: features/platform/silent-server.feature; with `cork` alone its three scenarios fail: "AssertionError [ERR_ASSERTION]: after 8 ms" (a report), "after 3 ms" (a call), "after 131 ms" (a stream).

--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -142,6 +142,18 @@
     `${signedHead(id)}connection: close\r\n\r\nid: ${next + 1}\ndata: event ${next + 1}\n\n`,
 };
 
+/** Holds what is written to a socket. The end of an answer would undo a plain `cork`. */
+function holdOutput(socket: Socket): void {
+  socket.cork();
+  socket.uncork = () => undefined;
+}
+
+/** Sends what `holdOutput` has held. */
+function releaseOutput(socket: Socket): void {
+  delete (socket as Partial<Socket>).uncork;
+  while (socket.writableCorked > 0) socket.uncork();
+}
+
 /** Writes text again and again until the socket is closed. */
 function repeatUntilClosed(socket: Socket, text: string): void {
   const write = (): void => {
@@ -303,7 +315,7 @@
     this.server.maxHeadersCount = 0;
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
-      if (this.isSilent) socket.cork();
+      if (this.isSilent) holdOutput(socket);
       socket.once('close', () => this.sockets.delete(socket));
     });
   }
@@ -349,10 +361,10 @@
   public async fallSilent(ms: number): Promise<void> {
     if (this.isSilent) return;
     this.isSilent = true;
-    for (const socket of this.sockets) socket.cork();
+    for (const socket of this.sockets) holdOutput(socket);
     await pause(ms);
     this.isSilent = false;
-    for (const socket of this.sockets) socket.uncork();
+    for (const socket of this.sockets) releaseOutput(socket);
   }
 
   /** Whether the server has accepted an order to hold layers since it started. */
