A stop answers the requests that were sent ahead on a connection

Callers saw: a whole request beside a planned stop got neither an answer nor a refusal. Cause: while an instance leaves, an answer said 'connection: close', or its connection was ended after it, although further requests had been read on the same connection; after an answer whose head had gone out before the stop, the next request was even passed on to a server, and its answer had nowhere to go.

The connection now closes after the last request that has come on it.

Evidence: features/platform/sent-ahead.feature, both scenarios failed before: of three requests the answers [ '1' ] and [ '1', '2' ] arrived. After: 2 of 2, and ingress.feature 7 of 7 (its crossing request stays unanswered, not passed on).

--- a/src/platform/HttpReply.ts
+++ b/src/platform/HttpReply.ts
@@ -5,13 +5,14 @@
 
 /** Sends one answer to a caller through Node's `ServerResponse`. */
 export class HttpReply implements CallerReply {
+  /** @param isLast - whether the connection closes after the answer */
   public constructor(
     private readonly response: ServerResponse,
-    private readonly isLeaving: () => boolean,
+    private readonly isLast: () => boolean,
   ) {}
 
   public writeHead({ status, headers }: AnswerHead): void {
-    if (this.isLeaving()) this.response.shouldKeepAlive = false;
+    if (this.isLast()) this.response.shouldKeepAlive = false;
     this.response.writeHead(status, headers as string[]);
   }
 
@@ -49,7 +50,7 @@
       this.abort();
       return;
     }
-    if (this.isLeaving()) response.shouldKeepAlive = false;
+    if (this.isLast()) response.shouldKeepAlive = false;
     const body = Buffer.from(JSON.stringify({ error: { message, reason, outcome } }));
     response.writeHead(status, {
       'content-type': 'application/json',
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -1,6 +1,6 @@
 /** HTTP server that accepts callers' requests from the platform's load balancer. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { Server as NetServer, type AddressInfo } from 'node:net';
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import { ConnectionGuard, type ConnectionEndListener } from '../adapters/http/ConnectionGuard.js';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
 import type { ConnectionBudget } from '../core/limits/ConnectionBudget.js';
@@ -149,6 +149,11 @@
     return this.dependencies.limits() ?? DEFAULT_LIMITS;
   }
 
+  /** Whether a connection closes after the answer that is next on it: while leaving, if no other request has come. */
+  private closesAfterAnswer(socket: Socket): boolean {
+    return this.dependencies.isLeaving() && this.guard.openRequests(socket) <= 1;
+  }
+
   private receive(request: IncomingMessage, response: ServerResponse): void {
     // The connection was ended after the previous answer; this request crossed that and cannot be answered.
     if (request.socket.writableEnded) {
@@ -156,7 +161,7 @@
       return;
     }
     let relay: Relay | undefined;
-    const reply = new HttpReply(response, () => this.dependencies.isLeaving());
+    const reply = new HttpReply(response, () => this.closesAfterAnswer(request.socket));
     const kept = new RequestMemory(this.dependencies.memory, () => {
       if (relay === undefined) this.rejectBody(request, response, kept.message, MEMORY_EXHAUSTED);
       else relay.evict();
@@ -178,7 +183,7 @@
     response.on('error', () => undefined);
     response.once('finish', () => {
       // The head may have been sent before the stop began, without `connection: close`.
-      if (this.dependencies.isLeaving()) request.socket.end();
+      if (this.closesAfterAnswer(request.socket)) request.socket.end();
     });
     kept.addHead(headBytes(request));
     if (response.headersSent || response.destroyed) return;
@@ -254,8 +259,7 @@
     request.removeAllListeners('data');
     request.resume();
     if (response.headersSent) return;
-    response.shouldKeepAlive = false;
-    const reply = new HttpReply(response, () => this.dependencies.isLeaving());
+    const reply = new HttpReply(response, () => true);
     this.dependencies.refuse(this.decode(request, NO_BODY, memory), reply, refused);
   }
 
