What follows a request on its connection is not answered in its place

Callers saw: 408, 431 or 400 as the answer to a request that a server was running, when half a head, a head that is too large or other bytes came after it on the same connection; 408 promises that it never ran, and a booking sent again ran twice. Cause: Node's default handler of client errors writes its refusal unless the current answer has begun, and closes the connection.

BrokenConnections lets the requests that were read whole be answered first, and closes the connection after the last of them. Without such a request the refusal is written at once, as before.

--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -10,6 +10,7 @@
 import type { CallerLimits } from '../core/deployment/Types.js';
 import type { CallerReply, CallerRequest, Relay } from '../core/relay/Types.js';
 import type { Clock } from '../ports/Types.js';
+import { BrokenConnections } from './BrokenConnections.js';
 import { HttpReply } from './HttpReply.js';
 import {
   BODY_TOO_LARGE,
@@ -80,6 +81,8 @@
 
   private readonly guard: ConnectionGuard;
 
+  private readonly broken: BrokenConnections;
+
   private openRequests = 0;
 
   public constructor(private readonly dependencies: IngressDependencies) {
@@ -91,6 +94,7 @@
       (request, response) => this.receive(request, response),
     );
     this.guard = new ConnectionGuard(this.server, dependencies);
+    this.broken = new BrokenConnections(this.server, this.guard);
     this.server.requestTimeout = 0;
     // The size of a head bounds its fields. With a bound on their number, Node would omit the others.
     this.server.maxHeadersCount = 0;
@@ -149,8 +153,9 @@
     return this.dependencies.limits() ?? DEFAULT_LIMITS;
   }
 
-  /** Whether a connection closes after the answer that is next on it: while leaving, if no other request has come. */
+  /** Whether a connection closes after the answer that is next on it, because no other request can be answered. */
   private closesAfterAnswer(socket: Socket): boolean {
+    if (this.broken.has(socket)) return this.guard.awaitedRequests(socket) <= 1;
     return this.dependencies.isLeaving() && this.guard.openRequests(socket) <= 1;
   }
 
