--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -1,6 +1,6 @@
 /** HTTP server that accepts callers' requests from the platform's load balancer. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { Server as NetServer, type AddressInfo } from 'node:net';
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import { ConnectionGuard, type ConnectionEndListener } from '../adapters/http/ConnectionGuard.js';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
 import type { ConnectionBudget } from '../core/limits/ConnectionBudget.js';
@@ -10,6 +10,7 @@
 import type { CallerLimits } from '../core/deployment/Types.js';
 import type { CallerReply, CallerRequest, Relay } from '../core/relay/Types.js';
 import type { Clock } from '../ports/Types.js';
+import { BrokenConnections } from './BrokenConnections.js';
 import { HttpReply } from './HttpReply.js';
 import {
   BODY_TOO_LARGE,
@@ -80,6 +81,8 @@
 
   private readonly guard: ConnectionGuard;
 
+  private readonly broken: BrokenConnections;
+
   private openRequests = 0;
 
   public constructor(private readonly dependencies: IngressDependencies) {
@@ -91,6 +94,7 @@
       (request, response) => this.receive(request, response),
     );
     this.guard = new ConnectionGuard(this.server, dependencies);
+    this.broken = new BrokenConnections(this.server, this.guard);
     this.server.requestTimeout = 0;
     // The size of a head bounds its fields. With a bound on their number, Node would omit the others.
     this.server.maxHeadersCount = 0;
@@ -149,6 +153,12 @@
     return this.dependencies.limits() ?? DEFAULT_LIMITS;
   }
 
+  /** Whether a connection closes after the answer that is next on it, because no other request can be answered. */
+  private closesAfterAnswer(socket: Socket): boolean {
+    if (this.broken.has(socket)) return this.guard.awaitedRequests(socket) <= 1;
+    return this.dependencies.isLeaving() && this.guard.openRequests(socket) <= 1;
+  }
+
   private receive(request: IncomingMessage, response: ServerResponse): void {
     // The connection was ended after the previous answer; this request crossed that and cannot be answered.
     if (request.socket.writableEnded) {
@@ -156,7 +166,7 @@
       return;
     }
     let relay: Relay | undefined;
-    const reply = new HttpReply(response, () => this.dependencies.isLeaving());
+    const reply = new HttpReply(response, () => this.closesAfterAnswer(request.socket));
     const kept = new RequestMemory(this.dependencies.memory, () => {
       if (relay === undefined) this.rejectBody(request, response, kept.message, MEMORY_EXHAUSTED);
       else relay.evict();
@@ -178,7 +188,7 @@
     response.on('error', () => undefined);
     response.once('finish', () => {
       // The head may have been sent before the stop began, without `connection: close`.
-      if (this.dependencies.isLeaving()) request.socket.end();
+      if (this.closesAfterAnswer(request.socket)) request.socket.end();
     });
     kept.addHead(headBytes(request));
     if (response.headersSent || response.destroyed) return;
@@ -254,8 +264,7 @@
     request.removeAllListeners('data');
     request.resume();
     if (response.headersSent) return;
-    response.shouldKeepAlive = false;
-    const reply = new HttpReply(response, () => this.dependencies.isLeaving());
+    const reply = new HttpReply(response, () => true);
     this.dependencies.refuse(this.decode(request, NO_BODY, memory), reply, refused);
   }
 
