A server's failure answer is forwarded rather than a refusal that says less

Callers saw: 502 or 504 with outcome unknown although a server had answered completely with a failure: when the next server turned the request away, or was still at work at the time limit. Cause: CallRelay kept the failure answer, but forwarded it only if the next call was lost.

CallRelay now forwards it in place of every refusal, save that of an evicted request.

Evidence: relays.feature, two new cases failed before: 500,rejected: + '502 unknown' - '500'; 500,wait at the timeout: + '504 unknown' - '500' After: features/core/relay passes whole.

--- a/features/core/relay/relays.feature
+++ b/features/core/relay/relays.feature
@@ -20,6 +20,7 @@
       | a lost answer is retried                          | idempotent     | lost,200              | 200         | 2     |
       | a failure is retried                              | idempotent     | 500,200               | 200         | 2     |
       | an answered failure is preferred to a lost answer | idempotent     | 500,lost              | 500         | 2     |
+      | an answered failure is preferred to a rejection   | idempotent     | 500,rejected          | 500         | 2     |
       | a route allows two servers                        | idempotent     | lost,lost             | 502 unknown | 2     |
       | rejections of all servers                         | idempotent     | rejected,rejected     | 503 not-run | 2     |
 
@@ -45,6 +46,7 @@
       | state              | kind           | answers | outcome     | sends |
       | in progress        | non-idempotent | wait    | 504 unknown | 1     |
       | retried            | idempotent     | lost,wait | 504 unknown | 2   |
+      | retried after a failure | idempotent | 500,wait | 500 | 2 |
 
   Scenario Outline: <case>
     Given a stream over two servers
--- a/src/core/relay/CallRelay.ts
+++ b/src/core/relay/CallRelay.ts
@@ -1,5 +1,5 @@
 /** Relays a request whose answer is buffered and forwarded once it is complete. */
-import { RefusalReason, RetryReason } from '../Outcome.js';
+import { RefusalReason, RetryReason, type Outcome } from '../Outcome.js';
 import { RouteKind } from '../deployment/Types.js';
 import { AnswerVerdict, RepeatPolicy } from './AnswerGate.js';
 import { BaseRelay, lossReason, MAX_BUFFERED_BYTES, type SendTarget } from './BaseRelay.js';
@@ -16,7 +16,7 @@
 
   private bufferedBytes = 0;
 
-  /** Failure answer of a server, forwarded if a later send is lost or its answer cannot be trusted. */
+  /** Failure answer of a server, forwarded if a later send brings no better one. */
   private failedAnswer: { head: AnswerHead; chunks: readonly Buffer[] } | undefined;
 
   protected listener({ server }: SendTarget): ServerCallListener {
@@ -91,11 +91,19 @@
     if (notSent) this.sendTracker.releaseServer(server);
     if (failure !== CallFailure.MismatchedAnswer) this.dependencies.directory.suspect(server);
     if ((notSent || this.isIdempotent) && this.retry(retryReason(failure), server)) return;
-    if (this.failedAnswer !== undefined) {
-      this.deliver(this.failedAnswer.head, this.failedAnswer.chunks);
+    this.failWith(lossReason(failure));
+  }
+
+  /** Forwards the failure answer of an earlier send in place of a refusal, which would tell the caller less. */
+  protected override refuse(reason: RefusalReason, outcome: Outcome, retryAfterMs: number): void {
+    const { failedAnswer } = this;
+    // An evicted request must not keep an answer.
+    if (this.ended || failedAnswer === undefined || reason === RefusalReason.Evicted) {
+      super.refuse(reason, outcome, retryAfterMs);
       return;
     }
-    this.failWith(lossReason(failure));
+    this.failedAnswer = undefined;
+    this.deliver(failedAnswer.head, failedAnswer.chunks);
   }
 
   private deliver(head: AnswerHead, chunks: readonly Buffer[]): void {
