Tests: a silent fake server holds its whole answers and its reports, too

FakeBackendServer.fallSilent corked the sockets, but Node's ServerResponse.end uncorks its socket whatever the count, so that whole answers and reports got out at once; only events of streams were held. A socket that is held is not uncorked until the silence ends. Seen in features/platform/plain-silence.feature, which follows: 7 of 12 scenarios failed because answers that were to be held came after 1 to 10 ms.

--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -152,6 +152,18 @@
   write();
 }
 
+/** Holds what a socket is given to send. Node's answers uncork their sockets when they end, so that this is prevented. */
+function holdOutput(socket: Socket): void {
+  socket.cork();
+  Object.assign(socket, { uncork: () => {} });
+}
+
+/** Sends what a socket has held. */
+function releaseOutput(socket: Socket): void {
+  Reflect.deleteProperty(socket, 'uncork');
+  while (socket.writableCorked > 0) socket.uncork();
+}
+
 /** Number of events in a complete stream. */
 export const EVENTS_PER_STREAM = 12;
 
@@ -303,7 +315,7 @@
     this.server.maxHeadersCount = 0;
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
-      if (this.isSilent) socket.cork();
+      if (this.isSilent) holdOutput(socket);
       socket.once('close', () => this.sockets.delete(socket));
     });
   }
@@ -349,10 +361,10 @@
   public async fallSilent(ms: number): Promise<void> {
     if (this.isSilent) return;
     this.isSilent = true;
-    for (const socket of this.sockets) socket.cork();
+    for (const socket of this.sockets) holdOutput(socket);
     await pause(ms);
     this.isSilent = false;
-    for (const socket of this.sockets) socket.uncork();
+    for (const socket of this.sockets) releaseOutput(socket);
   }
 
   /** Whether the server has accepted an order to hold layers since it started. */
