--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -26,6 +26,8 @@
   Rejected = 'rejected',
   /** The connection ends before the announced length. */
   Truncated = 'truncated',
+  /** Complete, with `PART_INTERVAL_MS` between its two parts; plain services only. */
+  InTwoParts = 'in two parts',
   /** Complete, but a header's name has a space, which Node's parser takes in and its writer does not send. */
   SpacedHeaderName = "with a space in a header's name",
   /** With status 101, as if the request had asked for another protocol. */
@@ -172,6 +174,9 @@
 /** Interval between the events of a slow stream, in milliseconds; a whole one takes less than its deadline. */
 const SLOW_EVENT_INTERVAL_MS = 300;
 
+/** Time between the two parts of an answer, in milliseconds. */
+export const PART_INTERVAL_MS = 200;
+
 /** Events of a stream before its server sends single bytes. */
 const EVENTS_BEFORE_DRIPS = 4;
 
@@ -549,6 +554,10 @@
       case AnswerStyle.EndsBeforeBody:
         socket.end(`${head}content-length: 0\r\n`);
         return;
+      case AnswerStyle.InTwoParts:
+        socket.write(`${head}content-length: ${answer.length}\r\n\r\n${answer.slice(0, 9)}`);
+        setTimeout(() => socket.write(answer.slice(9)), PART_INTERVAL_MS);
+        return;
       case AnswerStyle.Truncated:
         socket.end(`${head}content-length: ${answer.length}\r\n\r\n${answer.slice(0, 9)}`);
         return;
