After a standstill an error in one request keeps no other from beginning

Callers saw: nothing until their time limit, then 504, though their requests could have been sent. Cause: after a standstill StandstillGuard takes the steps that waited one after another, and an unexpected error in one of them dropped all that came after it. Found by reading; not seen in a run.

Each step is now taken for itself, and its error logged.

Evidence: standstill.feature, the new scenario failed before: the error left the clock's timer and the second work did not begin. After: all standstill features pass.

--- a/features/core/standstill/standstill.feature
+++ b/features/core/standstill/standstill.feature
@@ -41,3 +41,12 @@
     And work arrives, before any timer
     And work arrives, before any timer
     Then all work begins 20 ms later
+
+  # Guards against requests that nobody begins any more, since an unexpected error met one that waited before them.
+  Scenario: Work that fails keeps no other work from beginning
+    Given an instance whose question is answered after "20" ms
+    When it runs for 1000 ms and stands still for 2000 ms
+    And work arrives that will fail with an unexpected error
+    And work arrives, before any timer
+    Then all work begins 20 ms later
+    And the error of that work is logged
--- a/features/core/standstill/standstill.steps.ts
+++ b/features/core/standstill/standstill.steps.ts
@@ -10,6 +10,7 @@
   /** Numbers of the pieces of work in the order in which they began, with the times. */
   begun: { number: number; at: number }[];
   arrivals: number[];
+  logged: string[];
 }
 
 /** Longest wait that is looked for, in milliseconds. */
@@ -27,10 +28,11 @@
     this.asked = 0;
     this.begun = [];
     this.arrivals = [];
+    this.logged = [];
     const ask = SPECIAL_ANSWERS[answer] ?? (() => this.standClock.sleep(Number(answer)));
     this.guard = new StandstillGuard({
       clock: this.standClock,
-      decisions: { record: () => {} },
+      decisions: { record: (event) => this.logged.push(event) },
       ask: () => {
         this.asked += 1;
         return ask();
@@ -70,6 +72,16 @@
   },
 );
 
+When('work arrives that will fail with an unexpected error', function run(this: StandstillWorld) {
+  this.guard.whenInformed(() => {
+    throw new Error('unexpected');
+  });
+});
+
+Then('the error of that work is logged', function check(this: StandstillWorld) {
+  assert.equal(this.logged.filter((event) => event === 'standstill-error').length, 1);
+});
+
 Then('it has asked {int} times', function check(this: StandstillWorld, times: number) {
   assert.equal(this.asked, times);
 });
--- a/src/core/standstill/StandstillGuard.ts
+++ b/src/core/standstill/StandstillGuard.ts
@@ -126,6 +126,16 @@
   private release(): void {
     const { waiting } = this;
     this.waiting = [];
-    for (const step of waiting) step();
+    for (const step of waiting) this.take(step);
+  }
+
+  /** Takes a step that waited. An unexpected error in it must not keep the others from being taken. */
+  private take(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      const { message, stack } = error as Error;
+      this.dependencies.decisions.record('standstill-error', { error: message, stack });
+    }
   }
 }
