--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -169,6 +169,14 @@
 
 const EVENT_INTERVAL_MS = 10;
 
+/** Header with which a request asks for a stream of `EVENTS_PER_LONG_STREAM` events. */
+export const LONG_STREAM_HEADER = 'x-test-long';
+
+/** Number of events in a complete long stream; it takes 3 s, longer than a server falls silent. */
+export const EVENTS_PER_LONG_STREAM = 60;
+
+const LONG_STREAM_INTERVAL_MS = 50;
+
 /** Interval between the events of a slow stream, in milliseconds; a whole one takes less than its deadline. */
 const SLOW_EVENT_INTERVAL_MS = 300;
 
@@ -599,6 +607,9 @@
     });
     let number = Number(headers['last-event-id'] ?? 0);
     const isSlow = this.style === AnswerStyle.Slow || this.style === AnswerStyle.Drips;
+    const isLong = headers[LONG_STREAM_HEADER] !== undefined;
+    const events = isLong ? EVENTS_PER_LONG_STREAM : EVENTS_PER_STREAM;
+    const intervalMs = isLong ? LONG_STREAM_INTERVAL_MS : EVENT_INTERVAL_MS;
     const timer = setInterval(
       () => {
         number += 1;
@@ -607,11 +618,11 @@
           return;
         }
         response.write(`id: ${number}\ndata: event ${number}\n\n`);
-        if (number < EVENTS_PER_STREAM) return;
+        if (number < events) return;
         clearInterval(timer);
         response.end();
       },
-      isSlow ? SLOW_EVENT_INTERVAL_MS : EVENT_INTERVAL_MS,
+      isSlow ? SLOW_EVENT_INTERVAL_MS : intervalMs,
     );
     response.once('close', () => clearInterval(timer));
   }
