--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -166,18 +166,6 @@
   write();
 }
 
-/** Holds what a socket is given to send. Node's answers uncork their sockets when they end, so that this is prevented. */
-function holdOutput(socket: Socket): void {
-  socket.cork();
-  Object.assign(socket, { uncork: () => {} });
-}
-
-/** Sends what a socket has held. */
-function releaseOutput(socket: Socket): void {
-  Reflect.deleteProperty(socket, 'uncork');
-  while (socket.writableCorked > 0) socket.uncork();
-}
-
 /** Number of events in a complete stream. */
 export const EVENTS_PER_STREAM = 12;
 
