--- a/features/core/relay/configuration-changes.steps.ts
+++ b/features/core/relay/configuration-changes.steps.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
 import { Then, When } from '@cucumber/cucumber';
 import type { KnownServer } from '../../../src/core/deployment/ServerDirectory.js';
-import type { Deployment, RequestRoute } from '../../../src/core/deployment/Types.js';
+import {
+  RouteKind,
+  type Deployment,
+  type RequestRoute,
+} from '../../../src/core/deployment/Types.js';
 import { RerouteStatus } from '../../../src/core/relay/Types.js';
 import { firstDeployment, HeldRequest, TIMEOUT_MS, WAIT_MS } from './HeldRequest.js';
 
@@ -29,6 +33,12 @@
   return service === 'engine' ? 'other-engine' : 'other';
 }
 
+const OTHER_KINDS: Readonly<Record<RouteKind, RouteKind>> = {
+  [RouteKind.Idempotent]: RouteKind.NonIdempotent,
+  [RouteKind.NonIdempotent]: RouteKind.Idempotent,
+  [RouteKind.Streaming]: RouteKind.NonIdempotent,
+};
+
 const moveRoutes = changeRoutes((item) => ({
   shares: [{ service: otherService(item), weight: 1 }],
 }));
@@ -53,6 +63,7 @@
   'its time-out is shorter': changeRoutes(() => ({ timeoutMs: SHORT_TIMEOUT_MS })),
   'its route allows one server': changeRoutes(() => ({ maxServers: 1 })),
   'its route may not be resumed': changeRoutes(() => ({ resumable: false })),
+  'its route becomes another kind': changeRoutes(({ kind }) => ({ kind: OTHER_KINDS[kind] })),
   'its objective is shorter': changeRoutes(() => ({ objectiveMs: SHORT_TIMEOUT_MS })),
   'ranks end': changeRoutes(() => ({ rank: 1, isPublic: true })),
 };
