Tests: a process that was suspended tells of it in its log and metrics

One scenario of router-process.feature, with a router in a process of its own that is suspended for 500 ms.

--- a/features/platform/router-process.feature
+++ b/features/platform/router-process.feature
@@ -43,3 +43,9 @@
     Given the process serves streams
     When it gets SIGTERM twice within 500 ms while a stream is running
     Then the stream is complete, and the process ends with code 0
+
+  # Guards against a stall that cannot be told from the silence of servers afterwards.
+  Scenario: A process that stood still says so
+    Given the process serves streams
+    When it is suspended for 500 ms and goes on
+    Then its log and its metrics tell of a stall of 400 ms or more
--- a/features/platform/router-process.steps.ts
+++ b/features/platform/router-process.steps.ts
@@ -195,6 +195,33 @@
   },
 );
 
+When(
+  'it is suspended for {int} ms and goes on',
+  async function run(this: ProcessWorld, ms: number) {
+    this.routerProcess.signal('SIGSTOP');
+    await pause(ms);
+    this.routerProcess.signal('SIGCONT');
+  },
+);
+
+Then(
+  'its log and its metrics tell of a stall of {int} ms or more',
+  async function check(this: ProcessWorld, leastMs: number) {
+    // The log is written every 200 ms.
+    await pause(500);
+    const { logFile, listeners } = this.routerProcess;
+    const logged = [
+      ...readFileSync(logFile, 'utf8').matchAll(/"stoodMs":(\d+),"lateMs":\d+,"during":"unknown"/g),
+    ];
+    assert.ok(logged.some(([, stoodMs]) => Number(stoodMs) >= leastMs));
+    const metrics = await (await fetch(`http://${listeners.metrics}/metrics`)).text();
+    const longest = /^acaciadrum_longest_stall_ms (\d+)$/m.exec(metrics)?.[1];
+    assert.ok(Number(longest) >= leastMs, `the longest stall is ${longest} ms`);
+    assert.match(metrics, /^acaciadrum_stalls_total\{during="unknown"\} [1-9]/m);
+    assert.match(metrics, /^acaciadrum_timer_lateness_ms_count\{timer="standstill"\} [1-9]/m);
+  },
+);
+
 After(async function stop(this: ProcessWorld) {
   if (this.routerProcess === undefined) return;
   this.otherProgram?.close();
