A stop reads what has arrived before it closes idle connections

Callers saw: a whole request on a kept connection got neither an answer nor a refusal, 3 s after a SIGTERM. Cause: the stop closes the connections without a request from a timer, and after a stall of the process timers come before the input that has waited meanwhile.

Ingress.stopListening lets the loop read once first; such a request is then answered or refused as any other.

The existing steps that call stopListening now await it; they check what they did.

--- a/features/platform/ingress.feature
+++ b/features/platform/ingress.feature
@@ -11,6 +11,12 @@
     When the caller sends its next request on that connection as soon as it has the answer
     Then both requests are answered
 
+  # Guards against whole requests that wait unread, since the process was stalled, when idle connections are closed.
+  Scenario: A request arrives just before the idle connections are closed
+    Given an instance that answers requests on a kept connection
+    When the caller's request arrives, and before it is read the instance stops listening
+    Then one request is answered
+
   # Guards against a planned stop that cuts an answer which its caller is still reading.
   Scenario: The instance stops listening while an answer of 8000000 bytes is being read
     Given an instance that answers requests on a kept connection
--- a/features/platform/ingress.steps.ts
+++ b/features/platform/ingress.steps.ts
@@ -156,7 +156,7 @@
     this.callerSocket.write(requestText(`large-${bytes}`));
     await pause(ANSWER_MS);
     this.isLeaving = true;
-    this.testedIngress.stopListening();
+    await this.testedIngress.stopListening();
     this.receivedBytes = 0;
     this.callerSocket.on('data', ({ length }: Buffer) => {
       this.receivedBytes += length;
@@ -165,6 +165,28 @@
   },
 );
 
+When(
+  "the caller's request arrives, and before it is read the instance stops listening",
+  async function run(this: IngressWorld) {
+    this.callerSocket = connect(hostAndPort(this.address));
+    await once(this.callerSocket, 'connect');
+    this.callerSocket.on('error', () => undefined);
+    this.callerSocket.on('data', (bytes: Buffer) => {
+      this.received += bytes.toString();
+    });
+    await pause(ANSWER_MS);
+    this.callerSocket.write(requestText('first'));
+    this.isLeaving = true;
+    await this.testedIngress.stopListening();
+    await pause(ANSWER_MS);
+  },
+);
+
+Then('one request is answered', function check(this: IngressWorld) {
+  assert.deepEqual(this.accepted, ['first']);
+  assert.equal(this.received.split('HTTP/1.1 200').length, 2);
+});
+
 Then('it gets all {int} bytes', function check(this: IngressWorld, bytes: number) {
   assert.ok(this.receivedBytes > bytes, `${this.receivedBytes} bytes with the head`);
 });
--- a/features/platform/sent-ahead.steps.ts
+++ b/features/platform/sent-ahead.steps.ts
@@ -177,7 +177,7 @@
     if (state === 'answered in part') beginAnswer(this.passedOn[0].reply, 'request-1');
     await pause(SETTLED_MS);
     this.isLeaving = true;
-    this.aheadIngress.stopListening();
+    await this.aheadIngress.stopListening();
     this.aheadIngress.refuseOpenRequests();
     await pause(SETTLED_MS);
     this.aheadIngress.close();
--- a/src/adapters/http/ConnectionGuard.ts
+++ b/src/adapters/http/ConnectionGuard.ts
@@ -38,9 +38,9 @@
     server.on('connection', (socket: Socket) => this.watch(socket));
   }
 
-  /** Connections that are open. */
-  public get sockets(): Iterable<Socket> {
-    return this.guarded.keys();
+  /** Closes the connections without a request in progress. */
+  public closeIdle(): void {
+    for (const [socket, { openRequests }] of this.guarded) if (openRequests === 0) socket.destroy();
   }
 
   /** Number of requests of a connection whose answers have not been written. */
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -1,5 +1,6 @@
 /** HTTP server that accepts callers' requests from the platform's load balancer. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { setImmediate as readArrivedInput } from 'node:timers/promises';
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import { ConnectionGuard, type ConnectionEndListener } from '../adapters/http/ConnectionGuard.js';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
@@ -37,7 +38,6 @@
 const UNJUDGED_BODY_BYTES = 16 * 1024;
 
 const NO_BODY = Buffer.alloc(0);
-
 const NO_EXCLUDED_HEADERS: ReadonlySet<string> = new Set();
 
 /** Length of the accept queue: after a network cut, all callers of a failure domain may connect at once. */
@@ -126,14 +126,14 @@
   }
 
   /**
-   * Stops listening and closes idle connections. Requests in progress continue, and so do answers that their
-   * callers have not taken yet, which Node counts as idle.
+   * Stops listening and closes idle connections, once what has arrived on them has been read. Requests in progress
+   * continue, and so do answers that their callers have not taken yet, which Node counts as idle.
    */
-  public stopListening(): void {
+  public async stopListening(): Promise<void> {
     // Unlike this one, the method of the HTTP server closes the connections that Node counts as idle.
     NetServer.prototype.close.call(this.server);
-    for (const socket of this.guard.sockets)
-      if (this.guard.openRequests(socket) === 0) socket.destroy();
+    await readArrivedInput();
+    this.guard.closeIdle();
   }
 
   /** Refuses all requests whose answers have not begun, because the process ends. */
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -495,7 +495,11 @@
     this.attempt('placement', () => this.placement.dispose());
     this.attempt('lease', () => this.lease.release());
     await this.waitUntil(() => this.clock.now() - startedAt >= BALANCER_REMOVAL_MS, endsAt);
-    this.attempt('callers', () => this.ingress.stopListening());
+    await this.ingress
+      .stopListening()
+      .catch((error: Error) =>
+        this.log.record('stop-error', { part: 'callers', error: error.message }),
+      );
     await this.waitUntil(() => this.ingress.active === 0, endsAt);
     if (this.ingress.active > 0) await this.refuseLastRequests();
     this.log.record('stopped', { active: this.ingress.active });
