--- a/features/soak/Callers.ts
+++ b/features/soak/Callers.ts
@@ -71,14 +71,23 @@
     await Promise.all(this.loops);
   }
 
-  /** Sends one attempt and records its result. */
-  public send(router: RouterProcess, path: string, agent?: Agent): Promise<Attempt> {
+  /** Sends one attempt with a valid key, for a short answer, on a connection of its own. */
+  public probe(router: RouterProcess, path: string): Promise<Attempt> {
+    return this.send(router, path);
+  }
+
+  /**
+   * Sends one attempt and records its result.
+   * @param agent - holds the caller's connection; undefined for a probe
+   */
+  private send(router: RouterProcess, path: string, agent?: Agent): Promise<Attempt> {
     this.attemptCount += 1;
     const id = `a${this.attemptCount}`;
+    const isProbe = agent === undefined;
     const usesRevokedKey = this.keys.length > 1 && this.random.chance(REVOKED_KEY_SHARE);
-    const key = this.keys.at(usesRevokedKey ? -2 : -1) as string;
+    const key = this.keys.at(usesRevokedKey && !isProbe ? -2 : -1) as string;
     const deadlineMs = this.isPatient ? PATIENT_DEADLINE_MS : DEADLINE_MS;
-    const isLong = this.isPatient && this.attemptCount % LONG_STREAM_INTERVAL === 0;
+    const isLong = this.isPatient && !isProbe && this.attemptCount % LONG_STREAM_INTERVAL === 0;
     const sentAt = performance.now();
     return new Promise((resolve) => {
       let isDone = false;
--- a/features/soak/Soak.ts
+++ b/features/soak/Soak.ts
@@ -84,8 +84,8 @@
   const endsAt = performance.now() + timeoutMs;
   while (waiting.size > 0 && performance.now() < endsAt) {
     for (const router of waiting) {
-      const stream = await callers.send(router, RoutePath.Stream);
-      const booking = await callers.send(router, RoutePath.Book);
+      const stream = await callers.probe(router, RoutePath.Stream);
+      const booking = await callers.probe(router, RoutePath.Book);
       if (stream.status === 200 && stream.isComplete && booking.status === 200)
         waiting.delete(router);
     }
@@ -129,7 +129,9 @@
   const timeoutMs = hasSilentServers ? PATIENT_DEADLINE_MS : undefined;
   const fleet = new SoakFleet(folderFor(options.seed), timeoutMs);
   await fleet.start(options.instances);
-  const callers = new Callers(fleet.routers, random, hasSilentServers);
+  // Callers draw at times that vary, and would change the series of faults.
+  const callersRandom = hasSilentServers ? new SeededRandom(options.seed) : random;
+  const callers = new Callers(fleet.routers, callersRandom, hasSilentServers);
   const violations: string[] = [];
   const context: FaultContext = {
     fleet,
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -35,3 +35,14 @@
       | 6013 | 12      | the fake server announced itself as ready again when it was ordered to load layers while leaving |
       | 6005 | 12      | evidence of crashes was lost when all instances were killed at once                            |
       | 6001 | 12      | an instance that was paused sent requests before it heard what had changed                     |
+
+  # Guards against answers that are cut off although every server is sound: a stream left a silent first server, and the next one was full.
+  @known-red
+  Scenario Outline: Sound servers fall silent, under the faults of seed <seed> for <seconds> seconds
+    When 4 instances and 20 callers run under the faults of seed <seed> for <seconds> seconds, with sound servers that fall silent
+    Then no guarantee was violated
+
+    Examples: seeds that once failed, each with its cause
+      | seed | seconds | cause                                                                                       |
+      | 8008 | 10      | the calls to silent first servers were given up before other servers, which were full, began |
+      | 8003 | 10      | the same                                                                                    |
--- a/features/soak/soak.steps.ts
+++ b/features/soak/soak.steps.ts
@@ -1,13 +1,26 @@
 import assert from 'node:assert/strict';
 import { Then, When } from '@cucumber/cucumber';
-import { soakProcesses, type ProcessSoakResult } from './Soak.js';
+import { soakProcesses, type ProcessSoakResult, type SoakOptions } from './Soak.js';
 
 interface SoakWorld {
   result: ProcessSoakResult;
 }
 
+/** Options of a run by what its step says. */
+const OPTIONS: Readonly<Record<string, Partial<SoakOptions>>> = {
+  'a crashing prompt part': { hasCrashingPart: true },
+  'servers that leave and ask for pauses in their answers': { hasServerNotices: true },
+  'sound servers that fall silent': { hasSilentServers: true },
+};
+
+function optionsOf(kind: string): Partial<SoakOptions> {
+  const options = OPTIONS[kind];
+  assert.ok(options !== undefined, `no run with ${kind}`);
+  return options;
+}
+
 When(
-  /^(\d+) instances and (\d+) callers run under the faults of seed (\d+) for (\d+) seconds(, with a crashing prompt part|, with servers that leave and ask for pauses in their answers)?$/,
+  /^(\d+) instances and (\d+) callers run under the faults of seed (\d+) for (\d+) seconds(?:, with (.+))?$/,
   { timeout: 90_000 },
   async function run(
     this: SoakWorld,
@@ -22,8 +35,7 @@
       instances: Number(instances),
       callers: Number(callers),
       faultsMs: Number(seconds) * 1000,
-      hasCrashingPart: kind?.includes('crashing') === true,
-      hasServerNotices: kind?.includes('servers') === true,
+      ...(kind !== null && optionsOf(kind)),
     });
   },
 );
