--- a/features/soak/LossChecker.ts
+++ b/features/soak/LossChecker.ts
@@ -16,7 +16,7 @@
 
 export interface LossEvidence {
   readonly attempts: readonly Attempt[];
-  readonly servers: readonly FakeBackendServer[];
+  readonly servers: readonly Pick<FakeBackendServer, 'id' | 'arrivals'>[];
   readonly silences: readonly Silence[];
   readonly disruptions: readonly Disruption[];
   readonly interruptions: readonly Interruption[];
