Soak: a connection that was refused is no lost request

Seen with 60 instances: requests "lost" after 360 to 850 ms that no instance had accepted, since the soak's own process learned of the refusal late.

--- a/features/soak/Callers.ts
+++ b/features/soak/Callers.ts
@@ -91,6 +91,7 @@
     const sentAt = performance.now();
     return new Promise((resolve) => {
       let isDone = false;
+      let isConnected = false;
       const finish = (response: IncomingMessage | undefined, body: string): void => {
         if (isDone) return;
         isDone = true;
@@ -103,6 +104,7 @@
           deadlineMs,
           events: isLong ? EVENTS_PER_LONG_STREAM : EVENTS_PER_STREAM,
           endedAt: performance.now(),
+          isConnected,
           status: response?.statusCode ?? 0,
           isSigned: response?.headers['x-server-seal'] === 'seal',
           isComplete: response?.complete ?? false,
@@ -137,6 +139,12 @@
           response.once('close', () => finish(response, body));
         },
       );
+      outgoing.once('socket', (socket) => {
+        isConnected = !socket.connecting;
+        socket.once('connect', () => {
+          isConnected = true;
+        });
+      });
       outgoing.once('timeout', () => outgoing.destroy());
       outgoing.once('error', () => finish(undefined, ''));
       outgoing.end('body');
--- a/features/soak/GuaranteeChecker.ts
+++ b/features/soak/GuaranteeChecker.ts
@@ -17,6 +17,8 @@
   /** Number of events of its complete answer, if that is a stream. */
   readonly events: number;
   readonly endedAt: number;
+  /** Whether its connection was established. */
+  readonly isConnected: boolean;
   /** 0 when the connection ended without an answer. */
   readonly status: number;
   readonly isSigned: boolean;
--- a/features/soak/LossChecker.ts
+++ b/features/soak/LossChecker.ts
@@ -74,8 +74,8 @@
 
 /** Returns how an attempt was lost; undefined if it got a complete answer or was not read. */
 function lossOf(attempt: Attempt, isPassedOn: boolean): string | undefined {
-  const { status, isComplete, sentAt, endedAt, deadlineMs } = attempt;
-  if (status > 0 && isComplete) return undefined;
+  const { status, isComplete, isConnected, sentAt, endedAt, deadlineMs } = attempt;
+  if ((status > 0 && isComplete) || !isConnected) return undefined;
   const lastedMs = endedAt - sentAt;
   if (status > 0)
     return lastedMs < deadlineMs - DEADLINE_SLACK_MS ? `was cut off (${status})` : undefined;
--- a/features/soak/losses.feature
+++ b/features/soak/losses.feature
@@ -17,6 +17,7 @@
       | is without an answer after 0.05 s  | no fault | was lost       |
       | is without an answer after 10.5 s  | no fault | was lost       |
       | is not read                        | no fault | was not lost   |
+      | is not connected                   | no fault | was not lost   |
       | is not passed on, and closed later | no fault | was lost       |
 
     Examples: faults
--- a/features/soak/losses.steps.ts
+++ b/features/soak/losses.steps.ts
@@ -21,6 +21,7 @@
   readonly isComplete?: boolean;
   readonly lastedMs: number;
   readonly isPassedOn?: boolean;
+  readonly isConnected?: boolean;
 }
 
 const ENDS: Readonly<Record<string, End>> = {
@@ -31,6 +32,7 @@
   'is without an answer after 0.05 s': { status: 0, lastedMs: 50 },
   'is without an answer after 10.5 s': { status: 0, lastedMs: DEADLINE_MS + 500 },
   'is not read': { status: 0, lastedMs: 50, isPassedOn: false },
+  'is not connected': { status: 0, lastedMs: 2000, isPassedOn: false, isConnected: false },
   'is not passed on, and closed later': { status: 0, lastedMs: 2000, isPassedOn: false },
 };
 
@@ -57,7 +59,13 @@
 };
 
 Given(/^a request that (is .+)$/, function send(this: LossesWorld, name: string) {
-  const { status, isComplete = false, lastedMs, isPassedOn = true } = ENDS[name];
+  const {
+    status,
+    isComplete = false,
+    lastedMs,
+    isPassedOn = true,
+    isConnected = true,
+  } = ENDS[name];
   this.isPassedOn = isPassedOn;
   this.lostAttempt = {
     id: 'a1',
@@ -68,6 +76,7 @@
     endedAt: SENT_AT + lastedMs,
     deadlineMs: DEADLINE_MS,
     events: 12,
+    isConnected,
     status,
     isSigned: true,
     isComplete,
