--- a/features/soak/Callers.ts
+++ b/features/soak/Callers.ts
@@ -141,6 +141,7 @@
       );
       outgoing.once('socket', (socket) => {
         isConnected = !socket.connecting;
+        if (isConnected) return;
         socket.once('connect', () => {
           isConnected = true;
         });
