--- a/features/soak/Callers.ts
+++ b/features/soak/Callers.ts
@@ -71,17 +71,27 @@
     await Promise.all(this.loops);
   }
 
-  /** Sends one attempt and records its result. */
-  public send(router: RouterProcess, path: string, agent?: Agent): Promise<Attempt> {
+  /** Sends one attempt with a valid key, for a short answer, on a connection of its own. */
+  public probe(router: RouterProcess, path: string): Promise<Attempt> {
+    return this.send(router, path);
+  }
+
+  /**
+   * Sends one attempt and records its result.
+   * @param agent - holds the caller's connection; undefined for a probe
+   */
+  private send(router: RouterProcess, path: string, agent?: Agent): Promise<Attempt> {
     this.attemptCount += 1;
     const id = `a${this.attemptCount}`;
+    const isProbe = agent === undefined;
     const usesRevokedKey = this.keys.length > 1 && this.random.chance(REVOKED_KEY_SHARE);
-    const key = this.keys.at(usesRevokedKey ? -2 : -1) as string;
+    const key = this.keys.at(usesRevokedKey && !isProbe ? -2 : -1) as string;
     const deadlineMs = this.isPatient ? PATIENT_DEADLINE_MS : DEADLINE_MS;
-    const isLong = this.isPatient && this.attemptCount % LONG_STREAM_INTERVAL === 0;
+    const isLong = this.isPatient && !isProbe && this.attemptCount % LONG_STREAM_INTERVAL === 0;
     const sentAt = performance.now();
     return new Promise((resolve) => {
       let isDone = false;
+      let isConnected = false;
       const finish = (response: IncomingMessage | undefined, body: string): void => {
         if (isDone) return;
         isDone = true;
@@ -94,6 +104,7 @@
           deadlineMs,
           events: isLong ? EVENTS_PER_LONG_STREAM : EVENTS_PER_STREAM,
           endedAt: performance.now(),
+          isConnected,
           status: response?.statusCode ?? 0,
           isSigned: response?.headers['x-server-seal'] === 'seal',
           isComplete: response?.complete ?? false,
@@ -128,6 +139,13 @@
           response.once('close', () => finish(response, body));
         },
       );
+      outgoing.once('socket', (socket) => {
+        isConnected = !socket.connecting;
+        if (isConnected) return;
+        socket.once('connect', () => {
+          isConnected = true;
+        });
+      });
       outgoing.once('timeout', () => outgoing.destroy());
       outgoing.once('error', () => finish(undefined, ''));
       outgoing.end('body');
