Tests: streams whose servers pause, reject or break off in mid-stream (known red)

Streams of 120 events over scripted servers in virtual time: the first server, a later one, several or a whole failure domain pause for 0.8 to 2.5 s before the first event or in mid-stream, and the next first server rejects the request, loses the connection, pauses as well, or begins. Without silence: the first server breaks off, or is lost after a reroute, and the next one rejects for 100 to 500 ms; the retry budget is empty for 300 ms.

--- /dev/null
+++ b/features/core/relay/ScriptedStream.ts
@@ -0,0 +1,163 @@
+/** A stream over fake servers that run it in virtual time: they send events, pause, reject and break off. */
+import { RelayDispatcher } from '../../../src/core/relay/RelayDispatcher.js';
+import { CallFailure, RerouteStatus, type Relay } from '../../../src/core/relay/Types.js';
+import type { Stage } from '../../../src/core/routing/Types.js';
+import { FakeCaller } from '../FakeCaller.js';
+import type { RecordedCall } from '../FakeServers.js';
+import { answerHead, backendServer, deployment, RelayFixture, route } from '../FleetFixture.js';
+
+/** Number of events of the whole answer. */
+export const EVENTS = 120;
+
+/** Time between two events, in milliseconds. */
+export const PACE_MS = 20;
+
+/** Time from a send to its first event, in milliseconds. */
+const PREFILL_MS = 40;
+
+/** Resolution of the servers' clock, in milliseconds. */
+const STEP_MS = 5;
+
+const SPANS = { s1: [0, 30], s2: [30, 60], s3: [60, 80] } as const;
+
+/** What a further first server does with the request; undefined if it runs it. */
+export type Reaction = (made: RecordedCall) => void;
+
+interface Run {
+  next: number;
+  nextAt: number;
+  stages: readonly Stage[];
+  hasHead: boolean;
+}
+
+function reject({ listener, call }: RecordedCall, stage: number): void {
+  const blamedAddress = call.stages[stage].address;
+  listener.onHead(answerHead({ status: 503, signed: false, notExecuted: true, blamedAddress }));
+  listener.onEnd();
+}
+
+export const REACTIONS: Readonly<Record<string, Reaction | undefined>> = {
+  'rejects it': (made) => reject(made, 0),
+  'rejects it because of a later server': (made) => reject(made, 1),
+  'rejects it, and the connection to s1 is lost': (made) => reject(made, 0),
+  'loses the connection': ({ listener }) => listener.onFailure(CallFailure.ConnectionLost),
+  'pauses as well': undefined,
+  begins: undefined,
+};
+
+export class ScriptedStream {
+  public readonly fixture: RelayFixture;
+
+  public readonly caller = new FakeCaller();
+
+  public readonly relay: Relay;
+
+  /** Servers that pause. */
+  public readonly paused = new Set<string>();
+
+  /** What first servers other than s1 do until `reactsUntil`. */
+  public reaction: Reaction | undefined;
+
+  public reactsUntil = 0;
+
+  /** Longest time between two events of the caller, in milliseconds. */
+  public longestPauseMs = 0;
+
+  private readonly runs = new Map<RecordedCall, Run>();
+
+  private lastTextAt = 0;
+
+  private seenText = 0;
+
+  private seenReroutes = 0;
+
+  /** @param retries - number of retries that the retry budget starts with */
+  public constructor(retries?: number) {
+    this.fixture = new RelayFixture(retries);
+    const { deployments, directory, servers, dependencies } = this.fixture;
+    servers.rerouteAnswer = { status: RerouteStatus.Rejected };
+    deployments.applyIfNewer(deployment([route()]));
+    for (const [id, [from, to]] of Object.entries(SPANS)) {
+      const values = { accelerator: 'h100', span: { from, to } };
+      directory.put(backendServer(id, values));
+      directory.put(backendServer(`${id}-spare`, { ...values, failureDomain: 'b' }));
+    }
+    this.relay = new RelayDispatcher(dependencies).accept(this.fixture.request(), this.caller);
+  }
+
+  /** Holds the events and the reports of servers back until the clock reaches `until`, in milliseconds. */
+  public pause(ids: readonly string[], until: number): void {
+    for (const id of ids) {
+      this.paused.add(id);
+      this.fixture.servers.silent.add(id);
+      this.fixture.clock.schedule(until - this.fixture.clock.now(), () => {
+        this.paused.delete(id);
+        this.fixture.servers.silent.delete(id);
+      });
+    }
+  }
+
+  /** Runs the servers for a time, in milliseconds, or until the request has ended. */
+  public async run(ms: number): Promise<void> {
+    const { clock } = this.fixture;
+    const until = clock.now() + ms;
+    while (clock.now() < until && this.caller.outcome === 'open') {
+      for (const made of [...this.fixture.servers.calls]) this.advance(made);
+      this.notePauses();
+      await clock.runUntil(clock.now() + STEP_MS);
+    }
+  }
+
+  /** Whether the caller has every event once and in order. */
+  public get isWhole(): boolean {
+    const ids = [...this.caller.text.matchAll(/id: (\d+)\n/g)].map(([, id]) => Number(id));
+    return ids.length === EVENTS && ids.every((id, index) => id === index + 1);
+  }
+
+  private notePauses(): void {
+    if (this.caller.text.length === this.seenText) return;
+    const now = this.fixture.clock.now();
+    if (this.seenText > 0)
+      this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastTextAt);
+    this.lastTextAt = now;
+    this.seenText = this.caller.text.length;
+  }
+
+  private advance(made: RecordedCall): void {
+    if (made.disposed) return;
+    const run = this.runs.get(made) ?? this.begin(made);
+    if (run === undefined) return;
+    this.applyReroutes(run);
+    const now = this.fixture.clock.now();
+    if (now < run.nextAt || run.stages.some(({ server }) => this.paused.has(server))) return;
+    if (!run.hasHead) made.listener.onHead(answerHead());
+    run.hasHead = true;
+    if (run.next > EVENTS) {
+      made.listener.onEnd();
+      return;
+    }
+    made.listener.onData(Buffer.from(`id: ${run.next}\ndata: x\n\n`));
+    run.next += 1;
+    run.nextAt = now + PACE_MS;
+  }
+
+  private begin(made: RecordedCall): Run | undefined {
+    const now = this.fixture.clock.now();
+    const next = Number(made.call.resumeAfter ?? 0) + 1;
+    const run = { next, nextAt: now + PREFILL_MS, stages: made.call.stages, hasHead: false };
+    this.runs.set(made, run);
+    if (made.call.server.id === 's1' || now >= this.reactsUntil || this.reaction === undefined)
+      return run;
+    run.nextAt = Infinity;
+    this.reaction(made);
+    return undefined;
+  }
+
+  private applyReroutes(run: Run): void {
+    const { reroutes, rerouteAnswer } = this.fixture.servers;
+    const fresh = reroutes.slice(this.seenReroutes);
+    this.seenReroutes = reroutes.length;
+    if (rerouteAnswer.status !== RerouteStatus.Accepted) return;
+    for (const { stages } of fresh) Object.assign(run, { stages });
+  }
+}
--- /dev/null
+++ b/features/core/relay/silent-servers.steps.ts
@@ -0,0 +1,164 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { CallFailure, RerouteStatus } from '../../../src/core/relay/Types.js';
+import { EVENTS, PACE_MS, REACTIONS, ScriptedStream } from './ScriptedStream.js';
+
+interface SilentWorld {
+  stream: ScriptedStream;
+}
+
+/** Events of the answer before something happens in mid-stream. */
+const EVENTS_BEFORE = 20;
+
+/** Longest time that a request takes, in milliseconds: its time limit and a little more. */
+const WHOLE_REQUEST_MS = 21_000;
+
+const BEGINNINGS_MS: Readonly<Record<string, number>> = {
+  'before the first event': 10,
+  'in mid-stream': EVENTS_BEFORE * PACE_MS,
+};
+
+function breakOff({ fixture }: ScriptedStream): void {
+  const { lastCall } = fixture.servers;
+  lastCall.listener.onFailure(CallFailure.ConnectionLost);
+}
+
+const TROUBLES: Readonly<Record<string, (stream: ScriptedStream) => Promise<void>>> = {
+  'its first server breaks off': async (stream) => breakOff(stream),
+  'a reroute off a leaving server is taken, then a reset': async (stream) => {
+    const { directory, servers } = stream.fixture;
+    const leaving = directory.get('s2')?.record;
+    assert.ok(leaving);
+    servers.rerouteAnswer = { status: RerouteStatus.Accepted };
+    directory.put({ ...leaving, revision: 1e6, leaving: true });
+    const { length } = servers.reroutes;
+    await stream.run(1300);
+    assert.equal(servers.reroutes.length, length + 1);
+    breakOff(stream);
+  },
+};
+
+const ENDINGS: Readonly<Record<string, (stream: ScriptedStream) => Promise<void>>> = {
+  'its caller leaves': async ({ relay }) => relay.cancel(),
+  'its time limit passes': (stream) => stream.run(WHOLE_REQUEST_MS),
+};
+
+Given('a long stream over three servers with a spare each', function set(this: SilentWorld) {
+  this.stream = new ScriptedStream();
+});
+
+Given(
+  'a long stream over three servers with a spare each, without retries for {int} ms',
+  function set(this: SilentWorld, ms: number) {
+    this.stream = new ScriptedStream(0);
+    const { clock, dependencies } = this.stream.fixture;
+    // Each request to the service adds a fraction of a retry to the budget.
+    clock.schedule(BEGINNINGS_MS['in mid-stream'] + ms, () => {
+      for (let count = 0; count < 5; count += 1)
+        dependencies.retryBudget.recordRequest('engine', clock.now());
+    });
+  },
+);
+
+async function pauseServers(
+  { stream }: SilentWorld,
+  [servers, when, meanwhile]: readonly string[],
+  ms: number,
+): Promise<void> {
+  await stream.run(BEGINNINGS_MS[when]);
+  const until = stream.fixture.clock.now() + ms;
+  const ids = servers.split(',');
+  if (meanwhile === 'pauses as well') ids.push('s1-spare');
+  stream.pause(ids, until);
+  stream.reaction = REACTIONS[meanwhile];
+  stream.reactsUntil = until;
+  if (meanwhile === 'rejects it, and the connection to s1 is lost') breakOff(stream);
+}
+
+When(
+  '{string} pause {string} for {int} ms while the next first server {string}',
+  async function run(
+    this: SilentWorld,
+    servers: string,
+    when: string,
+    ms: number,
+    meanwhile: string,
+  ) {
+    await pauseServers(this, [servers, when, meanwhile], ms);
+    await this.stream.run(WHOLE_REQUEST_MS);
+  },
+);
+
+When(
+  '{string} pause {string} for {int} ms while the next first server {string}, until {string} after {int} ms',
+  async function run(
+    this: SilentWorld,
+    servers: string,
+    when: string,
+    ms: number,
+    meanwhile: string,
+    end: string,
+    afterMs: number,
+  ) {
+    await pauseServers(this, [servers, when, meanwhile], ms);
+    await this.stream.run(afterMs);
+    await ENDINGS[end](this.stream);
+  },
+);
+
+When(
+  '{string} happens in mid-stream and the next first server rejects it for {int} ms',
+  async function run(this: SilentWorld, trouble: string, ms: number) {
+    const { stream } = this;
+    await stream.run(BEGINNINGS_MS['in mid-stream']);
+    stream.reaction = REACTIONS['rejects it'];
+    stream.reactsUntil = Infinity;
+    await TROUBLES[trouble](stream);
+    stream.reactsUntil = stream.fixture.clock.now() + ms;
+    await stream.run(WHOLE_REQUEST_MS);
+  },
+);
+
+Then(
+  'the caller has the whole answer, each event once and in order',
+  function check(this: SilentWorld) {
+    const { stream } = this;
+    const { length } = [...stream.caller.text.matchAll(/id: /g)];
+    assert.equal(`${stream.caller.outcome}, ${length} events`, `200, ${EVENTS} events`);
+    assert.ok(stream.isWhole, stream.caller.text);
+  },
+);
+
+Then(
+  'it took at most {int} first servers and {int} sends, and left nothing open',
+  function check(this: SilentWorld, servers: number, sends: number) {
+    const { calls } = this.stream.fixture.servers;
+    const firsts = new Set(calls.map(({ call }) => call.server.id));
+    assert.ok(firsts.size <= servers, [...firsts].join(','));
+    assert.ok(calls.length <= sends, `${calls.length} sends`);
+    assert.deepEqual([...this.stream.fixture.load.listOwnWork()], []);
+  },
+);
+
+Then(
+  'no pause between its events was longer than {int} ms',
+  function check(this: SilentWorld, ms: number) {
+    assert.ok(this.stream.longestPauseMs <= ms, `${this.stream.longestPauseMs} ms`);
+  },
+);
+
+Then(
+  'every call is closed, no work is left, and no call follows',
+  async function check(this: SilentWorld) {
+    const { clock, load, servers } = this.stream.fixture;
+    const { length } = servers.calls;
+    assert.ok(servers.calls.every(({ disposed }) => disposed));
+    assert.deepEqual([...load.listOwnWork()], []);
+    await clock.runUntil(clock.now() + WHOLE_REQUEST_MS);
+    assert.equal(servers.calls.length, length);
+  },
+);
+
+Then('the long stream is {string}', function check(this: SilentWorld, outcome: string) {
+  assert.equal(this.stream.caller.outcome, outcome);
+});
