Observability: the log tells why a request was not sent again, and what a cut answer had left

Of the twelve cut streams of the incident, the log of four does not say why no retry was possible, and of none how much of its time was left. `retry` now returns the obstacle (time, retry budget, no route, server limit, quarantined; not repeatable where the relay does not ask at all). It is logged once for each send and obstacle (`not-resent`), and in the `refuse` line; `refuse` and `end` of an answer that had begun tell so, with the time left. The metric acaciadrum_streams_cut_total counts them by cause. No decision changes.

Test: "An answer is cut that had begun and ...", three rows.

--- a/features/core/FleetFixture.ts
+++ b/features/core/FleetFixture.ts
@@ -173,6 +173,7 @@
   countRefusal: () => {},
   countError: () => {},
   countRetry: () => {},
+  countCut: () => {},
   recordFirstByte: () => {},
 };
 
@@ -232,6 +233,9 @@
 
   public readonly loggedDecisions: { event: string; fields: object }[] = [];
 
+  /** Causes of the cuts of streams that had begun. */
+  public readonly cuts: string[] = [];
+
   /** Ranks of the requests that have passed admission by rank. */
   public readonly admissions: number[] = [];
 
@@ -292,7 +296,7 @@
       pace: this.pace,
       quarantine,
       crashWitness: new CrashWitness({ directory, port: this.servers, quarantine, decisions }),
-      counters: NO_OP_COUNTERS,
+      counters: { ...NO_OP_COUNTERS, countCut: (cause) => this.cuts.push(cause) },
       invariants: new Invariants(true),
       localDomain: 'a',
       isPrepared: () => true,
--- a/features/core/relay/ScriptedStream.ts
+++ b/features/core/relay/ScriptedStream.ts
@@ -71,12 +71,15 @@
 
   private seenReroutes = 0;
 
-  /** @param retries - number of retries that the retry budget starts with */
-  public constructor(retries?: number) {
+  /**
+   * @param retries - number of retries that the retry budget starts with
+   * @param resumable - whether the stream may be resumed at another first server
+   */
+  public constructor(retries?: number, resumable = true) {
     this.fixture = new RelayFixture(retries);
     const { deployments, directory, servers, dependencies } = this.fixture;
     servers.rerouteAnswer = { status: RerouteStatus.Rejected };
-    deployments.applyIfNewer(deployment([route()]));
+    deployments.applyIfNewer(deployment([route({ resumable })]));
     for (const [id, [from, to]] of Object.entries(SPANS)) {
       const values = { accelerator: 'h100', span: { from, to } };
       directory.put(backendServer(id, values));
--- a/features/core/relay/silent-servers.feature
+++ b/features/core/relay/silent-servers.feature
@@ -104,3 +104,15 @@
     Examples: the answer waits
       | end                   | state                        | meanwhile                     | outcome |
       | its caller leaves     | no server can take it        | rejects it, and the connection to s1 is lost | open    |
+
+  # Guards against a cut whose cause the log does not tell.
+  Scenario Outline: An answer is cut that had begun and <limit>
+    Given a long stream over three servers with a spare each, which "<limit>"
+    When "its first server breaks off" happens in mid-stream and the next first server rejects it for 60000 ms
+    Then the log and the metrics tell that it was cut after it had begun, because of "<obstacle>"
+
+    Examples:
+      | limit              | obstacle       |
+      | may not be resumed | not-repeatable |
+      | has no retry       | retry-budget   |
+      | has a retry        | server-limit   |
--- a/features/core/relay/silent-servers.steps.ts
+++ b/features/core/relay/silent-servers.steps.ts
@@ -60,6 +60,19 @@
   },
 );
 
+const LIMITED_STREAMS: Readonly<Record<string, () => ScriptedStream>> = {
+  'may not be resumed': () => new ScriptedStream(undefined, false),
+  'has no retry': () => new ScriptedStream(0),
+  'has a retry': () => new ScriptedStream(),
+};
+
+Given(
+  'a long stream over three servers with a spare each, which {string}',
+  function set(this: SilentWorld, limit: string) {
+    this.stream = LIMITED_STREAMS[limit]();
+  },
+);
+
 async function pauseServers(
   { stream }: SilentWorld,
   [servers, when, meanwhile]: readonly string[],
@@ -159,6 +172,19 @@
   },
 );
 
+Then(
+  'the log and the metrics tell that it was cut after it had begun, because of {string}',
+  function check(this: SilentWorld, obstacle: string) {
+    const { loggedDecisions, cuts } = this.stream.fixture;
+    const told = loggedDecisions.find(({ event }) => event === 'refuse')?.fields;
+    assert.ok(told);
+    const { begun, msLeft, obstacle: toldObstacle } = told as Record<string, unknown>;
+    assert.deepEqual({ begun, obstacle: toldObstacle }, { begun: true, obstacle });
+    assert.equal(typeof msLeft, 'number');
+    assert.deepEqual(cuts, [obstacle]);
+  },
+);
+
 Then('the long stream is {string}', function check(this: SilentWorld, outcome: string) {
   assert.equal(this.stream.caller.outcome, outcome);
 });
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -17,6 +17,7 @@
 import { guardListener } from './ListenerGuard.js';
 import { REFUSAL_MESSAGES } from './RefusalMessages.js';
 import { RelayEnd, type AssignedRequest, type RelayDependencies } from './RelayDependencies.js';
+import { RetryObstacle } from './RetryObstacle.js';
 import { SendTracker } from './SendTracker.js';
 import {
   CallFailure,
@@ -56,6 +57,9 @@
 
   protected ended = false;
 
+  /** Whether the caller has a part of an answer. */
+  protected hasBegun = false;
+
   /** Whether a server has answered the request, so that it is not what crashes servers. */
   private isProven = false;
 
@@ -79,6 +83,9 @@
   /** What the answer to the last send tells of its servers; undefined once their route has changed. */
   private trial: PaceTrial | undefined;
 
+  /** Why the request was not sent once more after the last send; undefined if that was not tried. */
+  private obstacle: RetryObstacle | undefined;
+
   private readonly endListeners: ((relay: BaseRelay) => void)[] = [];
 
   public constructor(
@@ -319,16 +326,13 @@
    * Resends the request if a server is available and the route's server limit, the retry budget and the
    * remaining time allow it.
    * @param failed - server that new routes avoid from now on
-   * @returns false if the request may not be resent
+   * @returns why the request was not resent; undefined if it was
    */
-  protected retry(reason: RetryReason, failed: string): boolean {
-    const { clock, counters, decisions } = this.dependencies;
+  protected retry(reason: RetryReason, failed: string): RetryObstacle | undefined {
     this.avoidedServers.add(failed);
-    if (this.ended || this.msLeft < MIN_SEND_MS) return false;
-    if (!this.sendTracker.hasRetryBudget(clock.now())) return false;
-    const target = this.chooseTarget();
-    if (target === undefined || !this.sendTracker.allowsServer(target.server)) return false;
-    if (!this.mayBeSent()) return false;
+    const target = this.findRetryTarget();
+    if (typeof target === 'string') return this.noteObstacle(reason, failed, target);
+    const { clock, counters, decisions } = this.dependencies;
     counters.countRetry(reason);
     decisions.record('retry', {
       id: this.assigned.request.id,
@@ -338,8 +342,41 @@
       sends: this.sendTracker.sendCount,
       ageMs: Math.round(clock.now() - this.assigned.request.arrivedAt),
     });
+    this.obstacle = undefined;
     this.send(target);
-    return true;
+    return undefined;
+  }
+
+  private findRetryTarget(): SendTarget | RetryObstacle {
+    if (this.ended || this.msLeft < MIN_SEND_MS) return RetryObstacle.Time;
+    if (!this.sendTracker.hasRetryBudget(this.dependencies.clock.now()))
+      return RetryObstacle.RetryBudget;
+    const target = this.chooseTarget();
+    if (target === undefined)
+      return this.sendTracker.isServerLimitReached
+        ? RetryObstacle.ServerLimit
+        : RetryObstacle.NoRoute;
+    if (!this.sendTracker.allowsServer(target.server)) return RetryObstacle.ServerLimit;
+    return this.mayBeSent() ? target : RetryObstacle.Quarantined;
+  }
+
+  /** Logs why the request was not resent, once for each send and obstacle. */
+  protected noteObstacle(
+    reason: RetryReason,
+    failed: string,
+    obstacle: RetryObstacle,
+  ): RetryObstacle {
+    if (this.obstacle !== obstacle && !this.ended)
+      this.dependencies.decisions.record('not-resent', {
+        id: this.assigned.request.id,
+        reason,
+        failed,
+        obstacle,
+        sends: this.sendTracker.sendCount,
+        msLeft: Math.round(this.msLeft),
+      });
+    this.obstacle = obstacle;
+    return obstacle;
   }
 
   /**
@@ -520,6 +557,7 @@
       sends: this.sendTracker.sendCount,
       servers: [...this.sendTracker.usedServers].join(','),
       ms: Math.round(clock.now() - request.arrivedAt),
+      ...(end !== RelayEnd.Complete && this.describeBegun()),
     });
     for (const listener of this.endListeners) listener(this);
   }
@@ -535,6 +573,7 @@
     const { counters, decisions, deployments } = this.dependencies;
     const { request, reply, service } = this.assigned;
     counters.countRefusal(reason);
+    if (this.hasBegun) counters.countCut(this.obstacle ?? reason);
     decisions.record('refuse', {
       id: request.id,
       reason,
@@ -544,6 +583,8 @@
       avoided: [...this.avoidedServers].join(','),
       servers: countUsable(this.dependencies, service.name),
       retryAfterMs: Math.round(retryAfterMs),
+      ...(this.obstacle !== undefined && { obstacle: this.obstacle }),
+      ...this.describeBegun(),
       ...(isQuarantine(reason) ? this.explainQuarantine() : this.explainNoRoute()),
       ticket: deployments.ticket,
     });
@@ -558,6 +599,11 @@
     sendRefusal();
   }
 
+  /** What is told of an answer that has begun and ends before it is complete. */
+  private describeBegun(): DecisionFields {
+    return this.hasBegun ? { begun: true, msLeft: Math.round(this.msLeft) } : {};
+  }
+
   private explainQuarantine(): DecisionFields {
     const { quarantine, clock } = this.dependencies;
     const [found] = quarantine.find(this.assigned.inputs);
--- a/src/core/relay/CallRelay.ts
+++ b/src/core/relay/CallRelay.ts
@@ -69,7 +69,7 @@
     if (this.verdict === AnswerVerdict.NotRun) {
       this.recordRejection(server, true);
       // Rejections and failure statuses count as StageFailed, also for plain services, which have no stages.
-      if (this.isIdempotent && this.retry(RetryReason.StageFailed, server)) return;
+      if (this.isIdempotent && this.isResent(RetryReason.StageFailed, server)) return;
       this.failWith(RefusalReason.ServerLost);
       return;
     }
@@ -77,7 +77,7 @@
     if (this.verdict === AnswerVerdict.ForwardIfLast) {
       if (this.failedAnswer !== undefined) this.discard(this.failedAnswer.chunks);
       this.failedAnswer = { head, chunks: this.chunks };
-      if (this.retry(RetryReason.StageFailed, server)) return;
+      if (this.isResent(RetryReason.StageFailed, server)) return;
     }
     this.dependencies.directory.noteAlive(server);
     this.recordAcceptance([server], this.verdict === AnswerVerdict.Forward);
@@ -90,7 +90,7 @@
     this.sendTracker.recordResult(!notSent);
     if (notSent) this.sendTracker.releaseServer(server);
     if (failure !== CallFailure.MismatchedAnswer) this.dependencies.directory.suspect(server);
-    if ((notSent || this.isIdempotent) && this.retry(retryReason(failure), server)) return;
+    if ((notSent || this.isIdempotent) && this.isResent(retryReason(failure), server)) return;
     if (this.failedAnswer !== undefined) {
       this.deliver(this.failedAnswer.head, this.failedAnswer.chunks);
       return;
@@ -98,6 +98,11 @@
     this.failWith(lossReason(failure));
   }
 
+  /** Resends the request if it may be. */
+  private isResent(reason: RetryReason, failed: string): boolean {
+    return this.retry(reason, failed) === undefined;
+  }
+
   private deliver(head: AnswerHead, chunks: readonly Buffer[]): void {
     const { request, reply, route } = this.assigned;
     this.dependencies.counters.recordFirstByte(
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -18,6 +18,7 @@
 import type { ServerLoad } from '../routing/ServerLoad.js';
 import type { Stage } from '../routing/Types.js';
 import type { StandstillGuard } from '../standstill/StandstillGuard.js';
+import type { RetryObstacle } from './RetryObstacle.js';
 import type { SlowStreamProbe } from './SlowStreamProbe.js';
 import type { CallerReply, CallerRequest, ServerPort } from './Types.js';
 
@@ -54,6 +55,11 @@
   /** Counts a request that an unexpected error ended. */
   countError(kind: string): void;
   countRetry(reason: RetryReason): void;
+  /**
+   * Counts a stream that was cut after its answer had begun.
+   * @param cause - why it was not sent once more, or, if that was not tried, why it was given up
+   */
+  countCut(cause: RetryObstacle | RefusalReason): void;
   /** @param ms - time from the arrival of the request to the first byte of its answer, in milliseconds */
   recordFirstByte(kind: string, ms: number): void;
 }
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -17,6 +17,7 @@
 import { BaseRelay, lossReason, MAX_BUFFERED_BYTES, type SendTarget } from './BaseRelay.js';
 import { retryReason } from './CallRelay.js';
 import { EventSplitter } from './EventSplitter.js';
+import { RetryObstacle } from './RetryObstacle.js';
 import { RelayEnd, type WatchedStream } from './RelayDependencies.js';
 import {
   CallFailure,
@@ -81,8 +82,6 @@
   /** What may be done with the answer to the last send; undefined before its head. */
   private verdict: AnswerVerdict | undefined;
 
-  private answerBegun = false;
-
   /** Events of the last send. */
   private eventsOfSend = 0;
 
@@ -186,7 +185,7 @@
 
   protected override get resumeAfter(): string | undefined {
     const { lastId } = this.splitter;
-    return this.answerBegun && !Number.isNaN(lastId) ? String(lastId) : super.resumeAfter;
+    return this.hasBegun && !Number.isNaN(lastId) ? String(lastId) : super.resumeAfter;
   }
 
   protected override finish(end: RelayEnd): void {
@@ -202,7 +201,7 @@
   }
 
   protected override finishRefused(sendRefusal: () => void): void {
-    if (!this.answerBegun) {
+    if (!this.hasBegun) {
       super.finishRefused(sendRefusal);
       return;
     }
@@ -215,7 +214,7 @@
   }
 
   private get repeatPolicy(): RepeatPolicy {
-    if (this.answerBegun) return RepeatPolicy.ResumedStream;
+    if (this.hasBegun) return RepeatPolicy.ResumedStream;
     return this.assigned.route.resumable
       ? RepeatPolicy.RepeatableStream
       : RepeatPolicy.SingleStream;
@@ -266,14 +265,14 @@
     this.eventsOfSend += events;
     if (this.eventsOfSend >= PROVING_EVENTS) this.recordAnswer();
     this.recordEvent();
-    if (!this.answerBegun) this.beginAnswer();
+    if (!this.hasBegun) this.beginAnswer();
     this.writePart(bytes);
   }
 
   private recordEvent(): void {
     const { clock, directory, slowStreamProbe } = this.dependencies;
     const now = clock.now();
-    if (this.answerBegun) {
+    if (this.hasBegun) {
       const gap = now - this.lastEventAt;
       this.averageGapMs =
         this.averageGapMs === 0 ? gap : this.averageGapMs + SMOOTHING * (gap - this.averageGapMs);
@@ -286,7 +285,7 @@
   private beginAnswer(): void {
     const { request, reply, route } = this.assigned;
     reply.writeHead(this.head as AnswerHead);
-    this.answerBegun = true;
+    this.hasBegun = true;
     this.startPlace?.recordFirstEvent();
     this.endPrefill();
     this.recordAcceptance(this.stages.map(({ server }) => server));
@@ -302,7 +301,7 @@
       this.handleFailure(target, CallFailure.ConnectionLost);
       return;
     }
-    if (!this.answerBegun) this.beginAnswer();
+    if (!this.hasBegun) this.beginAnswer();
     // A server that crashes may end an undelimited stream after an event.
     if (this.head?.isDelimited === true) this.recordAnswer();
     this.finish(RelayEnd.Complete);
@@ -312,10 +311,10 @@
   /** Handles an answer that is not an event stream. */
   private handleOtherAnswer(target: SendTarget): void {
     const head = this.head as AnswerHead;
-    this.sendTracker.recordResult(!head.notExecuted || this.answerBegun);
+    this.sendTracker.recordResult(!head.notExecuted || this.hasBegun);
     if (head.notExecuted) {
       const blamed = this.blameServer(target, head);
-      if (this.retry(RetryReason.StageFailed, blamed)) return;
+      if (this.retry(RetryReason.StageFailed, blamed) === undefined) return;
       this.failWith(RefusalReason.ServerLost);
       return;
     }
@@ -358,11 +357,13 @@
     const { server } = target;
     const notSent = failure === CallFailure.NotSent || failure === CallFailure.ConnectTimeout;
     this.recordLoss(server, failure, this.eventsOfSend > 0);
-    this.sendTracker.recordResult(!notSent || this.answerBegun);
+    this.sendTracker.recordResult(!notSent || this.hasBegun);
     if (notSent) this.sendTracker.releaseServer(server);
     if (failure !== CallFailure.MismatchedAnswer) this.dependencies.directory.suspect(server);
+    const reason = retryReason(failure);
     const mayResend = notSent || this.assigned.route.resumable;
-    if (mayResend && this.retry(retryReason(failure), server)) return;
+    if (!mayResend) this.noteObstacle(reason, server, RetryObstacle.NotRepeatable);
+    else if (this.retry(reason, server) === undefined) return;
     this.failWith(lossReason(failure));
   }
 
@@ -370,7 +371,7 @@
   private resumeElsewhere(reason: RetryReason, failed: string): void {
     if (!this.assigned.route.resumable) return;
     this.sendTracker.recordResult(true);
-    if (this.retry(reason, failed)) return;
+    if (this.retry(reason, failed) === undefined) return;
     // The request cannot be resent, for example because there is no other server, and the failed one may
     // still recover.
     this.avoidedServers.delete(failed);
--- a/src/router/RouterMetrics.ts
+++ b/src/router/RouterMetrics.ts
@@ -14,6 +14,7 @@
 import type { PaceReason } from '../core/pace/Types.js';
 import type { RefusalReason, RetryReason } from '../core/Outcome.js';
 import type { RelayCounters, RelayEnd } from '../core/relay/RelayDependencies.js';
+import type { RetryObstacle } from '../core/relay/RetryObstacle.js';
 
 /** Longest recorded time in milliseconds; longer ones count as this. */
 const MAX_TRACKED_MS = 600_000;
@@ -64,6 +65,10 @@
     this.count(`acaciadrum_retries_total{reason="${reason}"}`);
   }
 
+  public countCut(cause: RetryObstacle | RefusalReason): void {
+    this.count(`acaciadrum_streams_cut_total{cause="${cause}"}`);
+  }
+
   public countAdmission(rank: number, end: AdmissionEnd): void {
     this.count(`acaciadrum_admissions_total{rank="${rank}",end="${end}"}`);
   }
