--- a/src/router/RouterMetrics.ts
+++ b/src/router/RouterMetrics.ts
@@ -14,6 +14,8 @@
 import type { PaceReason } from '../core/pace/Types.js';
 import type { RefusalReason, RetryReason } from '../core/Outcome.js';
 import type { RelayCounters, RelayEnd } from '../core/relay/RelayDependencies.js';
+import type { RetryObstacle } from '../core/relay/RetryObstacle.js';
+import type { SuccessionEnd } from '../core/relay/SuccessionLog.js';
 import type { StallCounters } from '../core/standstill/StallMonitor.js';
 
 /** Longest recorded time in milliseconds; longer ones count as this. */
@@ -65,6 +67,14 @@
     this.count(`acaciadrum_retries_total{reason="${reason}"}`);
   }
 
+  public countCut(cause: RetryObstacle | RefusalReason): void {
+    this.count(`acaciadrum_streams_cut_total{cause="${cause}"}`);
+  }
+
+  public countSuccession(end: SuccessionEnd): void {
+    this.count(`acaciadrum_successions_total{end="${end}"}`);
+  }
+
   public countAdmission(rank: number, end: AdmissionEnd): void {
     this.count(`acaciadrum_admissions_total{rank="${rank}",end="${end}"}`);
   }
