Tests: streams over two attempts stop inside an event, release their memory, and end their wait

The servers that pause in silent-servers.feature stop inside an event, so that joined pieces of two runs would show; each scenario checks that every call is closed and no memory of the request is counted any more. Four rows for a waiting answer: its server restarts, a part is quarantined before and after the request is proven sound, an error occurs.

--- a/features/core/relay/ScriptedStream.ts
+++ b/features/core/relay/ScriptedStream.ts
@@ -1,6 +1,11 @@
 /** A stream over fake servers that run it in virtual time: they send events, pause, reject and break off. */
 import { RelayDispatcher } from '../../../src/core/relay/RelayDispatcher.js';
-import { CallFailure, RerouteStatus, type Relay } from '../../../src/core/relay/Types.js';
+import {
+  CallFailure,
+  RerouteStatus,
+  type CallerRequest,
+  type Relay,
+} from '../../../src/core/relay/Types.js';
 import type { Stage } from '../../../src/core/routing/Types.js';
 import { FakeCaller } from '../FakeCaller.js';
 import type { RecordedCall } from '../FakeServers.js';
@@ -15,6 +20,9 @@
 /** Time from a send to its first event, in milliseconds. */
 const PREFILL_MS = 40;
 
+/** Beginning of an event. */
+const EVENT_START = 'id: ';
+
 /** Resolution of the servers' clock, in milliseconds. */
 const STEP_MS = 5;
 
@@ -28,6 +36,8 @@
   nextAt: number;
   stages: readonly Stage[];
   hasHead: boolean;
+  /** Whether the beginning of the next event has been sent. */
+  isInsideEvent: boolean;
 }
 
 function reject({ listener, call }: RecordedCall, stage: number): void {
@@ -50,6 +60,8 @@
 
   public readonly caller = new FakeCaller();
 
+  public readonly request: CallerRequest;
+
   public readonly relay: Relay;
 
   /** Servers that pause. */
@@ -85,11 +97,21 @@
       directory.put(backendServer(id, values));
       directory.put(backendServer(`${id}-spare`, { ...values, failureDomain: 'b' }));
     }
-    this.relay = new RelayDispatcher(dependencies).accept(this.fixture.request(), this.caller);
+    this.request = this.fixture.request();
+    this.relay = new RelayDispatcher(dependencies).accept(this.request, this.caller);
   }
 
-  /** Holds the events and the reports of servers back until the clock reaches `until`, in milliseconds. */
+  /**
+   * Holds the events and the reports of servers back until the clock reaches `until`, in milliseconds. Streams
+   * stop inside an event.
+   */
   public pause(ids: readonly string[], until: number): void {
+    for (const [{ disposed, listener }, run] of this.runs) {
+      if (disposed || !run.hasHead || !run.stages.some(({ server }) => ids.includes(server)))
+        continue;
+      listener.onData(Buffer.from(EVENT_START));
+      run.isInsideEvent = true;
+    }
     for (const id of ids) {
       this.paused.add(id);
       this.fixture.servers.silent.add(id);
@@ -139,7 +161,9 @@
       made.listener.onEnd();
       return;
     }
-    made.listener.onData(Buffer.from(`id: ${run.next}\ndata: x\n\n`));
+    const start = run.isInsideEvent ? '' : EVENT_START;
+    made.listener.onData(Buffer.from(`${start}${run.next}\ndata: x\n\n`));
+    run.isInsideEvent = false;
     run.next += 1;
     run.nextAt = now + PACE_MS;
   }
@@ -147,7 +171,9 @@
   private begin(made: RecordedCall): Run | undefined {
     const now = this.fixture.clock.now();
     const next = Number(made.call.resumeAfter ?? 0) + 1;
-    const run = { next, nextAt: now + PREFILL_MS, stages: made.call.stages, hasHead: false };
+    const { stages } = made.call;
+    const nextAt = now + PREFILL_MS;
+    const run = { next, nextAt, stages, hasHead: false, isInsideEvent: false };
     this.runs.set(made, run);
     if (made.call.server.id === 's1' || now >= this.reactsUntil || this.reaction === undefined)
       return run;
--- a/features/core/relay/silent-servers.feature
+++ b/features/core/relay/silent-servers.feature
@@ -1,7 +1,7 @@
 Feature: A stream keeps what it has until something better has begun
   # A stream of 120 events, one every 20 ms, over the layers of s1, s2 and s3. Each has a spare in another failure
   # domain, and the route allows two first servers. Servers that pause hold their events and their reports back, and
-  # go on. Reroutes are rejected. Meanwhile the next first server acts as said, and as usual afterwards.
+  # go on; they stop inside an event. Reroutes are rejected. Meanwhile the next first server acts as said, and as usual afterwards.
 
   # Guards against a running answer that is given up for a server that does not begin it, and is then cut.
   Scenario Outline: <servers> pause <when> for <ms> ms, and the next first server <meanwhile>
@@ -97,6 +97,20 @@
       | its time limit passes | no server can take it        | rejects it, and the connection to s1 is lost | cut     |
       | its caller leaves     | no server can take it        | rejects it, and the connection to s1 is lost | open    |
 
+  # Guards against an answer that waits for what does not come, or does not see that its server is back.
+  Scenario Outline: After <ms> ms an answer waits for a server: <change>
+    Given a long stream over three servers with a spare each
+    When its first server breaks off at <ms> ms, all others reject it, and 500 ms later "<change>"
+    Then the long stream is "<outcome>"
+
+    # A stream is proven sound by two events, 65 ms after its start.
+    Examples:
+      | ms   | change                      | outcome |
+      | 1600 | the first server restarts   | 200     |
+      | 50   | a part of it is quarantined | cut     |
+      | 1600 | a part of it is quarantined | open    |
+      | 1600 | an error occurs             | cut     |
+
   # Guards against a cut whose cause the log does not tell.
   Scenario Outline: An answer is cut that had begun and <limit>
     Given a long stream over three servers with a spare each, which "<limit>"
--- a/features/core/relay/silent-servers.steps.ts
+++ b/features/core/relay/silent-servers.steps.ts
@@ -38,6 +38,25 @@
   },
 };
 
+const CHANGES: Readonly<Record<string, (stream: ScriptedStream) => void>> = {
+  'the first server restarts': ({ fixture: { directory } }) => {
+    const record = directory.get('s1')?.record;
+    assert.ok(record);
+    directory.put({ ...record, revision: 1e6, incarnation: record.incarnation + 1 });
+  },
+  'a part of it is quarantined': ({ fixture: { quarantine } }) => {
+    const part = { part: 'part', crashes: 3, lastCrashAt: 0, heldUntil: Infinity };
+    Object.assign(quarantine, { find: () => [part], refuse: () => part });
+  },
+  'an error occurs': ({ fixture: { dependencies } }) => {
+    Object.assign(dependencies.routes, {
+      plan: () => {
+        throw new Error('unexpected');
+      },
+    });
+  },
+};
+
 const ENDINGS: Readonly<Record<string, (stream: ScriptedStream) => Promise<void>>> = {
   'its caller leaves': async ({ relay }) => relay.cancel(),
   'its time limit passes': (stream) => stream.run(WHOLE_REQUEST_MS),
@@ -135,6 +154,21 @@
   },
 );
 
+When(
+  'its first server breaks off at {int} ms, all others reject it, and 500 ms later {string}',
+  async function run(this: SilentWorld, ms: number, change: string) {
+    const { stream } = this;
+    await stream.run(ms);
+    stream.reaction = REACTIONS['rejects it'];
+    stream.reactsUntil = Infinity;
+    breakOff(stream);
+    await stream.run(500);
+    assert.equal(stream.caller.outcome, 'open');
+    CHANGES[change](stream);
+    await stream.run(3000);
+  },
+);
+
 Then(
   'the caller has the whole answer, each event once and in order',
   function check(this: SilentWorld) {
@@ -153,6 +187,8 @@
     assert.ok(firsts.size <= servers, [...firsts].join(','));
     assert.ok(calls.length <= sends, `${calls.length} sends`);
     assert.deepEqual([...this.stream.fixture.load.listOwnWork()], []);
+    assert.ok(calls.every(({ disposed }) => disposed));
+    assert.equal(this.stream.request.memory.bytes, 0);
   },
 );
 
