A waiting answer asks the servers that it lost for a sign of life

What callers would see: an answer that lost both servers of its route waited until its time limit although both worked, where no other stream showed that. Cause: a server that broke off may be tried again after a sign of life, but only silent servers are asked for one. Now a waiting answer asks the lost servers, through the silence detector and within its interval between two reports of a server.

"A stream that has lost both servers of its route goes on at the first one that answers" failed before (its answer was open). The servers of the two checks for a wait in vain now give no sign of life, as their texts say; ScriptedStream keeps the later end of two overlapping pauses.

--- a/features/core/relay/ScriptedStream.ts
+++ b/features/core/relay/ScriptedStream.ts
@@ -64,8 +64,8 @@
 
   public readonly relay: Relay;
 
-  /** Servers that pause. */
-  public readonly paused = new Set<string>();
+  /** Servers that pause, and the ends of their pauses on the clock, in milliseconds. */
+  private readonly pausedUntil = new Map<string, number>();
 
   /** What first servers other than s1 do until `reactsUntil`. */
   public reaction: Reaction | undefined;
@@ -107,18 +107,27 @@
    */
   public pause(ids: readonly string[], until: number): void {
     for (const [{ disposed, listener }, run] of this.runs) {
-      if (disposed || !run.hasHead || !run.stages.some(({ server }) => ids.includes(server)))
+      if (
+        disposed ||
+        run.isInsideEvent ||
+        !run.hasHead ||
+        !run.stages.some(({ server }) => ids.includes(server))
+      )
         continue;
       listener.onData(Buffer.from(EVENT_START));
       run.isInsideEvent = true;
     }
     for (const id of ids) {
-      this.paused.add(id);
+      this.pausedUntil.set(id, Math.max(until, this.pausedUntil.get(id) ?? 0));
       this.fixture.servers.silent.add(id);
-      this.fixture.clock.schedule(until - this.fixture.clock.now(), () => {
-        this.paused.delete(id);
-        this.fixture.servers.silent.delete(id);
-      });
+    }
+  }
+
+  private endPauses(): void {
+    for (const [id, until] of this.pausedUntil) {
+      if (until > this.fixture.clock.now()) continue;
+      this.pausedUntil.delete(id);
+      this.fixture.servers.silent.delete(id);
     }
   }
 
@@ -127,6 +136,7 @@
     const { clock } = this.fixture;
     const until = clock.now() + ms;
     while (clock.now() < until && this.caller.outcome === 'open') {
+      this.endPauses();
       for (const made of [...this.fixture.servers.calls]) this.advance(made);
       this.notePauses();
       await clock.runUntil(clock.now() + STEP_MS);
@@ -154,7 +164,7 @@
     if (run === undefined) return;
     this.applyReroutes(run);
     const now = this.fixture.clock.now();
-    if (now < run.nextAt || run.stages.some(({ server }) => this.paused.has(server))) return;
+    if (now < run.nextAt || run.stages.some(({ server }) => this.pausedUntil.has(server))) return;
     if (!run.hasHead) made.listener.onHead(answerHead());
     run.hasHead = true;
     if (run.next > EVENTS) {
--- a/features/core/relay/relays.feature
+++ b/features/core/relay/relays.feature
@@ -64,6 +64,7 @@
   # Guards against an answer that is cut, or sent again and again, while neither server of its route gives a sign of life.
   Scenario: A stream that has lost both servers of its route waits for them until its time limit
     Given a stream over two servers
+    And neither server gives a sign of life
     When the stream gets "e1 lost lost"
     Then the caller has "1" and its answer is "open"
     When 19999 ms of the 20000 ms for the stream have passed
@@ -72,6 +73,15 @@
     Then the caller has "1" and its answer is "cut"
     And the servers were asked to resume after "1"
 
+  # Guards against an answer that is cut although a server that broke off goes on.
+  Scenario: A stream that has lost both servers of its route goes on at the first one that answers
+    Given a stream over two servers
+    When the stream gets "e1 lost lost"
+    And 1000 ms of the 20000 ms for the stream have passed
+    And the stream gets "e2 end"
+    Then the caller has "12" and its answer is "200"
+    And the servers were asked to resume after "1 1"
+
   Scenario: A request rejected because of a later server is resent only to first servers already used, once there are two
     Given a stream of an engine with three servers of the first layers and two of the later ones
     When its first server rejects it, and the next one rejects it because of "later-0"
--- a/features/core/relay/relays.steps.ts
+++ b/features/core/relay/relays.steps.ts
@@ -290,6 +290,10 @@
   }
 });
 
+Given('neither server gives a sign of life', function set(this: RelayWorld) {
+  for (const server of ['first', 'second']) this.fixture.servers.silent.add(server);
+});
+
 When(
   '{int} ms of the 20000 ms for the stream have passed',
   async function run(this: RelayWorld, ms: number) {
--- a/features/core/relay/silent-servers.feature
+++ b/features/core/relay/silent-servers.feature
@@ -100,7 +100,7 @@
   # Guards against an answer that waits for what does not come, or does not see that its server is back.
   Scenario Outline: After <ms> ms an answer waits for a server: <change>
     Given a long stream over three servers with a spare each
-    When its first server breaks off at <ms> ms, all others reject it, and 500 ms later "<change>"
+    When its first server ends at <ms> ms, all others reject it, and 500 ms later "<change>"
     Then the long stream is "<outcome>"
 
     # A stream is proven sound by two events, 65 ms after its start.
--- a/features/core/relay/silent-servers.steps.ts
+++ b/features/core/relay/silent-servers.steps.ts
@@ -39,7 +39,8 @@
 };
 
 const CHANGES: Readonly<Record<string, (stream: ScriptedStream) => void>> = {
-  'the first server restarts': ({ fixture: { directory } }) => {
+  'the first server restarts': ({ fixture: { directory, servers } }) => {
+    servers.silent.delete('s1');
     const record = directory.get('s1')?.record;
     assert.ok(record);
     directory.put({ ...record, revision: 1e6, incarnation: record.incarnation + 1 });
@@ -85,7 +86,11 @@
 const LIMITED_STREAMS: Readonly<Record<string, () => ScriptedStream>> = {
   'may not be resumed': () => new ScriptedStream(undefined, false),
   'has no retry': () => new ScriptedStream(0),
-  'has a retry': () => new ScriptedStream(),
+  'has a retry': () => {
+    const stream = new ScriptedStream();
+    stream.fixture.servers.silent.add('s1');
+    return stream;
+  },
 };
 
 Given(
@@ -155,12 +160,13 @@
 );
 
 When(
-  'its first server breaks off at {int} ms, all others reject it, and 500 ms later {string}',
+  'its first server ends at {int} ms, all others reject it, and 500 ms later {string}',
   async function run(this: SilentWorld, ms: number, change: string) {
     const { stream } = this;
     await stream.run(ms);
     stream.reaction = REACTIONS['rejects it'];
     stream.reactsUntil = Infinity;
+    stream.fixture.servers.silent.add('s1');
     breakOff(stream);
     await stream.run(500);
     assert.equal(stream.caller.outcome, 'open');
--- a/src/core/relay/AvoidedServers.ts
+++ b/src/core/relay/AvoidedServers.ts
@@ -51,6 +51,14 @@
     return this.servers.keys();
   }
 
+  /** Ids of servers that were lost and have given no sign of life since then. */
+  public withoutSign(): string[] {
+    const ids: string[] = [];
+    for (const [id, { cause, since }] of this.servers)
+      if (cause === AvoidCause.Lost && this.directory.lastAliveAt(id) <= since) ids.push(id);
+    return ids;
+  }
+
   /**
    * Forgets servers that rejected the request, that have given a sign of life since they were lost, or that
    * have restarted.
--- a/src/core/relay/RelayDependencies.ts
+++ b/src/core/relay/RelayDependencies.ts
@@ -39,6 +39,8 @@
 /** Registers streams to be monitored; disposing the result unregisters the stream. */
 export interface StreamRegistry {
   add(stream: WatchedStream): Disposable;
+  /** Asks a server for a sign of life, unless it was asked a moment ago. */
+  askForReport(server: string): void;
 }
 
 /** How a request ended. */
--- a/src/core/relay/SilenceDetector.ts
+++ b/src/core/relay/SilenceDetector.ts
@@ -71,6 +71,12 @@
     return { dispose: () => this.streams.delete(stream) };
   }
 
+  public askForReport(server: string): void {
+    const known = this.dependencies.directory.get(server);
+    if (known === undefined || known.leaving) return;
+    if (this.mayRequestReport(server)) this.requestReport(server, known.record.address);
+  }
+
   public dispose(): void {
     this.timer?.dispose();
     this.timer = undefined;
@@ -127,8 +133,7 @@
       const isAlive = known.lastAliveAt > stream.lastEventAt + stream.silentAfterMs;
       const mayNameBlocker = server === stream.stages[0].server && this.isLongSilent(stream, now);
       if (isAlive && !mayNameBlocker) continue;
-      if (now - (this.reportRequestedAt.get(server) ?? -Infinity) >= REPORT_INTERVAL_MS)
-        this.requestReport(server, address);
+      if (this.mayRequestReport(server)) this.requestReport(server, address);
     }
     if (suspects.size > 0) stream.rerouteAround(suspects, RetryReason.Silence);
   }
@@ -143,6 +148,11 @@
     return now - stream.lastEventAt >= stream.silentAfterMs + REPORT_LAG_MS;
   }
 
+  private mayRequestReport(server: string): boolean {
+    const requestedAt = this.reportRequestedAt.get(server) ?? -Infinity;
+    return this.dependencies.clock.now() - requestedAt >= REPORT_INTERVAL_MS;
+  }
+
   private async requestReport(server: string, address: string): Promise<void> {
     const { clock, directory, port, decisions } = this.dependencies;
     const requestedAt = clock.now();
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -394,7 +394,9 @@
       this.failWith(failed.refusal);
       return;
     }
-    const { standstill } = this.dependencies;
+    const { standstill, streamRegistry } = this.dependencies;
+    // A server that was lost may be the only one that can take the answer.
+    for (const server of this.routes.avoided.withoutSign()) streamRegistry.askForReport(server);
     this.pause.onceOver(() =>
       standstill.whenInformed(() => {
         if (!this.ended && this.attempts.length === 0)
