--- a/features/core/relay/silent-servers.feature
+++ b/features/core/relay/silent-servers.feature
@@ -111,6 +111,12 @@
       | 1600 | a part of it is quarantined | open    |
       | 1600 | an error occurs             | cut     |
 
+  # Guards against joined pieces, calls and memory that are left, and cuts, in orders of events that nobody thought of.
+  Scenario: Servers pause, reject, break off and reroute, and callers read slowly, at random
+    Given 300 long streams with random troubles, seeds 1 and on
+    Then none of them was cut, and each that began is whole and in order
+    And each used at most 2 first servers, and left neither calls nor work nor memory
+
   # Guards against a cut whose cause the log does not tell.
   Scenario Outline: An answer is cut that had begun and <limit>
     Given a long stream over three servers with a spare each, which "<limit>"
--- a/features/core/relay/silent-servers.steps.ts
+++ b/features/core/relay/silent-servers.steps.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { CallFailure, RerouteStatus } from '../../../src/core/relay/Types.js';
+import { runWithTroubles } from './RandomTroubles.js';
 import { EVENTS, PACE_MS, REACTIONS, ScriptedStream } from './ScriptedStream.js';
 
 interface SilentWorld {
   stream: ScriptedStream;
+  streams: ScriptedStream[];
 }
 
 /** Events of the answer before something happens in mid-stream. */
@@ -233,3 +235,52 @@
 Then('the long stream is {string}', function check(this: SilentWorld, outcome: string) {
   assert.equal(this.stream.caller.outcome, outcome);
 });
+
+Given(
+  '{int} long streams with random troubles, seeds {int} and on',
+  async function set(this: SilentWorld, count: number, first: number) {
+    this.streams = [];
+    for (let seed = first; seed < first + count; seed += 1) {
+      const stream = new ScriptedStream();
+      await runWithTroubles(stream, seed);
+      await stream.run(WHOLE_REQUEST_MS);
+      this.streams.push(stream);
+    }
+  },
+);
+
+/** Whether a stream was refused before its first event, after a server broke off that may have run it. */
+function isRefusedInTime({ caller, fixture }: ScriptedStream): boolean {
+  const isLost = fixture.loggedDecisions.some(({ event }) => event === 'lost');
+  return isLost && caller.text === '' && caller.outcome === '502 unknown';
+}
+
+Then(
+  'none of them was cut, and each that began is whole and in order',
+  function check(this: SilentWorld) {
+    for (const [index, stream] of this.streams.entries()) {
+      const isWhole = stream.caller.outcome === '200' && stream.isWhole;
+      assert.ok(isWhole || isRefusedInTime(stream), `stream ${index}: ${stream.caller.outcome}`);
+    }
+  },
+);
+
+Then(
+  'each used at most {int} first servers, and left neither calls nor work nor memory',
+  function check(this: SilentWorld, servers: number) {
+    for (const [index, { fixture, request }] of this.streams.entries()) {
+      const { calls } = fixture.servers;
+      assert.ok(
+        new Set(calls.map(({ call }) => call.server.id)).size <= servers,
+        `stream ${index}`,
+      );
+      assert.ok(
+        calls.every(({ disposed }) => disposed),
+        `stream ${index}`,
+      );
+      assert.deepEqual([...fixture.load.listOwnWork()], [], `stream ${index}`);
+      assert.equal(request.memory.bytes, 0, `stream ${index}`);
+      assert.ok(!fixture.loggedDecisions.some(({ event }) => event === 'request-error'));
+    }
+  },
+);
