--- a/features/core/relay/silent-servers.steps.ts
+++ b/features/core/relay/silent-servers.steps.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { CallFailure, RerouteStatus } from '../../../src/core/relay/Types.js';
+import { runWithTroubles } from './RandomTroubles.js';
 import { EVENTS, PACE_MS, REACTIONS, ScriptedStream } from './ScriptedStream.js';
 
 interface SilentWorld {
   stream: ScriptedStream;
+  streams: ScriptedStream[];
 }
 
 /** Events of the answer before something happens in mid-stream. */
@@ -38,6 +40,26 @@
   },
 };
 
+const CHANGES: Readonly<Record<string, (stream: ScriptedStream) => void>> = {
+  'the first server restarts': ({ fixture: { directory, servers } }) => {
+    servers.silent.delete('s1');
+    const record = directory.get('s1')?.record;
+    assert.ok(record);
+    directory.put({ ...record, revision: 1e6, incarnation: record.incarnation + 1 });
+  },
+  'a part of it is quarantined': ({ fixture: { quarantine } }) => {
+    const part = { part: 'part', crashes: 3, lastCrashAt: 0, heldUntil: Infinity };
+    Object.assign(quarantine, { find: () => [part], refuse: () => part });
+  },
+  'an error occurs': ({ fixture: { dependencies } }) => {
+    Object.assign(dependencies.routes, {
+      plan: () => {
+        throw new Error('unexpected');
+      },
+    });
+  },
+};
+
 const ENDINGS: Readonly<Record<string, (stream: ScriptedStream) => Promise<void>>> = {
   'its caller leaves': async ({ relay }) => relay.cancel(),
   'its time limit passes': (stream) => stream.run(WHOLE_REQUEST_MS),
@@ -66,7 +88,11 @@
 const LIMITED_STREAMS: Readonly<Record<string, () => ScriptedStream>> = {
   'may not be resumed': () => new ScriptedStream(undefined, false),
   'has no retry': () => new ScriptedStream(0),
-  'has a retry': () => new ScriptedStream(),
+  'has a retry': () => {
+    const stream = new ScriptedStream();
+    stream.fixture.servers.silent.add('s1');
+    return stream;
+  },
 };
 
 Given(
@@ -135,6 +161,22 @@
   },
 );
 
+When(
+  'its first server ends at {int} ms, all others reject it, and 500 ms later {string}',
+  async function run(this: SilentWorld, ms: number, change: string) {
+    const { stream } = this;
+    await stream.run(ms);
+    stream.reaction = REACTIONS['rejects it'];
+    stream.reactsUntil = Infinity;
+    stream.fixture.servers.silent.add('s1');
+    breakOff(stream);
+    await stream.run(500);
+    assert.equal(stream.caller.outcome, 'open');
+    CHANGES[change](stream);
+    await stream.run(3000);
+  },
+);
+
 Then(
   'the caller has the whole answer, each event once and in order',
   function check(this: SilentWorld) {
@@ -153,6 +195,8 @@
     assert.ok(firsts.size <= servers, [...firsts].join(','));
     assert.ok(calls.length <= sends, `${calls.length} sends`);
     assert.deepEqual([...this.stream.fixture.load.listOwnWork()], []);
+    assert.ok(calls.every(({ disposed }) => disposed));
+    assert.equal(this.stream.request.memory.bytes, 0);
   },
 );
 
@@ -191,3 +235,52 @@
 Then('the long stream is {string}', function check(this: SilentWorld, outcome: string) {
   assert.equal(this.stream.caller.outcome, outcome);
 });
+
+Given(
+  '{int} long streams with random troubles, seeds {int} and on',
+  async function set(this: SilentWorld, count: number, first: number) {
+    this.streams = [];
+    for (let seed = first; seed < first + count; seed += 1) {
+      const stream = new ScriptedStream();
+      await runWithTroubles(stream, seed);
+      await stream.run(WHOLE_REQUEST_MS);
+      this.streams.push(stream);
+    }
+  },
+);
+
+/** Whether a stream was refused before its first event, after a server broke off that may have run it. */
+function isRefusedInTime({ caller, fixture }: ScriptedStream): boolean {
+  const isLost = fixture.loggedDecisions.some(({ event }) => event === 'lost');
+  return isLost && caller.text === '' && caller.outcome === '502 unknown';
+}
+
+Then(
+  'none of them was cut, and each that began is whole and in order',
+  function check(this: SilentWorld) {
+    for (const [index, stream] of this.streams.entries()) {
+      const isWhole = stream.caller.outcome === '200' && stream.isWhole;
+      assert.ok(isWhole || isRefusedInTime(stream), `stream ${index}: ${stream.caller.outcome}`);
+    }
+  },
+);
+
+Then(
+  'each used at most {int} first servers, and left neither calls nor work nor memory',
+  function check(this: SilentWorld, servers: number) {
+    for (const [index, { fixture, request }] of this.streams.entries()) {
+      const { calls } = fixture.servers;
+      assert.ok(
+        new Set(calls.map(({ call }) => call.server.id)).size <= servers,
+        `stream ${index}`,
+      );
+      assert.ok(
+        calls.every(({ disposed }) => disposed),
+        `stream ${index}`,
+      );
+      assert.deepEqual([...fixture.load.listOwnWork()], [], `stream ${index}`);
+      assert.equal(request.memory.bytes, 0, `stream ${index}`);
+      assert.ok(!fixture.loggedDecisions.some(({ event }) => event === 'request-error'));
+    }
+  },
+);
