Our own listeners, too, answer what was read before a broken head

Callers saw: 400 or 408 as the answer to a completion or a call in progress on our own interface, when bytes that are no request, or half a head, came after it on its connection. The same cause as at the router's listener: Node's default handler.

BrokenConnections counts the requests that were read whole itself and moves to src/adapters/http, so that every server of an entry instance has it, and ConnectionGuard no longer counts for it.

--- a/src/platform/BrokenConnections.ts
+++ b/src/adapters/http/BrokenConnections.ts
@@ -1,6 +1,5 @@
-import type { Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { ConnectionGuard } from '../adapters/http/ConnectionGuard.js';
 
 /** Status lines of refusals by Node's error code. */
 const STATUS_LINES: Readonly<Record<string, string>> = {
@@ -22,25 +21,43 @@
  * place of the answers to the requests before it; here it waits for them, and the connection then closes.
  */
 export class BrokenConnections {
-  private readonly sockets = new WeakSet<Socket>();
+  private readonly broken = new WeakSet<Socket>();
 
-  public constructor(
-    server: Server,
-    private readonly guard: ConnectionGuard,
-  ) {
+  /** Number of requests that have been read to their end and not been answered, by connection. */
+  private readonly awaited = new WeakMap<Socket, number>();
+
+  /** Watches the connections of a server, which does not listen yet. */
+  public attach(server: Server): void {
+    server.on('request', (request, response) => this.watch(request, response));
     server.on('clientError', (error: NodeJS.ErrnoException, stream) =>
       this.handleError(error.code ?? '', stream as Socket),
     );
   }
 
-  public has(socket: Socket): boolean {
-    return this.sockets.has(socket);
+  /** Whether a connection closes after the answer that is next on it, because nothing after it can be read. */
+  public closesAfterAnswer(socket: Socket): boolean {
+    return this.broken.has(socket) && this.awaitedOn(socket) <= 1;
+  }
+
+  private awaitedOn(socket: Socket): number {
+    return this.awaited.get(socket) ?? 0;
+  }
+
+  private watch(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request;
+    request.once('end', () => {
+      this.awaited.set(socket, this.awaitedOn(socket) + 1);
+      response.once('close', () => this.awaited.set(socket, this.awaitedOn(socket) - 1));
+    });
+    response.once('finish', () => {
+      if (this.closesAfterAnswer(socket)) socket.end();
+    });
   }
 
   private handleError(code: string, socket: Socket): void {
     const isGone = !socket.writable || socket.readableEnded;
-    if (!isGone && this.guard.awaitedRequests(socket) > 0) {
-      this.sockets.add(socket);
+    if (!isGone && this.awaitedOn(socket) > 0) {
+      this.broken.add(socket);
       return;
     }
     if (!isGone && !hasBegunAnswer(socket)) {
--- a/src/adapters/http/ConnectionGuard.ts
+++ b/src/adapters/http/ConnectionGuard.ts
@@ -48,11 +48,6 @@
     return this.guarded.get(socket)?.openRequests ?? 0;
   }
 
-  /** Number of requests of a connection that have been read to their end and not been answered. */
-  public awaitedRequests(socket: Socket): number {
-    return this.guarded.get(socket)?.awaitedRequests ?? 0;
-  }
-
   /**
    * Counts a request until its answer has been written or its connection is closed.
    * @param onEnd - called then
--- a/src/adapters/http/GuardedConnection.ts
+++ b/src/adapters/http/GuardedConnection.ts
@@ -53,11 +53,6 @@
     return this.endsOfRequests.size;
   }
 
-  /** Number of requests that have been read to their end and whose answers have not been written. */
-  public get awaitedRequests(): number {
-    return this.openRequests - this.unreadRequests;
-  }
-
   public get movedBytes(): number {
     // Bytes that wait in this process have not been taken by the client.
     return this.socket.bytesRead + this.socket.bytesWritten - this.socket.writableLength;
--- a/src/adapters/http/JsonServer.ts
+++ b/src/adapters/http/JsonServer.ts
@@ -1,5 +1,6 @@
 /** HTTP server for JSON endpoints, with size and time limits. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { BrokenConnections } from './BrokenConnections.js';
 import { hostAndPort, readBody } from './HttpClient.js';
 
 /** A request to a JSON endpoint. */
@@ -39,6 +40,7 @@
     },
     listener,
   );
+  new BrokenConnections().attach(server);
   return server;
 }
 
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { setImmediate as readArrivedInput } from 'node:timers/promises';
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
+import { BrokenConnections } from '../adapters/http/BrokenConnections.js';
 import { ConnectionGuard, type ConnectionEndListener } from '../adapters/http/ConnectionGuard.js';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
 import type { ConnectionBudget } from '../core/limits/ConnectionBudget.js';
@@ -11,7 +12,6 @@
 import type { CallerLimits } from '../core/deployment/Types.js';
 import type { CallerReply, CallerRequest, Relay } from '../core/relay/Types.js';
 import type { Clock } from '../ports/Types.js';
-import { BrokenConnections } from './BrokenConnections.js';
 import { HttpReply, onceNext } from './HttpReply.js';
 import {
   BODY_TOO_LARGE,
@@ -74,7 +74,7 @@
 
   private readonly guard: ConnectionGuard;
 
-  private readonly broken: BrokenConnections;
+  private readonly broken = new BrokenConnections();
 
   /** Ends the requests whose answers are not finished, by their responses. */
   private readonly openRequests = new Map<ServerResponse, () => void>();
@@ -88,7 +88,7 @@
       (request, response) => this.receive(request, response),
     );
     this.guard = new ConnectionGuard(this.server, dependencies);
-    this.broken = new BrokenConnections(this.server, this.guard);
+    this.broken.attach(this.server);
     this.server.requestTimeout = 0;
     // The size of a head bounds its fields. With a bound on their number, Node would omit the others.
     this.server.maxHeadersCount = 0;
@@ -154,7 +154,7 @@
 
   /** Whether a connection closes after the answer that is next on it, because no other request can be answered. */
   private closesAfterAnswer(socket: Socket): boolean {
-    if (this.broken.has(socket)) return this.guard.awaitedRequests(socket) <= 1;
+    if (this.broken.closesAfterAnswer(socket)) return true;
     return this.dependencies.isLeaving() && this.guard.openRequests(socket) <= 1;
   }
 
