Tests: processes that do not become ready say why

'the awaited condition did not hold within the time limit', once in 18 plays of processes.feature beside two busy loops, told nothing: the output of the processes went nowhere. It now goes to files beside their settings, and the failed check prints its end and the exit codes. The check itself is as it was.

--- a/features/entry/processes.steps.ts
+++ b/features/entry/processes.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
-import { execFile, spawn, type ChildProcess } from 'node:child_process';
+import { execFile, spawn, type ChildProcess, type StdioOptions } from 'node:child_process';
 import { createHash } from 'node:crypto';
-import { mkdtemp, writeFile } from 'node:fs/promises';
+import { mkdtemp, open, readFile, writeFile } from 'node:fs/promises';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -54,15 +54,32 @@
 ): Promise<ChildProcess> {
   const file = join(world.folder, `${name}.yaml`);
   await writeFile(file, stringify(settings));
-  const child = spawn(process.execPath, [MAIN, command, '--settings', file], { stdio: 'ignore' });
+  const log = await open(join(world.folder, `${name}.log`), 'w');
+  const stdio: StdioOptions = ['ignore', log.fd, log.fd];
+  const child = spawn(process.execPath, [MAIN, command, '--settings', file], { stdio });
+  await log.close();
   world.children.push(child);
   return child;
 }
 
-async function waitUntilTrue(holds: () => Promise<boolean>): Promise<void> {
+/** Describes each process by the end of its output, for the message of a failed check. */
+async function describeProcesses(world: ProcessWorld): Promise<string> {
+  const described: string[] = [];
+  for (const { exitCode, spawnargs } of world.children) {
+    const settings = spawnargs.at(-1) as string;
+    const output = await readFile(settings.replace(/yaml$/, 'log'), 'utf8');
+    described.push(`${settings}, exit code ${exitCode}:\n${output.slice(-500)}`);
+  }
+  return described.join('\n');
+}
+
+async function waitUntilTrue(world: ProcessWorld, holds: () => Promise<boolean>): Promise<void> {
   const deadline = Date.now() + START_TIMEOUT_MS;
   while (!(await holds())) {
-    assert.ok(Date.now() < deadline, 'the awaited condition did not hold within the time limit');
+    if (Date.now() >= deadline)
+      assert.fail(
+        `the awaited condition did not hold within the time limit\n${await describeProcesses(world)}`,
+      );
     await new Promise((resolve) => {
       setTimeout(resolve, POLL_INTERVAL_MS);
     });
@@ -118,7 +135,7 @@
       servers.push({ name, address });
     }
     await writeFile(join(this.folder, 'ticket.yaml'), createTicket(servers));
-    await waitUntilTrue(async () => {
+    await waitUntilTrue(this, async () => {
       const answers = await Promise.all(
         this.entries.map(({ callers }) =>
           sendRequest({ address: callers, method: 'GET', path: '/readyz' }),
@@ -179,7 +196,7 @@
       'model',
     ]);
     assert.match(explained.stdout, /since ticket 1[^]*First ticket/);
-    await waitUntilTrue(async () => {
+    await waitUntilTrue(this, async () => {
       const body = JSON.stringify({ model: 'model', prompt: 'x', max_tokens: 1 });
       const answers = await Promise.all(
         this.entries.map(({ callers }) =>
