Tests: keyed bookings whose servers fall silent and go on

All plain servers of the demo fleet hold everything for 0.8 and 2.5 s while a booking with one key comes through three instances: one run, the same answer three times after the silence, and the next booking is answered at once. Both pass: no fault found here.

--- a/features/entry/fleet.feature
+++ b/features/entry/fleet.feature
@@ -57,6 +57,18 @@
     Then every answer is the same and the booking ran once
     And the same key with another body is refused as "claim-mismatch"
 
+  # Guards against a keyed booking that is refused or runs twice, since the servers of its service fall silent and go on.
+  Scenario Outline: A keyed booking whose servers fall silent for <ms> ms
+    When the plain servers fall silent for <ms> ms, and a booking with one key is sent through 3 instances
+    Then each answer to the keyed booking is complete and the same, and comes after the silence
+    And the keyed booking ran once
+    And a booking with another key is answered at once
+
+    Examples:
+      | ms   |
+      | 800  |
+      | 2500 |
+
   Scenario: The platform is down
     When the platform is down
     Then a keyed booking is refused as not run
