--- a/features/platform/router-process.feature
+++ b/features/platform/router-process.feature
@@ -49,3 +49,9 @@
     Given the process serves streams
     When it is suspended for 500 ms and goes on
     Then its log and its metrics tell of a stall of 400 ms or more
+
+  # Guards against a process that takes its own stall for the silence of its servers, and leaves sound ones.
+  Scenario: A process that is suspended for moments suspects no server that goes on
+    Given the process serves streams
+    When for 5 seconds long streams come, and it is suspended for 60 to 400 ms every 500 ms, seed 7
+    Then every long stream is complete, sent once, and no server was suspected
