Soak: an unexcused 502 counts as a lost request

502 is neither the server's answer nor a promise that the request did not run; only a fault explains it.

--- a/features/soak/LossChecker.ts
+++ b/features/soak/LossChecker.ts
@@ -72,9 +72,13 @@
   });
 }
 
+/** Status of an answer that says neither what a server answered nor that the request did not run. */
+const SERVER_LOST_STATUS = 502;
+
 /** Returns how an attempt was lost; undefined if it got a complete answer or was not read. */
 function lossOf(attempt: Attempt, isPassedOn: boolean): string | undefined {
   const { status, isComplete, isConnected, sentAt, endedAt, deadlineMs } = attempt;
+  if (status === SERVER_LOST_STATUS) return 'lost its server (502)';
   if ((status > 0 && isComplete) || !isConnected) return undefined;
   const lastedMs = endedAt - sentAt;
   if (status > 0)
--- a/features/soak/losses.feature
+++ b/features/soak/losses.feature
@@ -12,6 +12,7 @@
       | end                                | fault    | verdict        |
       | is answered completely             | no fault | was not lost   |
       | is refused                         | no fault | was not lost   |
+      | is told that its server is lost    | no fault | was lost       |
       | is cut off after 2 s               | no fault | was lost       |
       | is cut off at its deadline         | no fault | was not lost   |
       | is without an answer after 0.05 s  | no fault | was lost       |
--- a/features/soak/losses.steps.ts
+++ b/features/soak/losses.steps.ts
@@ -27,6 +27,7 @@
 const ENDS: Readonly<Record<string, End>> = {
   'is answered completely': { status: 200, isComplete: true, lastedMs: 2000 },
   'is refused': { status: 503, isComplete: true, lastedMs: 2000 },
+  'is told that its server is lost': { status: 502, isComplete: true, lastedMs: 2000 },
   'is cut off after 2 s': { status: 200, lastedMs: 2000 },
   'is cut off at its deadline': { status: 200, lastedMs: DEADLINE_MS },
   'is without an answer after 0.05 s': { status: 0, lastedMs: 50 },
