A silent first server's stream is not sent on and on to a server that fails it

What callers and servers saw: a stream without an event so far, whose first server is silent, was sent to the next one; that one's own failure (status 500) was dropped, because the first may still answer, but the server was not avoided and no pause began. Each check for silence sent the request again: 51 sends in 2.5 s, until the service's whole retry budget was spent. Now such a failure counts like a rejection: other servers first, and a pause that grows.

The failure answer itself was and is not kept for the caller.

--- a/features/core/relay/ScriptedStream.ts
+++ b/features/core/relay/ScriptedStream.ts
@@ -41,6 +41,10 @@
   'rejects it because of a later server': (made) => reject(made, 1),
   'rejects it, and the connection to s1 is lost': (made) => reject(made, 0),
   'loses the connection': ({ listener }) => listener.onFailure(CallFailure.ConnectionLost),
+  'answers with a failure': ({ listener }) => {
+    listener.onHead(answerHead({ status: 500 }));
+    listener.onEnd();
+  },
   'pauses as well': undefined,
   begins: undefined,
 };
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -281,6 +281,8 @@
     if (head.status >= FIRST_FAILURE_STATUS && this.attempts.length > 1) {
       this.recordFailure(attempt);
       this.endAttempt(attempt, true);
+      this.avoid(RetryReason.StageFailed, attempt.server);
+      this.pause.extend();
       return;
     }
     this.continueWith(attempt);
