A waiting stream of a plain service looks for the servers that it may use

What callers saw: a begun answer of a plain service that waits for one of the servers of its route (`attempts` used up) waited until its time limit and was cut, while one of these servers could take it. Cause: the choice of a plain server did not know of the limit; whenever a server beyond it looked better, that one was chosen and then not allowed. Routes through engines are restricted to used first servers already; plain services now are as well.

The scenario failed before: "'open' !== '200'" after 3 s with a free server, and passes now.

--- a/features/core/relay/resend-pace.feature
+++ b/features/core/relay/resend-pace.feature
@@ -6,3 +6,9 @@
     When "s1" pause "before the first event" for 2500 ms while the next first server "answers with a failure"
     Then the caller has the whole answer, each event once and in order
     And it took at most 2 first servers and 10 sends, and left nothing open
+
+  # Guards against a begun answer of a plain service that waits in vain beside a server that may have it.
+  Scenario: A begun stream of a plain service waits for a server that it has used, beside one that is beyond its limit
+    Given a begun stream of a plain service with 3 servers, of which its route allows 2
+    When its plain server breaks off, and the next one rejects it for 300 ms
+    Then within 3000 ms the stream runs on at one of its 2 plain servers
--- a/src/core/relay/RequestRoutes.ts
+++ b/src/core/relay/RequestRoutes.ts
@@ -98,6 +98,11 @@
 
   private choosePlainTarget(): SendTarget | undefined {
     const { directory, load, localDomain, serverAdmission, pace } = this.dependencies;
+    const avoid = new Set(this.avoided.ids());
+    if (this.sendTracker.isServerLimitReached) {
+      const used = this.sendTracker.usedServers;
+      for (const { record } of directory.all()) if (!used.has(record.id)) avoid.add(record.id);
+    }
     const server = choosePlainServer({
       directory,
       load,
@@ -105,7 +110,7 @@
       pace,
       service: this.assigned.service.name,
       localDomain,
-      avoid: new Set(this.avoided.ids()),
+      avoid,
     });
     return server && { server: server.record.id, stages: [] };
   }
