Pauses of waiting streams are spread, so that a full server is not asked by all of them at once

Cause: a server that rejects a request is passed over for 150 ms, but streams that lost their servers together waited for the same time and were sent together, before the first rejection came back. Each pause is now between half and one and a half of its length.

All 100 streams are complete within 4 s after the servers have room.

--- a/features/core/relay/resend-pace.feature
+++ b/features/core/relay/resend-pace.feature
@@ -12,3 +12,10 @@
     Given a begun stream of a plain service with 3 servers, of which its route allows 2
     When its plain server breaks off, and the next one rejects it for 300 ms
     Then within 3000 ms the stream runs on at one of its 2 plain servers
+
+  # Guards against a flood of sends from answers that wait while every server is full.
+  Scenario: 100 begun streams lose their servers, and every server is full for 10 s
+    Given 100 begun streams over two servers that hold the whole model
+    When all of them are lost, and both servers reject what they are sent for 10000 ms
+    Then no server of the two got more than 15 sends in any second
+    And all streams are complete within 4000 ms after that
--- a/src/core/relay/ResendPause.ts
+++ b/src/core/relay/ResendPause.ts
@@ -1,11 +1,17 @@
-import type { Clock, Disposable } from '../../ports/Types.js';
+import type { Clock, Disposable, Random } from '../../ports/Types.js';
 
 /** Pause after the first send in vain, in milliseconds; multiplied by their number in a row. */
 const FIRST_PAUSE_MS = 100;
 
-/** Longest pause, in milliseconds. */
+/** Longest pause before its spread, in milliseconds. */
 const MAX_PAUSE_MS = 1000;
 
+/**
+ * Least and greatest part of a pause: streams that lost their servers together would else be sent together, before
+ * the rejection of one keeps the others from a full server.
+ */
+const SPREAD = { from: 0.5, to: 1.5 };
+
 /** Spaces the sends of a stream that is not taken by any server. */
 export class ResendPause implements Disposable {
   /** Sends in vain, and times at which none was possible, in a row. */
@@ -15,7 +21,10 @@
 
   private timer: Disposable | undefined;
 
-  public constructor(private readonly clock: Clock) {}
+  public constructor(
+    private readonly clock: Clock,
+    private readonly random: Random,
+  ) {}
 
   /** Whether the stream may be sent now. */
   public get isOver(): boolean {
@@ -30,7 +39,9 @@
   /** Begins the next pause, which is longer than the one before. */
   public extend(): void {
     this.failures += 1;
-    this.nextAt = this.clock.now() + Math.min(MAX_PAUSE_MS, this.failures * FIRST_PAUSE_MS);
+    const pauseMs = Math.min(MAX_PAUSE_MS, this.failures * FIRST_PAUSE_MS);
+    const part = SPREAD.from + this.random.next() * (SPREAD.to - SPREAD.from);
+    this.nextAt = this.clock.now() + pauseMs * part;
   }
 
   /** Records an event; once the pause is over, the next send in vain is the first one again. */
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -60,7 +60,7 @@
 
   private startPlace: StartPlace | undefined;
 
-  private readonly pause = new ResendPause(this.dependencies.clock);
+  private readonly pause = new ResendPause(this.dependencies.clock, this.dependencies.random);
 
   private readonly successions = new SuccessionLog(this.dependencies);
 
