Tests: more ends of a request while two servers hold it

Eviction, a quarantine, an exception while the caller is written to, and, before the first event, the time limit and a caller who leaves: both calls are closed, no work is left and no call follows.

--- a/features/core/relay/silent-servers.feature
+++ b/features/core/relay/silent-servers.feature
@@ -96,6 +96,23 @@
       | its time limit passes | two servers hold the request | pauses as well                | cut     |
       | its time limit passes | no server can take it        | rejects it, and the connection to s1 is lost | cut     |
       | its caller leaves     | no server can take it        | rejects it, and the connection to s1 is lost | open    |
+      | its memory is needed  | two servers hold the request | pauses as well                | cut     |
+      | its memory is needed  | no server can take it        | rejects it, and the connection to s1 is lost | cut     |
+      | its caller cannot be written to | two servers hold the request | pauses as well      | cut     |
+
+  # Guards against calls that go on at servers after a request without any event has ended.
+  Scenario Outline: <end> while two servers hold a request that has no event: it is "<outcome>", and every call is closed
+    Given a long stream over three servers with a spare each
+    When "s1" pause before the first event while the next first server "pauses as well", until "<end>" after 600 ms
+    Then every call is closed, no work is left, and no call follows
+    And the long stream is "<outcome>"
+
+    Examples:
+      | end                         | outcome     |
+      | a part of it is quarantined | 502 unknown |
+      | its memory is needed        | 502 unknown |
+      | its time limit passes       | 504 unknown |
+      | its caller leaves           | open        |
 
   # Guards against a cut whose cause the log does not tell.
   Scenario Outline: An answer is cut that had begun and <limit>
--- a/features/core/relay/silent-servers.steps.ts
+++ b/features/core/relay/silent-servers.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { CallFailure, RerouteStatus } from '../../../src/core/relay/Types.js';
+import type { BaseRelay } from '../../../src/core/relay/BaseRelay.js';
 import { EVENTS, PACE_MS, REACTIONS, ScriptedStream } from './ScriptedStream.js';
 
 interface SilentWorld {
@@ -41,6 +42,21 @@
 const ENDINGS: Readonly<Record<string, (stream: ScriptedStream) => Promise<void>>> = {
   'its caller leaves': async ({ relay }) => relay.cancel(),
   'its time limit passes': (stream) => stream.run(WHOLE_REQUEST_MS),
+  'its memory is needed': async ({ relay }) => relay.evict(),
+  'its caller cannot be written to': (stream) => {
+    Object.assign(stream.caller, {
+      write: () => {
+        throw new Error('write after end');
+      },
+    });
+    stream.paused.clear();
+    return stream.run(WHOLE_REQUEST_MS);
+  },
+  'a part of it is quarantined': async ({ relay, fixture }) => {
+    const { dependencies } = fixture;
+    Object.assign(dependencies.quarantine, { find: () => [{ part: 'p', crashes: 3 }] });
+    (relay as BaseRelay).withdrawIfQuarantined();
+  },
 };
 
 Given('a long stream over three servers with a spare each', function set(this: SilentWorld) {
@@ -122,6 +138,23 @@
   },
 );
 
+When(
+  '{string} pause before the first event while the next first server {string}, until {string} after {int} ms',
+  async function run(
+    this: SilentWorld,
+    servers: string,
+    meanwhile: string,
+    end: string,
+    afterMs: number,
+  ) {
+    await pauseServers(this, [servers, 'before the first event', meanwhile], WHOLE_REQUEST_MS);
+    await this.stream.run(afterMs);
+    const open = this.stream.fixture.servers.calls.filter(({ disposed }) => !disposed);
+    assert.equal(open.length, 2);
+    await ENDINGS[end](this.stream);
+  },
+);
+
 When(
   '{string} happens in mid-stream and the next first server rejects it for {int} ms',
   async function run(this: SilentWorld, trouble: string, ms: number) {
