Relays: the answer recorder judges heads and finds the server that a rejection blames

Moved from BaseRelay and StreamRelay without a change of decisions; both relays had the same lines for a head.

--- a/src/core/relay/AnswerRecorder.ts
+++ b/src/core/relay/AnswerRecorder.ts
@@ -1,3 +1,4 @@
+import { AnswerVerdict, judgeAnswer, type RepeatPolicy } from './AnswerGate.js';
 import type { Attempt } from './Attempt.js';
 import type { AssignedRequest, RelayDependencies } from './RelayDependencies.js';
 import { CallFailure, type AnswerHead } from './Types.js';
@@ -23,14 +24,56 @@
     this.dependencies.quarantine.recordAnswer(this.assigned.inputs);
   }
 
+  /** Judges an answer by its head, and logs why it must not reach the caller if that is so. */
+  public judge(attempt: Attempt, head: AnswerHead, policy: RepeatPolicy): void {
+    this.recordHead(attempt, head);
+    const { verdict, reason } = judgeAnswer(head, policy);
+    Object.assign(attempt, { head, verdict });
+    if (verdict !== AnswerVerdict.Discard) return;
+    const { id } = this.assigned.request;
+    const { server } = attempt;
+    const { status } = head;
+    const { decisions } = this.dependencies;
+    decisions.record('answer-discarded', { id, server, reason, status, policy });
+  }
+
   /** Records what the head of an answer says about its server. */
-  public recordHead({ process }: Attempt, head: AnswerHead): void {
+  private recordHead({ process }: Attempt, head: AnswerHead): void {
     const { signed, notExecuted, misdirected, requestsPerSecond } = head;
     // Other heads may not be the server's own.
     if (misdirected || !(signed || notExecuted)) return;
     this.dependencies.serverLimits.recordAnswer(process, requestsPerSecond);
   }
 
+  /**
+   * Finds the server that a rejection blames and withholds new work from it: for a short time, or, if it is
+   * not the expected one or does not hold its layers, until its entry shows layers again.
+   * @param sends - number of sends so far
+   * @returns the id of the server
+   */
+  public blame(attempt: Attempt, head: AnswerHead, sends: number): string {
+    const { directory, decisions } = this.dependencies;
+    const { id } = this.assigned.request;
+    const { server, stages } = attempt;
+    const { status, blamedAddress, misdirected } = head;
+    const blamed = this.serverAt(attempt, blamedAddress) ?? server;
+    const isNamed = blamedAddress !== undefined || stages.length <= 1;
+    if (misdirected) directory.clearSpan(blamed);
+    else this.recordRejection(attempt, blamed, isNamed);
+    decisions.record('turned-away', { id, server, blamed, status, sends });
+    return blamed;
+  }
+
+  /**
+   * Finds the server at an address. The route is searched before the directory, because the address may
+   * belong to another server by now.
+   */
+  private serverAt({ stages }: Attempt, address: string | undefined): string | undefined {
+    if (address === undefined) return undefined;
+    const stage = stages.find((known) => known.address === address);
+    return stage?.server ?? this.dependencies.directory.findByAddress(address)?.record.id;
+  }
+
   /**
    * Logs the loss of a call, and has it examined whether the request crashed the server.
    * @param hasBegun - whether the server had begun the answer
--- a/src/core/relay/BaseRelay.ts
+++ b/src/core/relay/BaseRelay.ts
@@ -8,7 +8,6 @@
 import { describeRevision } from '../store/Revision.js';
 import { WorkReservation } from '../routing/WorkReservation.js';
 import { AnswerRecorder } from './AnswerRecorder.js';
-import { AnswerVerdict, judgeAnswer, type RepeatPolicy } from './AnswerGate.js';
 import type { Attempt, AttemptOpening, SendTarget } from './Attempt.js';
 import { AvoidCause } from './AvoidedServers.js';
 import { guardListener } from './ListenerGuard.js';
@@ -18,13 +17,7 @@
 import { RequestRoutes } from './RequestRoutes.js';
 import { RetryObstacle } from './RetryObstacle.js';
 import { SendTracker } from './SendTracker.js';
-import {
-  CallFailure,
-  MAX_URGENCY,
-  type AnswerHead,
-  type Relay,
-  type ServerCallListener,
-} from './Types.js';
+import { CallFailure, MAX_URGENCY, type Relay, type ServerCallListener } from './Types.js';
 
 /** Maximum size of an answer that is buffered, in bytes. `MemoryBudget` bounds all answers together. */
 export const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
@@ -379,26 +372,6 @@
     return obstacle;
   }
 
-  /**
-   * Judges the head of an answer, and logs why the answer must not reach the caller if that is so.
-   * @returns what may be done with the answer
-   */
-  protected judge(server: string, head: AnswerHead, policy: RepeatPolicy): AnswerVerdict {
-    const { verdict, reason } = judgeAnswer(head, policy);
-    if (verdict === AnswerVerdict.Discard) {
-      const { id } = this.assigned.request;
-      const { status } = head;
-      this.dependencies.decisions.record('answer-discarded', {
-        id,
-        server,
-        reason,
-        status,
-        policy,
-      });
-    }
-    return verdict;
-  }
-
   /** Whether the request may be sent, resumed or rerouted to further servers, as far as its inputs go. */
   protected mayBeSent(): boolean {
     const { quarantine } = this.dependencies;
--- a/src/core/relay/CallRelay.ts
+++ b/src/core/relay/CallRelay.ts
@@ -18,9 +18,7 @@
   protected listener(attempt: Attempt): ServerCallListener {
     return {
       onHead: (head) => {
-        this.recorder.recordHead(attempt, head);
-        attempt.head = head;
-        attempt.verdict = this.judge(attempt.server, head, this.repeatPolicy);
+        this.recorder.judge(attempt, head, this.repeatPolicy);
         if (attempt.verdict === AnswerVerdict.Discard)
           this.handleFailure(attempt, CallFailure.MismatchedAnswer);
       },
--- a/src/core/relay/StreamRelay.ts
+++ b/src/core/relay/StreamRelay.ts
@@ -126,9 +126,7 @@
   protected listener(attempt: StreamAttempt): ServerCallListener {
     return {
       onHead: (head) => {
-        this.recorder.recordHead(attempt, head);
-        attempt.head = head;
-        attempt.verdict = this.judge(attempt.server, head, this.repeatPolicy);
+        this.recorder.judge(attempt, head, this.repeatPolicy);
         if (attempt.verdict === AnswerVerdict.Discard)
           this.handleFailure(attempt, CallFailure.MismatchedAnswer);
       },
@@ -292,7 +290,7 @@
   }
 
   private handleRejection(attempt: StreamAttempt, head: AnswerHead): void {
-    const blamed = this.blameServer(attempt, head);
+    const blamed = this.recorder.blame(attempt, head, this.sendTracker.sendCount);
     this.goOnAfter(attempt, this.hasBegun, {
       isLatest: this.attempts.at(-1) === attempt,
       reason: RetryReason.StageFailed,
@@ -303,36 +301,6 @@
     });
   }
 
-  /**
-   * Finds the server at an address. The route is searched before the directory, because the address may
-   * belong to another server by now.
-   */
-  private serverAt({ stages }: StreamAttempt, address: string | undefined): string | undefined {
-    if (address === undefined) return undefined;
-    const stage = stages.find((known) => known.address === address);
-    return stage?.server ?? this.dependencies.directory.findByAddress(address)?.record.id;
-  }
-
-  /**
-   * Finds the server that an answer blames and withholds new work from it: for a short time, or, if it is
-   * not the expected one or does not hold its layers, until its entry shows layers again.
-   */
-  private blameServer(attempt: StreamAttempt, head: AnswerHead): string {
-    const { directory, decisions } = this.dependencies;
-    const blamed = this.serverAt(attempt, head.blamedAddress) ?? attempt.server;
-    const isNamed = head.blamedAddress !== undefined || attempt.stages.length <= 1;
-    if (head.misdirected) directory.clearSpan(blamed);
-    else this.recorder.recordRejection(attempt, blamed, isNamed);
-    decisions.record('turned-away', {
-      id: this.id,
-      server: attempt.server,
-      blamed,
-      status: head.status,
-      sends: this.sendTracker.sendCount,
-    });
-    return blamed;
-  }
-
   private handleFailure(attempt: StreamAttempt, failure: CallFailure): void {
     const { server } = attempt;
     const notSent = failure === CallFailure.NotSent || failure === CallFailure.ConnectTimeout;
