Tests: the demo's processes get ports that are given once

Cause, from the output that the check now prints: the fixture asked the system for a free port before it used one, so that entry-1 (for its peers) and server-a got the same: listen EADDRINUSE: address already in use 127.0.0.1:40545 The fixture takes its ports from Ports.ts, which gives none twice and stays below the range of outgoing connections. No check changes.

--- a/features/entry/processes.steps.ts
+++ b/features/entry/processes.steps.ts
@@ -2,7 +2,6 @@
 import { execFile, spawn, type ChildProcess, type StdioOptions } from 'node:child_process';
 import { createHash } from 'node:crypto';
 import { mkdtemp, open, readFile, writeFile } from 'node:fs/promises';
-import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { promisify } from 'node:util';
@@ -12,6 +11,7 @@
 import { DEMO_KEYS } from '../../src/fakes/DemoFleet.js';
 import { answerText } from '../../src/fakes/TokenText.js';
 import { describeAnswer, sendRequest, parseStream, type CallerAnswer } from './Caller.js';
+import { freeAddress } from '../platform/Ports.js';
 
 const MAIN = 'dist/src/cli/main.js';
 const TOKEN = 'process-operator-token';
@@ -36,16 +36,6 @@
   output: string;
 }
 
-/** Finds an address whose port is free now. Another process may still take it before it is used. */
-function findFreeAddress(): Promise<string> {
-  return new Promise((resolve) => {
-    const server = createServer().listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as { port: number };
-      server.close(() => resolve(`127.0.0.1:${port}`));
-    });
-  });
-}
-
 async function startProcess(
   world: ProcessWorld,
   command: string,
@@ -97,14 +87,14 @@
     this.folder = await mkdtemp(join(tmpdir(), 'acaciadrum-'));
     this.children = [];
     this.entries = [];
-    const platform = await findFreeAddress();
+    const platform = await freeAddress();
     const instances = [];
     for (const name of ['entry-1', 'entry-2']) {
       instances.push({
         name,
-        callers: await findFreeAddress(),
-        operators: await findFreeAddress(),
-        peers: await findFreeAddress(),
+        callers: await freeAddress(),
+        operators: await freeAddress(),
+        peers: await freeAddress(),
       });
     }
     const listedInstances = instances.map(({ name, peers }) => ({
@@ -130,7 +120,7 @@
     }
     const servers = [];
     for (const name of ['server-a', 'server-b']) {
-      const address = await findFreeAddress();
+      const address = await freeAddress();
       await startProcess(this, 'backend', name, { name, address, loadMs: 50 });
       servers.push({ name, address });
     }
