Soak: crashes because of a prompt part excuse losses for as long as they last

The fleet now records each crash; where servers fall silent the part comes after the calm time.

The check of stops is still left out where the part comes, as its crashes cut answers off.

--- a/features/soak/FaultContext.ts
+++ b/features/soak/FaultContext.ts
@@ -1,16 +1,10 @@
 /** The faults, what they act on, and what they record for the checks. */
 import type { SeededRandom } from '../../src/fakes/SeededRandom.js';
 import type { Callers } from './Callers.js';
-import type {
-  Disruption,
-  Interruption,
-  LeavingServer,
-  Revocation,
-  Stop,
-} from './GuaranteeChecker.js';
+import type { Disruption, LeavingServer, Revocation, Stop } from './GuaranteeChecker.js';
 import type { Silence } from './LossChecker.js';
 import type { LinkDisruption } from './NoticeChecker.js';
-import type { LinkedServer, SoakFleet } from './SoakFleet.js';
+import type { SoakFleet } from './SoakFleet.js';
 
 /** Targets of the faults, and what the faults record for the checks. */
 export interface FaultContext {
@@ -20,7 +14,6 @@
   readonly revocations: Revocation[];
   readonly leavingServers: LeavingServer[];
   readonly stops: Stop[];
-  readonly interruptions: Interruption[];
   readonly silences: Silence[];
   readonly disruptions: Disruption[];
   readonly linkDisruptions: LinkDisruption[];
@@ -77,12 +70,3 @@
     disruption.isPlanned = isPlanned;
   };
 }
-
-/** Records an interruption by a server until the returned function is called. */
-export function interrupt({ interruptions }: FaultContext, { service }: LinkedServer): () => void {
-  const interruption = { service, at: performance.now(), endedAt: Infinity };
-  interruptions.push(interruption);
-  return () => {
-    interruption.endedAt = performance.now();
-  };
-}
--- a/features/soak/FaultInjector.ts
+++ b/features/soak/FaultInjector.ts
@@ -2,7 +2,7 @@
 import { pause } from '../platform/Ports.js';
 import { AnswerStyle } from '../platform/FakeBackendServer.js';
 import { StoreFault } from '../platform/FakeStore.js';
-import { disrupt, interrupt, SoakFault, type FaultContext, type Injector } from './FaultContext.js';
+import { disrupt, SoakFault, type FaultContext, type Injector } from './FaultContext.js';
 import { LinkFault } from './FaultProxy.js';
 import type { LinkedServer } from './SoakFleet.js';
 import { RESTART_AFTER_LEAVING_MS } from './GuaranteeChecker.js';
@@ -33,7 +33,7 @@
 
 /** Records a disruption of the link to a server until the returned function is called. */
 function disruptLink(context: FaultContext, linked: LinkedServer): () => void {
-  const endInterruption = interrupt(context, linked);
+  const endInterruption = context.fleet.interrupt(linked);
   const disruption = { server: linked.server.id, at: performance.now(), endedAt: Infinity };
   context.linkDisruptions.push(disruption);
   return () => {
@@ -79,7 +79,7 @@
   const linked = random.pick(fleet.servers);
   if (!linked.isUp || linked.isLeaving) return;
   linked.isLeaving = true;
-  const end = interrupt(context, linked);
+  const end = fleet.interrupt(linked);
   // Instances that cannot reach the store may learn too late that the server is leaving; its drain is not
   // checked then.
   const isStoreReachable =
@@ -125,7 +125,7 @@
     const { fleet, random } = context;
     const linked = random.pick(fleet.servers);
     if (!linked.isUp || linked.isLeaving) return;
-    const end = interrupt(context, linked);
+    const end = fleet.interrupt(linked);
     fleet.crash(linked);
     await pause(durationMs);
     if (!linked.isUp) await fleet.restart(linked);
@@ -135,7 +135,7 @@
   [SoakFault.CorruptServerAnswers]: async (context, durationMs) => {
     const { fleet, random } = context;
     const linked = random.pick(fleet.servers);
-    const end = interrupt(context, linked);
+    const end = fleet.interrupt(linked);
     linked.server.style = random.pick(ANSWER_STYLES);
     await pause(durationMs);
     linked.server.style = AnswerStyle.Whole;
--- a/features/soak/LossChecker.ts
+++ b/features/soak/LossChecker.ts
@@ -20,6 +20,8 @@
   readonly silences: readonly Silence[];
   readonly disruptions: readonly Disruption[];
   readonly interruptions: readonly Interruption[];
+  /** Times in which the soak's own process stood still and learned of no end. */
+  readonly stalls: readonly TimeSpan[];
 }
 
 export interface LossReport {
@@ -76,7 +78,11 @@
 const SERVER_LOST_STATUS = 502;
 
 /** Returns how an attempt was lost; undefined if it got a complete answer or was not read. */
-function lossOf(attempt: Attempt, isPassedOn: boolean): string | undefined {
+function lossOf(
+  attempt: Attempt,
+  isPassedOn: boolean,
+  stalls: readonly TimeSpan[],
+): string | undefined {
   const { status, isComplete, isConnected, sentAt, endedAt, deadlineMs } = attempt;
   if (status === SERVER_LOST_STATUS) return 'lost its server (502)';
   if ((status > 0 && isComplete) || !isConnected) return undefined;
@@ -84,7 +90,10 @@
   if (status > 0)
     return lastedMs < deadlineMs - DEADLINE_SLACK_MS ? `was cut off (${status})` : undefined;
   if (lastedMs > deadlineMs + DEADLINE_SLACK_MS) return 'had no answer at its deadline';
-  return isPassedOn || lastedMs > CROSSING_MS ? 'lost its connection without an answer' : undefined;
+  let crossingMs = CROSSING_MS;
+  for (const span of stalls)
+    if (overlaps(span, sentAt, endedAt)) crossingMs += span.endedAt - span.at;
+  return isPassedOn || lastedMs > crossingMs ? 'lost its connection without an answer' : undefined;
 }
 
 export function checkLosses(evidence: LossEvidence): LossReport {
@@ -106,7 +115,7 @@
       silences.some((span) => span.server === server && overlaps(span, at, attempt.endedAt)),
     );
     if (isInSilence) requestsInSilence += 1;
-    const loss = lossOf(attempt, sends.length > 0);
+    const loss = lossOf(attempt, sends.length > 0, evidence.stalls);
     if (loss === undefined) continue;
     const way = sends
       .sort((a, b) => a.at - b.at)
--- a/features/soak/Soak.ts
+++ b/features/soak/Soak.ts
@@ -9,7 +9,7 @@
 import { answerTo } from '../platform/FakeBackendServer.js';
 import { Callers, PATIENT_DEADLINE_MS } from './Callers.js';
 import { SoakFleet, folderFor } from './SoakFleet.js';
-import { GuaranteeChecker } from './GuaranteeChecker.js';
+import { GuaranteeChecker, type TimeSpan } from './GuaranteeChecker.js';
 import { checkLosses } from './LossChecker.js';
 import { checkNotices } from './NoticeChecker.js';
 import { SoakFault, type FaultContext } from './FaultContext.js';
@@ -75,6 +75,21 @@
 const FAULT_DURATION_MS = { from: 200, to: 3000 };
 const FAULT_INTERVAL_MS = { from: 100, to: 900 };
 
+/** Interval in which the soak checks that its own process goes on, and lateness that counts as a stall, in milliseconds. */
+const STALL_CHECK_MS = 20;
+const STALL_MS = 100;
+
+/** Records the stalls of this process until the returned function is called. */
+function recordStalls(stalls: TimeSpan[]): () => void {
+  let checkedAt = performance.now();
+  const timer = setInterval(() => {
+    const now = performance.now();
+    if (now - checkedAt > STALL_MS) stalls.push({ at: checkedAt, endedAt: now });
+    checkedAt = now;
+  }, STALL_CHECK_MS);
+  return () => clearInterval(timer);
+}
+
 async function waitUntilServing(
   callers: Callers,
   fleet: SoakFleet,
@@ -96,10 +111,15 @@
   );
 }
 
+/** Returns the time in which nothing excuses a lost request, in milliseconds. */
+function calmTime({ faultsMs, hasSilentServers }: SoakOptions): number {
+  return hasSilentServers === true ? faultsMs * CALM_SHARE : 0;
+}
+
 async function injectFaults(context: FaultContext, options: SoakOptions): Promise<string[]> {
   const { random } = context;
   const { faultsMs, hasServerNotices = false, hasSilentServers = false } = options;
-  const calmMs = hasSilentServers ? faultsMs * CALM_SHARE : 0;
+  const calmMs = calmTime(options);
   const faults = [
     ...USUAL_FAULTS,
     ...(hasServerNotices ? [SoakFault.AskForPause] : []),
@@ -141,27 +161,29 @@
     revocations: [],
     leavingServers: [],
     stops: [],
-    interruptions: [],
     silences: [],
     disruptions: [],
     linkDisruptions: [],
     hasServerNotices: options.hasServerNotices === true,
   };
   let faults: string[] = [];
+  const stalls: TimeSpan[] = [];
+  const stopRecording = recordStalls(stalls);
   try {
     violations.push(...(await waitUntilServing(callers, fleet, READY_TIMEOUT_MS)));
     callers.start(options.callers);
     if (options.hasCrashingPart === true) {
-      // Its crashes cut answers off for as long as it comes.
-      context.interruptions.push({ service: 'engine', at: performance.now(), endedAt: Infinity });
-      callers.crashingPart = CRASHING_PART;
-      fleet.setCrashingPart(CRASHING_PART);
+      setTimeout(() => {
+        callers.crashingPart = CRASHING_PART;
+        fleet.setCrashingPart(CRASHING_PART);
+      }, calmTime(options));
     }
     faults = await injectFaults(context, options);
     await fleet.restore();
     violations.push(...(await waitUntilServing(callers, fleet, RECOVERY_TIMEOUT_MS)));
     await callers.stop();
   } finally {
+    stopRecording();
     await fleet.dispose();
   }
   await pause(CLOSE_DELAY_MS);
@@ -175,10 +197,20 @@
   checker.checkKeys(attempts, context.revocations);
   checker.checkLeaving(context.leavingServers);
   checker.checkCrashingPart(CRASHING_PART, attempts, servers, context.disruptions);
-  // A long stream may outlast the grace of a stop; the check of losses judges that.
-  if (!hasSilentServers) checker.checkStops(attempts, context.stops, context.interruptions);
-  const { disruptions, linkDisruptions, interruptions, silences } = context;
-  const losses = checkLosses({ attempts, servers, silences, disruptions, interruptions });
+  const { disruptions, linkDisruptions, silences } = context;
+  const { interruptions } = fleet;
+  // Crashes because of the crashing part cut off answers for as long as it comes. A long stream may outlast the
+  // grace of a stop; the check of losses judges that.
+  if (!hasSilentServers && options.hasCrashingPart !== true)
+    checker.checkStops(attempts, context.stops, interruptions);
+  const losses = checkLosses({
+    attempts,
+    servers,
+    silences,
+    disruptions,
+    interruptions,
+    stalls,
+  });
   violations.push(...losses.violations);
   if (hasSilentServers && losses.requestsInSilence === 0)
     violations.push('no request was under way while a server was silent');
--- a/features/soak/SoakFleet.ts
+++ b/features/soak/SoakFleet.ts
@@ -6,6 +6,7 @@
 import { FakeStore, StoreFault } from '../platform/FakeStore.js';
 import { pause } from '../platform/Ports.js';
 import { FaultProxy, LinkFault } from './FaultProxy.js';
+import type { Interruption } from './GuaranteeChecker.js';
 import { RouterProcess } from './RouterProcess.js';
 
 export const DOMAINS = ['a', 'b'];
@@ -42,6 +43,9 @@
 
   public configurationVersion = 1;
 
+  /** Faults of servers that may cut off answers, those because of the crashing part included. */
+  public readonly interruptions: Interruption[] = [];
+
   private isDisposed = false;
 
   /**
@@ -113,7 +117,16 @@
     linked.link.close();
   }
 
-  /** Makes the engine servers crash when they begin to answer a prompt with a part; none if undefined. */
+  /** Records an interruption by a server until the returned function is called. */
+  public interrupt({ service }: LinkedServer): () => void {
+    const interruption = { service, at: performance.now(), endedAt: Infinity };
+    this.interruptions.push(interruption);
+    return () => {
+      interruption.endedAt = performance.now();
+    };
+  }
+
+  /** Makes the servers crash when they begin to answer a prompt with a part; none if undefined. */
   public setCrashingPart(part: string | undefined): void {
     for (const { server } of this.servers) server.crashingPart = part;
   }
@@ -132,9 +145,11 @@
   private async crashAndRestart(linked: LinkedServer): Promise<void> {
     // Another fault may have ended the server meanwhile, and restarts it then.
     if (!linked.isUp || linked.isLeaving) return;
+    const end = this.interrupt(linked);
     this.crash(linked);
     await pause(RESTART_MS);
     if (!linked.isUp && !linked.isLeaving && !this.isDisposed) await this.restart(linked);
+    end();
   }
 
   public async dispose(): Promise<void> {
--- a/features/soak/losses.feature
+++ b/features/soak/losses.feature
@@ -24,6 +24,8 @@
     Examples: faults
       | end                  | fault                                         | verdict                   |
       | is cut off after 2 s | a silence of its server                       | was lost within a silence |
+      | is cut off after 2 s | a stall of the soak                           | was lost                  |
+      | is not passed on, and closed later | a stall of the soak             | was not lost              |
       | is cut off after 2 s | a silence of another server                   | was lost                  |
       | is cut off after 2 s | a kill of its instance                        | was not lost              |
       | is cut off after 2 s | a kill of another instance                    | was lost                  |
--- a/features/soak/losses.steps.ts
+++ b/features/soak/losses.steps.ts
@@ -47,6 +47,7 @@
 const FAULTS: Readonly<Record<string, Partial<LossEvidence>>> = {
   'no fault': {},
   'a silence of its server': { silences: [{ server: SERVER, ...AROUND }] },
+  'a stall of the soak': { stalls: [{ at: SENT_AT, endedAt: SENT_AT + 1900 }] },
   'a silence of another server': { silences: [{ server: 'engine-b-1', ...AROUND }] },
   'a kill of its instance': { disruptions: [{ ...KILL, ...AROUND }] },
   'a kill of another instance': { disruptions: [{ ...KILL, instance: 'router-b', ...AROUND }] },
@@ -104,6 +105,7 @@
     silences: [],
     disruptions: [],
     interruptions: [],
+    stalls: [],
     ...this.lossFaults,
   });
 });
