--- a/review/common-2/harness.mjs
+++ b/review/common-2/harness.mjs
@@ -7,6 +7,7 @@
 import path from 'node:path';
 import { performance } from 'node:perf_hooks';
 import process from 'node:process';
+import { setTimeout } from 'node:timers';
 import { setTimeout as pause } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
 import { freeAddress } from '../../dist/features/platform/Ports.js';
@@ -158,18 +159,30 @@
   }
 }
 
-/** Runs a case and ends with its verdict. */
+/** Time after which a case counts as not run, in milliseconds. */
+const LIMIT_MS = 115_000;
+
+/** Runs a case and ends with its verdict: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
 export async function play(url, steps) {
   const played = new Case(path.dirname(fileURLToPath(url)));
-  let code = 2;
+  const end = async (code) => {
+    await played.dispose().catch(() => {});
+    process.exit(code);
+  };
+  const giveUp = (reason) => {
+    played.note(`could not run: ${reason}`);
+    end(2);
+  };
+  process.on('uncaughtException', (error) => giveUp(error.stack));
+  process.on('SIGTERM', () => giveUp('ended by a signal'));
+  process.on('SIGINT', () => giveUp('ended by a signal'));
+  setTimeout(() => giveUp('it took too long'), LIMIT_MS).unref();
   try {
     await played.startStore();
     const broken = await steps(played);
     played.note(broken ? `RULE BROKEN: ${broken}` : 'the rule held');
-    code = broken ? 1 : 0;
+    await end(broken ? 1 : 0);
   } catch (error) {
-    played.note(`could not run: ${error.stack}`);
+    giveUp(error.stack);
   }
-  await played.dispose();
-  process.exit(code);
 }
