--- a/bench/RelayWorker.ts
+++ b/bench/RelayWorker.ts
@@ -2,8 +2,10 @@
 import { build, type Histogram } from 'hdr-histogram-js';
 import { Agent, createServer, request } from 'node:http';
 import { parentPort, workerData } from 'node:worker_threads';
+import { readBody } from '../src/adapters/http/BodyReader.js';
 import { encodeEnd, encodeToken } from '../src/adapters/http/TokenFrames.js';
-import { hostAndPort, readBody } from '../src/adapters/http/HttpClient.js';
+
+import { hostAndPort } from '../src/adapters/http/HttpClient.js';
 import { FinishReason, VALUES_PER_HOP, type StreamOpening } from '../src/core/streams/Types.js';
 import type { RelayTask } from './Relay.js';
 
--- a/features/platform/HostileCrowd.ts
+++ b/features/platform/HostileCrowd.ts
@@ -7,7 +7,7 @@
 
 /** Limits of bodies and heads in the configuration of these tests, in bytes. */
 export const MAX_BODY_BYTES = 1_000_000;
-const MAX_HEAD_BYTES = 16_384;
+export const MAX_HEAD_BYTES = 16_384;
 
 /** Length of heads with many fields, which leaves room for the usual ones, in bytes. */
 const LONG_HEAD_BYTES = MAX_HEAD_BYTES - 600;
@@ -38,7 +38,7 @@
 };
 
 /** What each client of a crowd does. */
-interface Way {
+export interface Way {
   readonly clients: number;
   /** Parts that a client sends without a pause. */
   readonly opening: (door: Door, id: string) => Iterable<string | Buffer>;
@@ -47,7 +47,12 @@
   readonly isReading?: boolean;
 }
 
-function head(method: string, { path, authorization }: Door, id: string, fields: string): string {
+export function head(
+  method: string,
+  { path, authorization }: Door,
+  id: string,
+  fields: string,
+): string {
   return `${method} ${path} HTTP/1.1\r\nhost: host\r\n${authorization}x-attempt-id: ${id}\r\nx-deadline-ms: 20000\r\n${LARGE_ANSWER_HEADER}: stops before its body\r\n${fields}`;
 }
 
@@ -174,8 +179,8 @@
    * @param address - address of the door's listener
    * @param count - number of clients; 0 for the usual number of the way
    */
-  public async begin(wayName: string, door: Door, address: string, count: number): Promise<void> {
-    const { clients, opening, repeated, isReading } = WAYS[wayName];
+  public async begin(way: Way, door: Door, address: string, count: number): Promise<void> {
+    const { clients, opening, repeated, isReading } = way;
     for (let number = 0; number < (count || clients); number += 1) {
       const socket = connect(hostAndPort(address));
       socket.on('error', () => undefined);
--- a/features/platform/LawfulCaller.ts
+++ b/features/platform/LawfulCaller.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
 import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
+import { MAX_BODY_BYTES } from './HostileCrowd.js';
 import { pause } from './Ports.js';
 
 const HEAD_BYTES = 16_000;
@@ -24,16 +25,30 @@
   for (let sent = 0; sent < SLOW_BYTES; sent += 1) yield 'x';
 }
 
+/** A whole body in chunks of one byte. */
+function chunksOfOneByte(id: string, bytes: number): string[] {
+  return [head(id, 'transfer-encoding: chunked\r\n'), '1\r\nx\r\n'.repeat(bytes), '0\r\n\r\n'];
+}
+
 /** Parts that a caller sends on one connection, each a moment after the one before if it is slow. */
 export const REQUESTS: Readonly<Record<string, Iterable<string>>> = {
   'sends a head of 16000 bytes in very short fields': [
     head('fields', `content-length: 0\r\n${'a:\r\n'.repeat((HEAD_BYTES - 300) / 4)}`),
   ],
-  'sends a body in chunks of one byte': [
-    head('chunks', 'transfer-encoding: chunked\r\n'),
-    '1\r\nx\r\n'.repeat(CHUNKS),
-    '0\r\n\r\n',
+  'sends a body in chunks of one byte': chunksOfOneByte('chunks', CHUNKS),
+  'sends the largest body in chunks of one byte': chunksOfOneByte('largest', MAX_BODY_BYTES),
+  'sends the largest body in one chunk': [
+    head('one-chunk', 'transfer-encoding: chunked\r\n'),
+    `${MAX_BODY_BYTES.toString(16)}\r\n${'x'.repeat(MAX_BODY_BYTES)}\r\n0\r\n\r\n`,
   ],
+  'sends a body with trailers': [
+    head('trailers', 'transfer-encoding: chunked\r\n'),
+    '4\r\nbody\r\n0\r\n',
+    'checksum: 1\r\n\r\n',
+  ],
+  'sends 4 bodies in chunks of one byte after another': [0, 1, 2, 3].flatMap((number) =>
+    chunksOfOneByte(`chunks-${number}`, CHUNKS),
+  ),
   'sends a byte of its body now and then': slowBody(),
   'sends 8 requests ahead and reads all answers': [0, 1, 2, 3, 4, 5, 6, 7].map((number) =>
     head(`ahead-${number}`, 'content-length: 0\r\n'),
--- a/features/platform/hostile-clients.feature
+++ b/features/platform/hostile-clients.feature
@@ -13,6 +13,7 @@
       | door                   | way                                                             |
       | a route                | stop just short of the end of a body in small pieces            |
       | a route, without a key | stop just short of the end of a body in small pieces            |
+      | a route                | stop just short of the end of a body in chunks of one byte      |
       | no route               | stop just short of the end of a body in chunks of one byte      |
       | a route                | stop just short of the end of a body with long chunk extensions |
       | a route                | send bodies without end                                         |
@@ -20,11 +21,6 @@
       | readiness              | send bodies without end                                         |
       | metrics                | send bodies without end                                         |
 
-    @known-red
-    Examples: bodies whose memory is not bounded in some plays, see KNOWN-RED.txt
-      | door                   | way                                                             |
-      | a route                | stop just short of the end of a body in chunks of one byte      |
-
     Examples: heads of legal size with very many fields
       | door           | way                                                               |
       | a route        | send heads of very many short fields, and stop inside the body    |
--- a/features/platform/hostile-clients.steps.ts
+++ b/features/platform/hostile-clients.steps.ts
@@ -7,7 +7,8 @@
 import { RouterProcess } from '../soak/RouterProcess.js';
 import { FakeBackendServer } from './FakeBackendServer.js';
 import { FakeStore } from './FakeStore.js';
-import { DOORS, HostileCrowd, MAX_BODY_BYTES } from './HostileCrowd.js';
+import { CHUNKED_WAYS } from './ChunkedBodies.js';
+import { DOORS, HostileCrowd, MAX_BODY_BYTES, WAYS } from './HostileCrowd.js';
 import { LAST_HEADER, LawfulCaller, REQUESTS } from './LawfulCaller.js';
 import { pause } from './Ports.js';
 import { sendRequest } from './RouterFixture.js';
@@ -75,50 +76,78 @@
   }
 }
 
+async function waitUntilListening({ hostileRouter }: HostileWorld): Promise<void> {
+  const endsAt = performance.now() + READY_MS;
+  while ((await probe(hostileRouter.listeners.readiness)) === 0) {
+    assert.ok(performance.now() < endsAt, 'the process does not listen');
+    await pause(100);
+  }
+}
+
 function sample(world: HostileWorld): void {
   const { hostileRouter } = world;
   if (!hostileRouter.isRunning) return;
   world.mostDescriptors = Math.max(world.mostDescriptors, hostileRouter.openDescriptors);
-  try {
-    world.peakMemoryMb = Math.max(world.peakMemoryMb, hostileRouter.peakMemoryMb || 0);
-  } catch {
-    // The process has ended; the last sample stays.
+  world.peakMemoryMb = Math.max(world.peakMemoryMb, hostileRouter.peakMemoryMb);
+}
+
+/**
+ * Starts a router process before a store and two plain servers.
+ * @param isConfigured - whether the store has a configuration, without which the process does not become ready
+ */
+async function startRouter(
+  world: HostileWorld,
+  memoryMb: number,
+  descriptors: number,
+  isConfigured: boolean,
+): Promise<void> {
+  const store = new FakeStore();
+  const storeAddress = await store.listen();
+  const base = configuration(1);
+  if (isConfigured) {
+    store.put('op', 'config', {
+      ...base,
+      limits: { ...base.limits, max_body_bytes: MAX_BODY_BYTES },
+    });
   }
+  world.hostileStore = store;
+  world.victims = [
+    new FakeBackendServer('plain-1', 'plain', 'a', '', store),
+    new FakeBackendServer('plain-2', 'plain', 'a', '', store),
+  ];
+  for (const server of world.victims) await server.listen();
+  world.crowd = new HostileCrowd();
+  world.callers = [];
+  const folder = mkdtempSync(path.join(tmpdir(), 'hostile-'));
+  world.hostileRouter = new RouterProcess('router-1', 'a', folder);
+  await world.hostileRouter.configure(storeAddress, [], {
+    processorShare: 0.675,
+    processorSpeed: 1,
+    linkMbps: 1000,
+    memoryMb,
+    descriptors,
+  });
+  world.hostileRouter.start(deployedFlags());
+  if (isConfigured) await waitUntilServed(world, READY_MS);
+  else await waitUntilListening(world);
+  world.mostDescriptors = 0;
+  world.peakMemoryMb = 0;
+  world.descriptorSampler = setInterval(() => sample(world), SAMPLE_MS);
 }
 
 Given(
   'a router process on a machine of {int} MB and {int} descriptors',
   { timeout: STEP_LIMIT_MS },
   async function set(this: HostileWorld, memoryMb: number, descriptors: number) {
-    const store = new FakeStore();
-    const storeAddress = await store.listen();
-    const base = configuration(1);
-    store.put('op', 'config', {
-      ...base,
-      limits: { ...base.limits, max_body_bytes: MAX_BODY_BYTES },
-    });
-    this.hostileStore = store;
-    this.victims = [
-      new FakeBackendServer('plain-1', 'plain', 'a', '', store),
-      new FakeBackendServer('plain-2', 'plain', 'a', '', store),
-    ];
-    for (const server of this.victims) await server.listen();
-    this.crowd = new HostileCrowd();
-    this.callers = [];
-    const folder = mkdtempSync(path.join(tmpdir(), 'hostile-'));
-    this.hostileRouter = new RouterProcess('router-1', 'a', folder);
-    await this.hostileRouter.configure(storeAddress, [], {
-      processorShare: 0.675,
-      processorSpeed: 1,
-      linkMbps: 1000,
-      memoryMb,
-      descriptors,
-    });
-    this.hostileRouter.start(deployedFlags());
-    await waitUntilServed(this, READY_MS);
-    this.mostDescriptors = 0;
-    this.peakMemoryMb = 0;
-    this.descriptorSampler = setInterval(() => sample(this), SAMPLE_MS);
+    await startRouter(this, memoryMb, descriptors, true);
+  },
+);
+
+Given(
+  'a router process on a machine of {int} MB and {int} descriptors, whose store has no configuration',
+  { timeout: STEP_LIMIT_MS },
+  async function set(this: HostileWorld, memoryMb: number, descriptors: number) {
+    await startRouter(this, memoryMb, descriptors, false);
   },
 );
 
@@ -134,7 +163,9 @@
   ) {
     const door = DOORS[doorName];
     const address = this.hostileRouter.listeners[door.listener];
-    await this.crowd.begin(verb + rest, door, address, Number(count ?? 0));
+    const way = WAYS[verb + rest] ?? CHUNKED_WAYS[verb + rest];
+    assert.ok(way !== undefined, `no clients ${verb}${rest}`);
+    await this.crowd.begin(way, door, address, Number(count ?? 0));
     await pause(CROWD_MS);
   },
 );
--- a/features/soak/RouterProcess.ts
+++ b/features/soak/RouterProcess.ts
@@ -88,9 +88,12 @@
 
   /** Largest resident memory of the process so far, in megabytes; 0 if it does not run. */
   public get peakMemoryMb(): number {
-    if (this.child?.pid === undefined) return 0;
-    const status = readFileSync(`/proc/${this.child.pid}/status`, 'utf8');
-    return (Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * 1024) / 1e6;
+    return this.memoryMb('VmHWM');
+  }
+
+  /** Resident memory of the process now, in megabytes; 0 if it does not run. */
+  public get residentMemoryMb(): number {
+    return this.memoryMb('VmRSS');
   }
 
   /** Whether the process handles a signal by its number. */
@@ -168,4 +171,17 @@
     await this.kill();
     this.log.end();
   }
+
+  /** Returns an entry of the kernel's status of the process; 0 if it does not run or is ending. */
+  private memoryMb(entry: string): number {
+    if (this.child?.pid === undefined) return 0;
+    let status = '';
+    try {
+      status = readFileSync(`/proc/${this.child.pid}/status`, 'utf8');
+    } catch {
+      return 0;
+    }
+    const kilobytes = new RegExp(`^${entry}:\\s+(\\d+) kB$`, 'm').exec(status)?.[1];
+    return (Number(kilobytes ?? 0) * 1024) / 1e6;
+  }
 }
--- a/src/adapters/http/CallerServer.ts
+++ b/src/adapters/http/CallerServer.ts
@@ -3,11 +3,13 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { RunResult } from '../../core/claims/KeyedRequestRunner.js';
 import type { StoredAnswer } from '../../core/claims/Types.js';
+import { Failure } from '../../core/Failure.js';
 import { Outcome, refusal, RefusalReason, type Refusal } from '../../core/Outcome.js';
 import { ObjectKind } from '../../core/tickets/Types.js';
 import type { ForwardedAnswer, ForwardedCall } from '../../ports/Peer.js';
 import { Timing } from '../metrics/Metrics.js';
 import { AccountKeys } from './AccountKeys.js';
+import { readBody } from './BodyReader.js';
 import { CompletionRequestHandler } from './CompletionRequestHandler.js';
 import { CompletionShape, parseCompletion, type CompletionBody } from './CompletionBody.js';
 import { endToEndHeaders } from './HttpPlainTransport.js';
@@ -189,24 +191,21 @@
   /** Reads a body; refuses one beyond the size limit and drops a connection idle for `BODY_IDLE_MS`. */
   private async readBody(message: IncomingMessage): Promise<Buffer> {
     const { maxBodyBytes } = this.dependencies;
-    const chunks: Buffer[] = [];
-    let size = 0;
     message.setTimeout(BODY_IDLE_MS, () => message.destroy());
-    for await (const chunk of message) {
-      size += (chunk as Buffer).length;
-      if (size > maxBodyBytes) {
-        throw new RefusedRequestError(
-          refusal(
-            Outcome.NotRun,
-            RefusalReason.BodyTooLarge,
-            `The body exceeds ${maxBodyBytes} bytes. Send a smaller one.`,
-          ),
-        );
-      }
-      chunks.push(chunk as Buffer);
+    try {
+      return await readBody(message, maxBodyBytes);
+    } catch (error) {
+      if (!(error instanceof Failure)) throw error;
+      throw new RefusedRequestError(
+        refusal(
+          Outcome.NotRun,
+          RefusalReason.BodyTooLarge,
+          `The body exceeds ${maxBodyBytes} bytes. Send a smaller one.`,
+        ),
+      );
+    } finally {
+      message.setTimeout(0);
     }
-    message.setTimeout(0);
-    return Buffer.concat(chunks, size);
   }
 
   private async complete(request: CallerRequest): Promise<void> {
--- a/src/adapters/http/HttpClient.ts
+++ b/src/adapters/http/HttpClient.ts
@@ -3,12 +3,12 @@
   Agent,
   request as httpRequest,
   type IncomingHttpHeaders,
-  type IncomingMessage,
   type OutgoingHttpHeaders,
 } from 'node:http';
 import { Failure, FailureKind } from '../../core/Failure.js';
 import type { MemoryBudget } from '../../core/limits/MemoryBudget.js';
 import type { Disposable } from '../../ports/Types.js';
+import { readBody } from './BodyReader.js';
 import { startInputTimer } from './InputTimer.js';
 
 /** A call whose body is in memory. */
@@ -63,32 +63,6 @@
   return { host, port: Number(address.slice(separator + 1)) };
 }
 
-/**
- * Reads a whole body. If it exceeds the limit, the connection is closed.
- * @param onPart - called for each part with its size in bytes
- * @throws Failure of kind `ConnectionLost` if the body exceeds `maxBytes` bytes
- * @throws the stream's error if the body ends early
- */
-export async function readBody(
-  message: IncomingMessage,
-  maxBytes: number,
-  onPart?: (bytes: number) => void,
-): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of message) {
-    size += (chunk as Buffer).length;
-    if (size > maxBytes)
-      throw new Failure(
-        FailureKind.ConnectionLost,
-        `The body exceeds the limit of ${maxBytes} bytes. Only a smaller one can be read.`,
-      );
-    chunks.push(chunk as Buffer);
-    onPart?.((chunk as Buffer).length);
-  }
-  return Buffer.concat(chunks, size);
-}
-
 /** Codes of the errors of a call on a connection that its server has closed. */
 const CLOSED_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE']);
 
@@ -178,11 +152,8 @@
         hasAnswer = true;
         restartTimer();
         call.onHead?.(message.statusCode ?? 0, message.headers);
-        const countPart = (bytes: number): void => {
-          share?.add(bytes);
-          restartTimer();
-        };
-        readBody(message, call.maxAnswerBytes ?? MAX_ANSWER_BYTES, countPart)
+        message.on('data', restartTimer);
+        readBody(message, call.maxAnswerBytes ?? MAX_ANSWER_BYTES, share)
           .then((body) => {
             timer.dispose();
             share?.dispose();
--- a/src/adapters/http/JsonServer.ts
+++ b/src/adapters/http/JsonServer.ts
@@ -1,7 +1,8 @@
 /** HTTP server for JSON endpoints, with size and time limits. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { BrokenConnections } from './BrokenConnections.js';
-import { hostAndPort, readBody } from './HttpClient.js';
+import { readBody } from './BodyReader.js';
+import { hostAndPort } from './HttpClient.js';
 
 /** A request to a JSON endpoint. */
 export interface JsonRequest {
--- a/src/adapters/http/PlainRequestHandler.ts
+++ b/src/adapters/http/PlainRequestHandler.ts
@@ -1,6 +1,8 @@
 import { once } from 'node:events';
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
+import { finished } from 'node:stream';
 import type { RunResult } from '../../core/claims/KeyedRequestRunner.js';
+import { MessageBuffer } from '../../core/limits/MessageBuffer.js';
 import { Outcome, refusal, RefusalReason } from '../../core/Outcome.js';
 import type {
   PlainDispatcher,
@@ -43,33 +45,38 @@
   return kept;
 }
 
-async function* prependChunks(
+async function* prependParts(
   first: readonly Buffer[],
-  rest: AsyncIterator<Buffer>,
+  rest: AsyncIterable<Buffer>,
 ): AsyncGenerator<Buffer> {
   yield* first;
-  for (;;) {
-    const { value, done } = await rest.next();
-    if (done) return;
-    yield value;
-  }
+  yield* rest;
 }
 
-/** Buffers a body of up to `maxBytes`; streams a larger one. */
-async function bufferOrStreamBody(
+/**
+ * Buffers a body of up to `maxBytes`; streams a larger one.
+ * @throws the message's error if the body ends early
+ */
+function bufferOrStreamBody(
   message: IncomingMessage,
   maxBytes: number,
 ): Promise<Buffer | AsyncIterable<Uint8Array>> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  const iterator = message[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
-  for (;;) {
-    const { value, done } = await iterator.next();
-    if (done) return Buffer.concat(chunks, size);
-    chunks.push(value);
-    size += value.length;
-    if (size > maxBytes) return prependChunks(chunks, iterator);
-  }
+  const body = new MessageBuffer();
+  return new Promise((resolve, reject) => {
+    const stopWatching = finished(message, { writable: false }, (error) => {
+      if (error) reject(error);
+      else resolve(body.takeWhole());
+    });
+    const keep = (part: Buffer): void => {
+      body.append(part);
+      if (body.length <= maxBytes) return;
+      stopWatching();
+      message.off('data', keep);
+      message.pause();
+      resolve(prependParts(body.takeParts(), message));
+    };
+    message.on('data', keep);
+  });
 }
 
 /** @returns whether the whole body was passed on */
@@ -86,18 +93,16 @@
 }
 
 async function bufferResponse(response: PlainResponse): Promise<Buffer | undefined> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
+  const body = new MessageBuffer();
   try {
-    for await (const chunk of response.body) {
-      size += chunk.length;
-      if (size > MAX_STORED_ANSWER_BYTES) return undefined;
-      chunks.push(chunk);
+    for await (const part of response.body) {
+      if (body.length + part.length > MAX_STORED_ANSWER_BYTES) return undefined;
+      body.append(part);
     }
   } catch {
     return undefined;
   }
-  return Buffer.concat(chunks, size);
+  return body.takeWhole();
 }
 
 export interface PlainRequestHandlerDependencies {
--- a/src/core/relay/Attempt.ts
+++ b/src/core/relay/Attempt.ts
@@ -1,5 +1,6 @@
 import type { BackendServer } from '../deployment/Types.js';
 import type { MemoryShare } from '../limits/MemoryShare.js';
+import { MessageBuffer } from '../limits/MessageBuffer.js';
 import type { PaceTrial } from '../pace/PaceTrial.js';
 import type { Stage } from '../routing/Types.js';
 import type { WorkReservation } from '../routing/WorkReservation.js';
@@ -37,15 +38,14 @@
   /** What the answer tells of its servers; undefined once it has been told or their route has changed. */
   private trial: PaceTrial | undefined;
 
-  private chunks: Buffer[] = [];
-
-  private bytes = 0;
+  private readonly kept: MessageBuffer;
 
   private isClosed = false;
 
   public constructor(private readonly opening: AttemptOpening) {
     this.route = opening.target.stages;
     this.trial = opening.trial;
+    this.kept = new MessageBuffer(opening.memory);
   }
 
   /** Id of the first server. */
@@ -73,7 +73,7 @@
 
   /** Size of the kept part of the answer, in bytes. */
   public get keptBytes(): number {
-    return this.bytes;
+    return this.kept.length;
   }
 
   public connect(connection: ServerConnection): void {
@@ -91,16 +91,12 @@
 
   /** Keeps a part of the answer. */
   public keep(chunk: Buffer): void {
-    this.chunks.push(chunk);
-    this.bytes += chunk.length;
-    this.memory.add(chunk.length);
+    this.kept.append(chunk);
   }
 
   /** Hands the kept parts over, which remain counted in the memory of the request. */
   public takeKept(): readonly Buffer[] {
-    const { chunks } = this;
-    this.chunks = [];
-    return chunks;
+    return this.kept.takeParts();
   }
 
   /** Moves the work of the request to the servers of another route. */
@@ -131,6 +127,6 @@
     this.isClosed = true;
     this.connection?.dispose();
     this.opening.reservation.dispose();
-    for (const { length } of this.takeKept()) this.memory.remove(length);
+    this.kept.clear();
   }
 }
--- a/src/fakes/BackendDaemon.ts
+++ b/src/fakes/BackendDaemon.ts
@@ -1,6 +1,7 @@
 /** A fake backend server: a model engine that holds layer ranges, and plain services. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { HttpClient, readBody } from '../adapters/http/HttpClient.js';
+import { readBody } from '../adapters/http/BodyReader.js';
+import { HttpClient } from '../adapters/http/HttpClient.js';
 import { closeServer, createLimitedServer, listen } from '../adapters/http/JsonServer.js';
 import { encodeEnd, encodeFailure, encodeToken } from '../adapters/http/TokenFrames.js';
 import { SystemClock } from '../adapters/SystemClock.js';
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -178,6 +178,7 @@
       kept.dispose();
       if (!response.writableFinished) relay?.cancel();
     };
+    const { body } = kept;
     if (!this.guard.admit(request, response, release)) {
       kept.dispose();
       return;
@@ -203,7 +204,6 @@
       this.rejectBody(request, response, memory, BODY_TOO_LARGE);
       return;
     }
-    let chunks: Buffer[] = [];
     let size = 0;
     let refused: Refusal | undefined;
     request.on('data', (chunk: Buffer) => {
@@ -215,25 +215,21 @@
       }
       if (!wasJudged && size > UNJUDGED_BODY_BYTES)
         refused = this.judgeHead(this.decode(request, NO_BODY, memory));
-      if (refused === undefined) {
-        chunks.push(chunk);
-        memory.add(chunk.length);
-      } else {
-        for (const { length } of chunks) memory.remove(length);
-        chunks = [];
-      }
+      if (refused === undefined) body.append(chunk);
+      else body.clear();
     });
     request.on('error', () => response.destroy());
     request.on('end', () => {
       if (response.destroyed || response.headersSent) return;
       memory.settle();
       if (refused === undefined) {
-        const decoded = this.decode(request, Buffer.concat(chunks, size), memory);
+        const decoded = this.decode(request, body.takeWhole(), memory);
+        // The whole body may have spent the budget.
+        if (memory.isClosed) return;
         onceNext(response, () => {
           if (!response.headersSent && !response.destroyed) relay = this.accept(decoded, reply);
         });
       } else this.dependencies.refuse(this.decode(request, NO_BODY, memory), reply, refused);
-      chunks = [];
     });
   }
 
--- a/src/platform/RequestMemory.ts
+++ b/src/platform/RequestMemory.ts
@@ -1,4 +1,5 @@
 import type { MemoryBudget } from '../core/limits/MemoryBudget.js';
+import { MessageBuffer } from '../core/limits/MessageBuffer.js';
 import type { MemoryHolder, MemoryShare } from '../core/limits/MemoryShare.js';
 import type { Disposable } from '../ports/Types.js';
 
@@ -10,6 +11,9 @@
   /** What is kept of the body, and later of the answer. */
   public readonly message: MemoryShare;
 
+  /** What has come of the body. */
+  public readonly body: MessageBuffer;
+
   private readonly head: MemoryShare;
 
   /** @param onEvict - ends the request, because the budget is spent; its memory has been released */
@@ -17,12 +21,14 @@
     const holder: MemoryHolder = {
       allowanceBytes: 0,
       onEvict: () => {
+        this.body.clear();
         this.dispose();
         onEvict();
       },
     };
     this.head = budget.open(holder);
     this.message = budget.open(holder);
+    this.body = new MessageBuffer(this.message);
   }
 
   /** Counts the head, which may end this request or others. */
