Input is read in turns: a crowd that is dear to read keeps nobody else waiting

Cause: Node parses all that a socket has received at once, up to 32 times 64 KB, one socket after the other; chunks of one byte take a microsecond each. What dead connections had left was parsed as well, in the order of the event loop.

Change: ScheduledConnection stands between a socket and Node's server, and hands the input over in pieces of 4 KB. InputTurns (no network) decides whose is next once reading takes more than half of the time: messages that have taken little go first, the event loop comes round every 10 ms, and dear messages are read eight at a time, so that some end whole. One that waits for two seconds meanwhile is refused with 503, not-run, or its connection is closed. In calm input is read when it arrives. Input that waits is counted in MemoryBudget, with the receive window of the kernel. What follows a refused body is dropped before the parser, for two seconds, so that the client gets the refusal instead of a reset.

--- a/features/platform/client-crowds.feature
+++ b/features/platform/client-crowds.feature
@@ -25,10 +25,28 @@
 
     Examples: where bodies are not kept
       | door           | way                                                                 |
+      | no route       | send bodies in chunks of one byte without end                       |
       | the ready path | stop just short of the end of a body in chunks of one byte          |
       | readiness      | stop just short of the end of a body in chunks of one byte          |
       | metrics        | stop just short of the end of a body in large and very small chunks |
 
+  # Each of them is cheap to send and dear to read.
+  Scenario Outline: 400 clients at "<door>" <way>
+    Given a router process on a machine of 250 MB and 4100 descriptors
+    And what it reads and has not read is watched
+    When 400 clients at "<door>" <way>
+    Then an ordinary request and a readiness probe are answered, while the crowd stays
+    And an ordinary request is answered, when the crowd has left
+    And the process runs on, and never had more than 250 MB or 4100 descriptors
+    And with what it had not read, it never took more than 250 MB
+
+    Examples:
+      | door      | way                                                        |
+      | a route   | stop just short of the end of a body in chunks of one byte |
+      | no route  | stop just short of the end of a body in chunks of one byte |
+      | a route   | send bodies in chunks of one byte without end              |
+      | metrics   | send bodies in chunks of one byte without end              |
+
   Scenario Outline: Clients <way>, before the process has a configuration
     Given a router process on a machine of 250 MB and 600 descriptors, whose store has no configuration
     And what it reads and has not read is watched
--- a/features/platform/ingress.steps.ts
+++ b/features/platform/ingress.steps.ts
@@ -5,6 +5,7 @@
 import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
 import { SystemClock } from '../../src/adapters/SystemClock.js';
 import { ConnectionBudget } from '../../src/core/limits/ConnectionBudget.js';
+import { InputTurns } from '../../src/core/limits/InputTurns.js';
 import { MemoryBudget } from '../../src/core/limits/MemoryBudget.js';
 import { Ingress } from '../../src/platform/Ingress.js';
 import { pause } from './Ports.js';
@@ -31,6 +32,7 @@
   world.testedIngress = new Ingress({
     clock: new SystemClock(),
     memory: new MemoryBudget(new SystemClock(), 1e8),
+    turns: new InputTurns(new SystemClock(), (step) => setImmediate(step)),
     connections: new ConnectionBudget(new SystemClock(), 100),
     onConnectionEnd: (end) => world.errors.push(end),
     isLeaving: () => world.isLeaving,
--- a/features/platform/sent-ahead.steps.ts
+++ b/features/platform/sent-ahead.steps.ts
@@ -5,6 +5,7 @@
 import { hostAndPort } from '../../src/adapters/http/HttpClient.js';
 import { SystemClock } from '../../src/adapters/SystemClock.js';
 import { ConnectionBudget } from '../../src/core/limits/ConnectionBudget.js';
+import { InputTurns } from '../../src/core/limits/InputTurns.js';
 import { MemoryBudget } from '../../src/core/limits/MemoryBudget.js';
 import type { CallerReply } from '../../src/core/relay/Types.js';
 import { Ingress } from '../../src/platform/Ingress.js';
@@ -55,6 +56,7 @@
   this.aheadIngress = new Ingress({
     clock,
     memory: new MemoryBudget(clock, 1e8),
+    turns: new InputTurns(clock, (step) => setImmediate(step)),
     connections: new ConnectionBudget(clock, 100),
     onConnectionEnd: () => undefined,
     isLeaving: () => this.isLeaving,
--- a/src/adapters/http/GuardedConnection.ts
+++ b/src/adapters/http/GuardedConnection.ts
@@ -1,9 +1,9 @@
 /** One connection of a guarded server: what its client does, and what it holds. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
 import { ConnectionPhase, type ConnectionHolder } from '../../core/limits/ConnectionBudget.js';
 import type { MemoryBudget } from '../../core/limits/MemoryBudget.js';
 import type { MemoryShare } from '../../core/limits/MemoryShare.js';
+import type { ScheduledConnection } from './ScheduledConnection.js';
 
 /** Size from which on a head that has not been read to its end is counted, in bytes. */
 const COUNTED_HEAD_BYTES = 1024;
@@ -21,6 +21,10 @@
   RequestsAhead = 'requests-ahead',
   /** The messages in progress took all memory, and it kept most with a head that was not complete. */
   LargeHead = 'large-head',
+  /** Reading its message took much processor time, while the input of others was read. */
+  DearInput = 'dear-input',
+  /** The messages in progress took all memory, and it kept most with input that had not been read. */
+  UnreadInput = 'unread-input',
 }
 
 export class GuardedConnection implements ConnectionHolder {
@@ -32,6 +36,9 @@
 
   private hasHadRequest = false;
 
+  /** Refuses the request that is being read; undefined between requests, or if it cannot be refused. */
+  private refuseUnread: (() => void) | undefined;
+
   /** Value of `bytesRead` when the last request had been read. */
   private bytesReadBefore = 0;
 
@@ -42,7 +49,7 @@
   public readonly peer: string;
 
   public constructor(
-    private readonly socket: Socket,
+    private readonly socket: ScheduledConnection,
     private readonly end: (end: ConnectionEnd) => void,
   ) {
     this.peer = socket.remoteAddress ?? '';
@@ -73,8 +80,15 @@
   /**
    * Counts a request until its answer has been written or the connection is closed.
    * @param onEnd - called then
+   * @param refuse - refuses the request while it is being read
    */
-  public begin(request: IncomingMessage, response: ServerResponse, onEnd: () => void): void {
+  public begin(
+    request: IncomingMessage,
+    response: ServerResponse,
+    onEnd: () => void,
+    refuse?: () => void,
+  ): void {
+    this.refuseUnread = refuse;
     this.endsOfRequests.add(onEnd);
     this.unreadRequests += 1;
     this.hasHadRequest = true;
@@ -82,12 +96,27 @@
     request.once('end', () => {
       this.unreadRequests -= 1;
       this.bytesReadBefore = this.socket.bytesRead;
+      this.refuseUnread = undefined;
+      this.socket.endMessage();
     });
     response.once('close', () => {
       if (this.endsOfRequests.delete(onEnd)) onEnd();
     });
   }
 
+  /** Refuses the request that is being read, or closes the connection if there is none or it has its answer. */
+  public refuseInput(): void {
+    const { refuseUnread } = this;
+    if (refuseUnread === undefined) this.socket.destroy();
+    else refuseUnread();
+  }
+
+  /** Drops what still comes of a request that has been refused. */
+  public discardInput(): void {
+    this.refuseUnread = undefined;
+    this.socket.discardInput();
+  }
+
   /** Counts what has been read of a head that is not complete. */
   public countHead(memory: MemoryBudget): void {
     if (this.openRequests > 0) return;
--- a/src/core/Outcome.ts
+++ b/src/core/Outcome.ts
@@ -39,6 +39,8 @@
   AnswerTooLong = 'answer-too-long',
   /** The messages in progress take all of the memory that the process has for them; nothing was sent. */
   MemoryExhausted = 'memory-exhausted',
+  /** Reading the body takes much processor time, which other requests need; nothing was sent. */
+  ProcessorExhausted = 'processor-exhausted',
   /** The request was given up because the messages in progress took all of that memory. */
   Evicted = 'evicted',
   /** An unexpected error in the handling of the request. */
@@ -111,6 +113,7 @@
   [RefusalReason.ServerLost]: { status: 502, retryAfterMs: 1000 },
   [RefusalReason.AnswerTooLong]: { status: 502, retryAfterMs: 1000 },
   [RefusalReason.MemoryExhausted]: { status: 503, retryAfterMs: 1000 },
+  [RefusalReason.ProcessorExhausted]: { status: 503, retryAfterMs: 3000 },
   [RefusalReason.Evicted]: { status: 502, retryAfterMs: 1000 },
   [RefusalReason.InternalError]: { status: 502, retryAfterMs: 0 },
   [RefusalReason.CallerGone]: { status: 499, retryAfterMs: 0 },
--- a/src/core/limits/MemoryShare.ts
+++ b/src/core/limits/MemoryShare.ts
@@ -69,6 +69,11 @@
     this.change(-Math.min(this.heldBytes, bytes + PART_OVERHEAD_BYTES));
   }
 
+  /** Counts nothing as kept any more. */
+  public clear(): void {
+    this.change(-this.heldBytes);
+  }
+
   /** Releases everything. */
   public dispose(): void {
     if (this.isReleased) return;
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -6,6 +6,7 @@
 import { ConnectionGuard, type ConnectionEndListener } from '../adapters/http/ConnectionGuard.js';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
 import type { ConnectionBudget } from '../core/limits/ConnectionBudget.js';
+import type { InputTurns } from '../core/limits/InputTurns.js';
 import type { MemoryBudget } from '../core/limits/MemoryBudget.js';
 import type { MemoryShare } from '../core/limits/MemoryShare.js';
 import type { Refusal } from '../core/Outcome.js';
@@ -17,6 +18,7 @@
   BODY_TOO_LARGE,
   INVALID_HEADERS,
   MEMORY_EXHAUSTED,
+  PROCESSOR_EXHAUSTED,
   STOPPED_BEFORE_ANSWER,
   STOPPED_BEFORE_SEND,
   UNEXPECTED_ERROR,
@@ -49,6 +51,8 @@
 export interface IngressDependencies {
   readonly clock: Clock;
   readonly memory: MemoryBudget;
+  /** Orders the input of all connections of the process. */
+  readonly turns: InputTurns;
   /** Bounds the callers' connections. */
   readonly connections: ConnectionBudget;
   accept(request: CallerRequest, reply: CallerReply): Relay;
@@ -179,7 +183,12 @@
       if (!response.writableFinished) relay?.cancel();
     };
     const { body } = kept;
-    if (!this.guard.admit(request, response, release)) {
+    const refuseDear = (): void => {
+      body.clear();
+      this.rejectBody(request, response, memory, PROCESSOR_EXHAUSTED);
+      if (response.socket === null) request.socket.destroy();
+    };
+    if (!this.guard.admit(request, response, release, refuseDear)) {
       kept.dispose();
       return;
     }
@@ -262,6 +271,7 @@
   ): void {
     request.removeAllListeners('data');
     request.resume();
+    this.guard.discardInput(request);
     if (response.headersSent) return;
     const reply = new HttpReply(response, () => true);
     this.dependencies.refuse(this.decode(request, NO_BODY, memory), reply, refused);
--- a/src/platform/IngressRefusals.ts
+++ b/src/platform/IngressRefusals.ts
@@ -25,6 +25,12 @@
   'This instance has no memory left for the body of the request. Retry after the delay given in Retry-After.',
 );
 
+export const PROCESSOR_EXHAUSTED = refusal(
+  Outcome.NotRun,
+  RefusalReason.ProcessorExhausted,
+  'This instance has no processor time left to read the body of the request. Send it in larger chunks, or retry after the delay given in Retry-After.',
+);
+
 /** No server has received the request. */
 export const STOPPED_BEFORE_SEND = refusal(
   Outcome.NotRun,
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -13,6 +13,7 @@
 import { Invariants } from '../core/Invariant.js';
 import { LeaseKeeper } from '../core/leases/LeaseKeeper.js';
 import { RetryAfterEstimator } from '../core/limits/RetryAfterEstimator.js';
+import { InputTurns } from '../core/limits/InputTurns.js';
 import { MemoryBudget } from '../core/limits/MemoryBudget.js';
 import { HeldServers } from '../core/limits/HeldServers.js';
 import { SharedRetryBudget, type SharedRetryLimits } from '../core/limits/SharedRetryBudget.js';
@@ -104,6 +105,8 @@
 
   private readonly memory: MemoryBudget;
 
+  private readonly inputTurns = new InputTurns(this.clock, (step) => setImmediate(step));
+
   private readonly http: HttpClient;
 
   private readonly storeEra = new StoreEra();
@@ -589,6 +592,7 @@
     return {
       connections: this.connections[listener],
       memory: this.memory,
+      turns: this.inputTurns,
       onConnectionEnd: (reason, peer) => {
         this.metrics.countConnectionEnd(listener, reason);
         this.log.record('connection-closed', {
@@ -627,6 +631,7 @@
     metrics.addGauge('acaciadrum_slow_servers', () => this.slowness.size);
     metrics.addGauge('acaciadrum_message_bytes', () => this.memory.used);
     metrics.addGauge('acaciadrum_evictions', () => this.memory.evictions);
+    metrics.addGauge('acaciadrum_waiting_inputs', () => this.inputTurns.size);
     for (const listener of Object.values(Listener)) {
       const connections = this.connections[listener];
       metrics.addGauge(`acaciadrum_connections{listener="${listener}"}`, () => connections.size);
