Peers' messages that are not complete are counted in the budget of memory

A client at the peers' address could end a process: 10 connections with 8 messages of 8 MB each that stopped just short of their end took 715 MB on (bound 250). Cause: gRPC keeps each message until it is whole, up to 32 MB, and nothing bounded them together.

A message `null` ended the call by an exception in the handler; it is refused as no JSON object.

--- a/features/platform/client-crowds.feature
+++ b/features/platform/client-crowds.feature
@@ -89,6 +89,15 @@
       | stop just short of the end of a body in chunks of one byte |
       | send bodies in chunks of one byte without end              |
 
+  # One message may have 32 MB, the size of the largest configuration.
+  Scenario: Peers whose messages stop just short of their end
+    Given a router process on a machine of 250 MB and 600 descriptors
+    And what it reads and has not read is watched
+    When 10 peers each begin 8 messages of 8000000 bytes, and stop just short of their end
+    Then an ordinary request and a readiness probe are answered, while the crowd stays
+    And the process runs on, and never had more than 250 MB or 600 descriptors
+    And with what it had not read, it never took more than 250 MB
+
   # Guards against a bound that meets callers inside the limits.
   Scenario Outline: A caller inside the limits <request>
     Given a router process on a machine of 250 MB and 600 descriptors
--- a/src/adapters/grpc/SharingService.ts
+++ b/src/adapters/grpc/SharingService.ts
@@ -57,13 +57,27 @@
   return JSON.parse(bytes.toString()) as T;
 }
 
+/** A message with its size. */
+interface Received<T> {
+  readonly message: T;
+  readonly bytes: number;
+}
+
+/** @throws Error if the message is no JSON object; gRPC then ends the call */
+function deserializeReceived<T>(bytes: Buffer): Received<T> {
+  const message = deserialize<T | null>(bytes);
+  if (message === null || typeof message !== 'object')
+    throw new Error('The message is no JSON object. Check that the peer runs the same build.');
+  return { message, bytes: bytes.length };
+}
+
 const SHARING_SERVICE: ServiceDefinition = {
   Exchange: {
     path: '/acaciadrum.Sharing/Exchange',
     requestStream: true,
     responseStream: true,
     requestSerialize: serialize,
-    requestDeserialize: (bytes: Buffer) => deserialize<NumberedDigest>(bytes),
+    requestDeserialize: (bytes: Buffer) => deserializeReceived<NumberedDigest>(bytes),
     responseSerialize: serialize,
     responseDeserialize: (bytes: Buffer) => deserialize<NumberedDigest>(bytes),
   },
@@ -72,7 +86,7 @@
     requestStream: false,
     responseStream: false,
     requestSerialize: serialize,
-    requestDeserialize: (bytes: Buffer) => deserialize<UpdateRequest>(bytes),
+    requestDeserialize: (bytes: Buffer) => deserializeReceived<UpdateRequest>(bytes),
     responseSerialize: encodeUpdate,
     responseDeserialize: (bytes: Buffer): FetchedUpdate => ({
       update: decodeUpdate(bytes),
@@ -125,8 +139,10 @@
     const { handler } = this;
     const server = new Server({ 'grpc.max_receive_message_length': MAX_MESSAGE_BYTES });
     server.addService(SHARING_SERVICE, {
-      Exchange: (stream: ServerDuplexStream<NumberedDigest, NumberedDigest>) => {
-        stream.on('data', ({ number, digest }: NumberedDigest) => {
+      Exchange: (stream: ServerDuplexStream<Received<NumberedDigest>, NumberedDigest>) => {
+        stream.on('data', ({ message, bytes }: Received<NumberedDigest>) => {
+          const { number, digest } = message;
+          this.listener.endMessage(stream.getPeer(), bytes);
           try {
             stream.write({ number, digest: handler.receiveDigest(digest) });
           } catch (error) {
@@ -139,9 +155,13 @@
         stream.on('error', () => {});
       },
       FetchUpdate: (
-        call: ServerUnaryCall<UpdateRequest, DeploymentUpdate | undefined>,
+        call: ServerUnaryCall<Received<UpdateRequest>, DeploymentUpdate | undefined>,
         callback: sendUnaryData<DeploymentUpdate | undefined>,
-      ) => callback(null, handler.updateSince(call.request.ticket)),
+      ) => {
+        const { message, bytes } = call.request;
+        this.listener.endMessage(call.getPeer(), bytes);
+        callback(null, handler.updateSince(message.ticket));
+      },
     });
     return server;
   }
--- a/src/adapters/http/GuardedConnection.ts
+++ b/src/adapters/http/GuardedConnection.ts
@@ -23,6 +23,8 @@
   LargeHead = 'large-head',
   /** Reading its message took much processor time, while the input of others was read. */
   DearInput = 'dear-input',
+  /** The messages in progress took all memory, and it kept most with messages that were not complete. */
+  LargeMessages = 'large-messages',
   /** The messages in progress took all memory, and it kept most with input that had not been read. */
   UnreadInput = 'unread-input',
 }
