A message that sends a byte now and then has stalled

When the budget of memory is spent, the stalled message that keeps most ends first. A byte within a second counted as moving on, so that a crowd of small messages that dripped was spared, and a large lawful body that came steadily ended, as it kept most.

Change: fewer than 128 bytes within a second count as stalled, as for connections. MessageBuffer tells its share of bytes that fit into a block counted before, so that a slow body is not taken for one that has stopped. In message-buffer.feature the rows of 1 and 40 bytes fail if any byte counts as progress.

--- a/features/core/limits/message-buffer.feature
+++ b/features/core/limits/message-buffer.feature
@@ -28,3 +28,16 @@
     When a message comes in 20 parts of 1000 bytes
     And it is dropped
     Then nothing is counted any more
+
+  # The body takes far more than any of the others, and is the only one that gets on.
+  Scenario Outline: A body of 400 kB beside messages that send <bytes> bytes now and then
+    Given a budget of 1000 kB of memory
+    When 90 messages of 10 kB stop, and go on with <bytes> bytes every 500 ms
+    And a body of 400 kB comes meanwhile, 4 kB every 100 ms
+    Then the body is complete, and only others have ended
+
+    Examples:
+      | bytes |
+      | 0     |
+      | 1     |
+      | 40    |
--- a/src/core/limits/MemoryShare.ts
+++ b/src/core/limits/MemoryShare.ts
@@ -1,8 +1,11 @@
 import type { Disposable } from '../../ports/Types.js';
 
-/** A share that has not changed for this long counts as stalled, in milliseconds. */
+/** A share counts as stalled if less than `PROGRESS_BYTES` came or went for this long, in milliseconds. */
 const STALLED_MS = 1000;
 
+/** Bytes that count as progress: a sender of a byte now and then must not pass for one that moves on. */
+const PROGRESS_BYTES = 128;
+
 /** Memory that a kept part of a message takes besides its bytes: its object, and what the allocator adds. */
 const PART_OVERHEAD_BYTES = 256;
 
@@ -27,7 +30,13 @@
 export class MemoryShare implements Disposable {
   private heldBytes = 0;
 
-  private changedAt: number;
+  /** Time of the last progress. */
+  private movedAt: number;
+
+  /** Bytes that came or went since `countedSince`. */
+  private movedBytes = 0;
+
+  private countedSince: number;
 
   /** Whether more of the message is expected to come or to be taken. */
   private isMoving = false;
@@ -38,7 +47,8 @@
     private readonly account: MemoryAccount,
     private readonly holder: MemoryHolder,
   ) {
-    this.changedAt = account.now();
+    this.movedAt = account.now();
+    this.countedSince = this.movedAt;
   }
 
   public get bytes(): number {
@@ -59,6 +69,17 @@
     this.change(bytes + PART_OVERHEAD_BYTES);
   }
 
+  /** Records that bytes have come, also those for which room was counted before. */
+  public noteProgress(bytes: number): void {
+    const now = this.account.now();
+    if (now - this.countedSince >= STALLED_MS) {
+      this.countedSince = now;
+      this.movedBytes = 0;
+    }
+    this.movedBytes += bytes;
+    if (this.movedBytes >= PROGRESS_BYTES) this.movedAt = now;
+  }
+
   /** Records that what is kept is complete and waits for others, so that it cannot stall. */
   public settle(): void {
     this.isMoving = false;
@@ -86,7 +107,7 @@
   public excess(now: number): { bytes: number; isStalled: boolean } {
     return {
       bytes: this.heldBytes - this.holder.allowanceBytes,
-      isStalled: this.isMoving && now - this.changedAt >= STALLED_MS,
+      isStalled: this.isMoving && now - this.movedAt >= STALLED_MS,
     };
   }
 
@@ -99,7 +120,7 @@
   private change(bytes: number): void {
     if (this.isReleased || bytes === 0) return;
     this.heldBytes += bytes;
-    this.changedAt = this.account.now();
+    this.noteProgress(Math.abs(bytes));
     this.account.count(bytes);
   }
 }
--- a/src/core/limits/MessageBuffer.ts
+++ b/src/core/limits/MessageBuffer.ts
@@ -35,6 +35,7 @@
     last?.set(fitting === part.length ? part : part.subarray(0, fitting), this.lastUsed);
     this.lastUsed += fitting;
     this.bytes += fitting;
+    this.memory?.noteProgress(part.length);
     if (fitting < part.length) this.addBlock(part.subarray(fitting));
   }
 
