--- a/features/platform/HostileCrowd.ts
+++ b/features/platform/HostileCrowd.ts
@@ -45,6 +45,8 @@
   /** Part that it sends again and again afterwards. */
   readonly repeated?: string | Buffer;
   readonly isReading?: boolean;
+  /** Whether it reads a byte of its answers now and then. */
+  readonly isReadingSlowly?: boolean;
 }
 
 export function head(
@@ -52,8 +54,9 @@
   { path, authorization }: Door,
   id: string,
   fields: string,
+  answer = 'stops before its body',
 ): string {
-  return `${method} ${path} HTTP/1.1\r\nhost: host\r\n${authorization}x-attempt-id: ${id}\r\nx-deadline-ms: 20000\r\n${LARGE_ANSWER_HEADER}: stops before its body\r\n${fields}`;
+  return `${method} ${path} HTTP/1.1\r\nhost: host\r\n${authorization}x-attempt-id: ${id}\r\nx-deadline-ms: 20000\r\n${LARGE_ANSWER_HEADER}: ${answer}\r\n${fields}`;
 }
 
 function shortFields(): string {
@@ -65,6 +68,8 @@
 
 const SHORT_FIELDS = shortFields();
 
+const QUERY = 'a=1&'.repeat(LONG_HEAD_BYTES / 4);
+
 function* bodyInPieces(door: Door, id: string): Iterable<string | Buffer> {
   yield head('POST', door, id, `content-length: ${MAX_BODY_BYTES}\r\n\r\n`);
   const piece = Buffer.alloc(SMALL_PIECE_BYTES, 'x');
@@ -138,6 +143,19 @@
     clients: 60,
     opening: (door, id) => requestsAhead(60, door, id, SHORT_FIELDS),
   },
+  'send very many query parameters, and stop inside the body': {
+    clients: 380,
+    opening: (door, id) => [
+      head('POST', { ...door, path: `${door.path}?${QUERY}` }, id, 'content-length: 10\r\n\r\n'),
+      'body',
+    ],
+    isReading: true,
+  },
+  'read a byte of a large answer now and then': {
+    clients: 60,
+    opening: (door, id) => [head('GET', door, id, '\r\n', 'whole')],
+    isReadingSlowly: true,
+  },
   'connect and send nothing': { clients: 700, opening: () => [], isReading: true },
   'stop half-way through a head': {
     clients: 700,
@@ -180,7 +198,7 @@
    * @param count - number of clients; 0 for the usual number of the way
    */
   public async begin(way: Way, door: Door, address: string, count: number): Promise<void> {
-    const { clients, opening, repeated, isReading } = way;
+    const { clients, opening, repeated, isReading, isReadingSlowly } = way;
     for (let number = 0; number < (count || clients); number += 1) {
       const socket = connect(hostAndPort(address));
       socket.on('error', () => undefined);
@@ -189,10 +207,13 @@
       this.send(socket, opening(door, `hostile-${number}`));
       if (number % 20 === 19) await pause(1);
     }
-    if (repeated === undefined) return;
+    if (repeated === undefined && isReadingSlowly !== true) return;
     this.timer = setInterval(() => {
-      for (const socket of this.sockets)
-        if (!socket.destroyed && !socket.writableNeedDrain) socket.write(repeated);
+      for (const socket of this.sockets) {
+        if (isReadingSlowly === true) socket.read(1);
+        if (repeated !== undefined && !socket.destroyed && !socket.writableNeedDrain)
+          socket.write(repeated);
+      }
     }, REPEAT_MS);
   }
 
--- a/features/platform/hostile-clients.feature
+++ b/features/platform/hostile-clients.feature
@@ -29,6 +29,13 @@
       | no route       | send 60 requests of very many short fields ahead without reading  |
       | readiness      | send 60 requests of very many short fields ahead without reading  |
 
+      | a route        | send very many query parameters, and stop inside the body         |
+      | no route       | send very many query parameters, and stop inside the body         |
+
+    Examples: answers that are not taken
+      | door    | way                                        |
+      | a route | read a byte of a large answer now and then |
+
     Examples: requests sent ahead
       | door           | way                                      |
       | a route        | send 2000 requests ahead without reading |
--- a/features/platform/hostile-clients.steps.ts
+++ b/features/platform/hostile-clients.steps.ts
@@ -152,7 +152,7 @@
 );
 
 When(
-  /^(\d+ )?clients at "(.+)" (connect|send|stop)( .+)$/,
+  /^(\d+ )?clients at "(.+)" (connect|send|stop|read)( .+)$/,
   { timeout: STEP_LIMIT_MS },
   async function run(
     this: HostileWorld,
