A refused body is dropped at once; what a connection lingers with is not kept

Found by reading: a body that was refused in the middle stayed referenced, no longer counted, for the two seconds in which its connection may linger. It is dropped with the refusal, and with the memory of its request.

--- a/src/adapters/http/ScheduledConnection.ts
+++ b/src/adapters/http/ScheduledConnection.ts
@@ -160,7 +160,7 @@
 
   public override _read(): void {
     this.isWanted = true;
-    this.handleReadable();
+    if (this.hasInput) this.turn.request();
   }
 
   public override _write(
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -13,6 +13,7 @@
 import type { CallerLimits } from '../core/deployment/Types.js';
 import type { CallerReply, CallerRequest, Relay } from '../core/relay/Types.js';
 import type { Clock } from '../ports/Types.js';
+import { DEFAULT_LIMITS } from './DefaultLimits.js';
 import { HttpReply, onceNext } from './HttpReply.js';
 import {
   BODY_TOO_LARGE,
@@ -28,14 +29,6 @@
 import { RequestMemory } from './RequestMemory.js';
 import { endToEndHeaders, HEADER } from './WireNames.js';
 
-/** Limits that apply until the operator's configuration has been read. */
-const DEFAULT_LIMITS: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeoutMs: 3000,
-  idleTimeoutMs: 15_000,
-};
-
 /** Size from which on a body is kept only if the head of its request is not refused anyway, in bytes. */
 const UNJUDGED_BODY_BYTES = 16 * 1024;
 
@@ -171,24 +164,22 @@
     let relay: Relay | undefined;
     const reply = new HttpReply(response, () => this.closesAfterAnswer(request.socket));
     const kept = new RequestMemory(this.dependencies.memory, () => {
-      if (relay === undefined) this.rejectBody(request, response, kept.message, MEMORY_EXHAUSTED);
+      if (relay === undefined) this.rejectBody(request, response, kept, MEMORY_EXHAUSTED);
       else relay.evict();
       // An answer behind that of an earlier request would wait, and keep its request in memory.
       if (response.socket === null) request.socket.destroy();
     });
-    const memory = kept.message;
+    const { message: memory, body } = kept;
     const release = (): void => {
       this.openRequests.delete(response);
       kept.dispose();
       if (!response.writableFinished) relay?.cancel();
     };
-    const { body } = kept;
-    const refuseDear = (): void => {
-      body.clear();
-      this.rejectBody(request, response, memory, PROCESSOR_EXHAUSTED);
+    const rejectDear = (): void => {
+      this.rejectBody(request, response, kept, PROCESSOR_EXHAUSTED);
       if (response.socket === null) request.socket.destroy();
     };
-    if (!this.guard.admit(request, response, release, refuseDear)) {
+    if (!this.guard.admit(request, response, release, rejectDear)) {
       kept.dispose();
       return;
     }
@@ -206,11 +197,11 @@
     kept.addHead(headBytes(request));
     if (response.headersSent || response.destroyed) return;
     if (!areSendable(request.rawHeaders)) {
-      this.rejectBody(request, response, memory, INVALID_HEADERS);
+      this.rejectBody(request, response, kept, INVALID_HEADERS);
       return;
     }
     if (Number(header(request, 'content-length') ?? 0) > this.limits.maxBodyBytes) {
-      this.rejectBody(request, response, memory, BODY_TOO_LARGE);
+      this.rejectBody(request, response, kept, BODY_TOO_LARGE);
       return;
     }
     let size = 0;
@@ -219,7 +210,7 @@
       const wasJudged = size > UNJUDGED_BODY_BYTES;
       size += chunk.length;
       if (size > this.limits.maxBodyBytes) {
-        this.rejectBody(request, response, memory, BODY_TOO_LARGE);
+        this.rejectBody(request, response, kept, BODY_TOO_LARGE);
         return;
       }
       if (!wasJudged && size > UNJUDGED_BODY_BYTES)
@@ -266,15 +257,16 @@
   private rejectBody(
     request: IncomingMessage,
     response: ServerResponse,
-    memory: MemoryShare,
+    kept: RequestMemory,
     refused: Refusal,
   ): void {
+    kept.body.clear();
     request.removeAllListeners('data');
     request.resume();
     this.guard.discardInput(request);
     if (response.headersSent) return;
     const reply = new HttpReply(response, () => true);
-    this.dependencies.refuse(this.decode(request, NO_BODY, memory), reply, refused);
+    this.dependencies.refuse(this.decode(request, NO_BODY, kept.message), reply, refused);
   }
 
   private decode(request: IncomingMessage, body: Buffer, memory: MemoryShare): CallerRequest {
--- a/src/platform/RequestMemory.ts
+++ b/src/platform/RequestMemory.ts
@@ -21,7 +21,6 @@
     const holder: MemoryHolder = {
       allowanceBytes: 0,
       onEvict: () => {
-        this.body.clear();
         this.dispose();
         onEvict();
       },
@@ -38,6 +37,7 @@
   }
 
   public dispose(): void {
+    this.body.clear();
     this.head.dispose();
     this.message.dispose();
   }
