A stop keeps connections whose input waits for its turn; the refusal of a body reaches its client

A request that had arrived and waited for its turn was lost when a stopping instance closed its idle connections: they were told by their requests, and an unread one is none yet. Found by reading the turns, before callers saw it; the new scenario of ingress.feature failed. Connections with waiting input are not idle.

--- a/features/platform/ingress.feature
+++ b/features/platform/ingress.feature
@@ -17,6 +17,17 @@
     When the caller's request arrives, and before it is read the instance stops listening
     Then one request is answered
 
+  Scenario: A request waits for its turn when the idle connections are closed
+    Given an instance that answers requests on a kept connection
+    When the caller's request arrives, and while it waits for its turn the instance stops listening
+    Then one request is answered
+
+  # Guards against a connection that is closed with unread input, which takes the refusal away from its client.
+  Scenario: A caller goes on sending a body that is too large
+    Given an instance that answers requests on a kept connection
+    When the caller sends a body of 8000000 bytes, and reads its answer at the end
+    Then it is refused with status 413, without a reset
+
   # Guards against a planned stop that cuts an answer which its caller is still reading.
   Scenario: The instance stops listening while an answer of 8000000 bytes is being read
     Given an instance that answers requests on a kept connection
--- a/features/platform/ingress.steps.ts
+++ b/features/platform/ingress.steps.ts
@@ -18,6 +18,8 @@
   callerSocket: Socket;
   received: string;
   errors: string[];
+  turns: InputTurns;
+  socketError: Error | undefined;
   idleSocket: Socket;
   receivedBytes: number;
 }
@@ -25,14 +27,21 @@
 /** Time within which an answer on a loopback connection arrives, in milliseconds. */
 const ANSWER_MS = 200;
 
+const TURN_DELAY_MS = 50;
+
+/** Time that reading takes beside which other input waits for its turn, in milliseconds. */
+const DEAR_MS = 40;
+
 const EVENT = 'id: 1\ndata: event 1\n\n';
 
 async function listen(world: IngressWorld, stopsMeanwhile: boolean, fails = false): Promise<void> {
   Object.assign(world, { isLeaving: false, accepted: [], received: '', errors: [] });
+  // A turn comes late, as on a busy machine.
+  world.turns = new InputTurns(new SystemClock(), (step) => setTimeout(step, TURN_DELAY_MS));
   world.testedIngress = new Ingress({
     clock: new SystemClock(),
     memory: new MemoryBudget(new SystemClock(), 1e8),
-    turns: new InputTurns(new SystemClock(), (step) => setImmediate(step)),
+    turns: world.turns,
     connections: new ConnectionBudget(new SystemClock(), 100),
     onConnectionEnd: (end) => world.errors.push(end),
     isLeaving: () => world.isLeaving,
@@ -184,6 +193,73 @@
   },
 );
 
+/** Reads input for so long that what arrives next has to wait for its turn. */
+function readDearInput(turns: InputTurns): void {
+  let isRead = false;
+  const turn = turns.open({
+    get hasInput() {
+      return !isRead;
+    },
+    readPiece: () => {
+      const endsAt = performance.now() + DEAR_MS;
+      while (performance.now() < endsAt);
+      isRead = true;
+      return 1;
+    },
+    setWaiting: () => undefined,
+    onEvict: () => undefined,
+  });
+  turn.request();
+}
+
+When(
+  "the caller's request arrives, and while it waits for its turn the instance stops listening",
+  async function run(this: IngressWorld) {
+    this.callerSocket = connect(hostAndPort(this.address));
+    await once(this.callerSocket, 'connect');
+    this.callerSocket.on('error', () => undefined);
+    this.callerSocket.on('data', (bytes: Buffer) => {
+      this.received += bytes.toString();
+    });
+    await pause(ANSWER_MS);
+    this.callerSocket.write(requestText('first'));
+    readDearInput(this.turns);
+    this.isLeaving = true;
+    await this.testedIngress.stopListening();
+    await pause(ANSWER_MS);
+  },
+);
+
+When(
+  'the caller sends a body of {int} bytes, and reads its answer at the end',
+  async function run(this: IngressWorld, bytes: number) {
+    this.callerSocket = connect(hostAndPort(this.address));
+    await once(this.callerSocket, 'connect');
+    this.callerSocket.on('error', (error) => {
+      this.socketError = error;
+    });
+    const head = requestText('first').split('content-length')[0];
+    this.callerSocket.write(`${head}content-length: ${bytes}\r\n\r\n`);
+    for (let sent = 0; sent < bytes; sent += 100_000) {
+      this.callerSocket.write(Buffer.alloc(100_000, 'x'));
+      await pause(1);
+    }
+    this.callerSocket.on('data', (part: Buffer) => {
+      this.received += part.toString();
+    });
+    await pause(ANSWER_MS);
+  },
+);
+
+Then(
+  'it is refused with status {int}, without a reset',
+  function check(this: IngressWorld, status: number) {
+    assert.ok(this.received.startsWith(`HTTP/1.1 ${status}`), this.received);
+    assert.equal(this.socketError, undefined);
+    assert.deepEqual(this.accepted, []);
+  },
+);
+
 Then('one request is answered', function check(this: IngressWorld) {
   assert.deepEqual(this.accepted, ['first']);
   assert.equal(this.received.split('HTTP/1.1 200').length, 2);
--- a/src/adapters/http/ConnectionGuard.ts
+++ b/src/adapters/http/ConnectionGuard.ts
@@ -46,9 +46,10 @@
     server.on('connection', (socket: Socket) => this.watch(socket, accept));
   }
 
-  /** Closes the connections without a request in progress. */
+  /** Closes the connections without a request in progress, and without input that waits to be read. */
   public closeIdle(): void {
-    for (const [socket, { openRequests }] of this.guarded) if (openRequests === 0) socket.destroy();
+    for (const [socket, { openRequests, hasWaitingInput }] of this.guarded)
+      if (openRequests === 0 && !hasWaitingInput) socket.destroy();
   }
 
   /** Number of requests of a connection whose answers have not been written. */
--- a/src/adapters/http/GuardedConnection.ts
+++ b/src/adapters/http/GuardedConnection.ts
@@ -62,6 +62,11 @@
     return this.endsOfRequests.size;
   }
 
+  /** Whether input has arrived that waits for its turn to be read. */
+  public get hasWaitingInput(): boolean {
+    return this.socket.hasInput;
+  }
+
   public get movedBytes(): number {
     // Bytes that wait in this process have not been taken by the client.
     return this.socket.bytesRead + this.socket.bytesWritten - this.socket.writableLength;
