--- a/features/core/limits/input-turns.steps.ts
+++ b/features/core/limits/input-turns.steps.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../../../src/ports/Types.js';
 import { FakeSource, type PieceCost } from './FakeSource.js';
 
-const DEAR: PieceCost = { ms: 1, bytes: 4096 };
+const COSTLY: PieceCost = { ms: 1, bytes: 4096 };
 const LARGE: PieceCost = { ms: 0.02, bytes: 4096 };
 const ORDINARY: PieceCost = { ms: 0.2, bytes: 400 };
 
@@ -70,9 +70,9 @@
 );
 
 When(
-  '{int} dear messages of {int} pieces arrive at once',
+  '{int} costly messages of {int} pieces arrive at once',
   function run(this: TurnsWorld, count: number, pieces: number) {
-    for (let number = 0; number < count; number += 1) arrive(this, DEAR, pieces);
+    for (let number = 0; number < count; number += 1) arrive(this, COSTLY, pieces);
   },
 );
 
@@ -94,7 +94,7 @@
 });
 
 When(
-  'a connection sends {int} messages of {int} pieces, beside {int} dear messages of {int} pieces',
+  'a connection sends {int} messages of {int} pieces, beside {int} costly messages of {int} pieces',
   function run(
     this: TurnsWorld,
     messages: number,
@@ -102,8 +102,8 @@
     crowd: number,
     pieces: number,
   ) {
-    for (let number = 0; number < crowd; number += 1) arrive(this, DEAR, pieces);
-    arrive(this, DEAR, messages * messagePieces, messagePieces);
+    for (let number = 0; number < crowd; number += 1) arrive(this, COSTLY, pieces);
+    arrive(this, COSTLY, messages * messagePieces, messagePieces);
     runUntil(this, Infinity);
   },
 );
--- a/features/platform/client-crowds.feature
+++ b/features/platform/client-crowds.feature
@@ -30,7 +30,7 @@
       | readiness      | stop just short of the end of a body in chunks of one byte          |
       | metrics        | stop just short of the end of a body in large and very small chunks |
 
-  # Each of them is cheap to send and dear to read.
+  # Each of them is cheap to send and costly to read.
   Scenario Outline: 400 clients at "<door>" <way>
     Given a router process on a machine of 250 MB and 4100 descriptors
     And what it reads and has not read is watched
--- a/features/platform/ingress.steps.ts
+++ b/features/platform/ingress.steps.ts
@@ -30,7 +30,7 @@
 const TURN_DELAY_MS = 50;
 
 /** Time that reading takes beside which other input waits for its turn, in milliseconds. */
-const DEAR_MS = 40;
+const COSTLY_MS = 40;
 
 const EVENT = 'id: 1\ndata: event 1\n\n';
 
@@ -194,14 +194,14 @@
 );
 
 /** Reads input for so long that what arrives next has to wait for its turn. */
-function readDearInput(turns: InputTurns): void {
+function readCostlyInput(turns: InputTurns): void {
   let isRead = false;
   const turn = turns.open({
     get hasInput() {
       return !isRead;
     },
     readPiece: () => {
-      const endsAt = performance.now() + DEAR_MS;
+      const endsAt = performance.now() + COSTLY_MS;
       while (performance.now() < endsAt);
       isRead = true;
       return 1;
@@ -223,7 +223,7 @@
     });
     await pause(ANSWER_MS);
     this.callerSocket.write(requestText('first'));
-    readDearInput(this.turns);
+    readCostlyInput(this.turns);
     this.isLeaving = true;
     await this.testedIngress.stopListening();
     await pause(ANSWER_MS);
--- a/src/adapters/http/ConnectionGuard.ts
+++ b/src/adapters/http/ConnectionGuard.ts
@@ -94,7 +94,7 @@
     const connection = new ScheduledConnection(socket, {
       turns,
       memory,
-      onDearInput: (dear) => this.refuseInput(dear),
+      onCostlyInput: (costly) => this.refuseInput(costly),
       onUnreadInput: (unread) =>
         this.end(unread, ConnectionEnd.UnreadInput, unread.remoteAddress ?? ''),
     });
@@ -118,7 +118,7 @@
   private refuseInput(connection: Duplex): void {
     const guarded = this.guarded.get(connection);
     if (guarded === undefined) return;
-    this.dependencies.onConnectionEnd(ConnectionEnd.DearInput, guarded.peer);
+    this.dependencies.onConnectionEnd(ConnectionEnd.CostlyInput, guarded.peer);
     guarded.refuseInput();
   }
 
--- a/src/adapters/http/GuardedConnection.ts
+++ b/src/adapters/http/GuardedConnection.ts
@@ -22,7 +22,7 @@
   /** The messages in progress took all memory, and it kept most with a head that was not complete. */
   LargeHead = 'large-head',
   /** Reading its message took much processor time, while the input of others was read. */
-  DearInput = 'dear-input',
+  CostlyInput = 'costly-input',
   /** The messages in progress took all memory, and it kept most with messages that were not complete. */
   LargeMessages = 'large-messages',
   /** The messages in progress took all memory, and it kept most with input that had not been read. */
--- a/src/adapters/http/ScheduledConnection.ts
+++ b/src/adapters/http/ScheduledConnection.ts
@@ -24,7 +24,7 @@
   /** Counts the input that waits. */
   readonly memory: MemoryBudget;
   /** Called if the message that is being read must end, because reading it takes too much processor time. */
-  onDearInput(connection: ScheduledConnection): void;
+  onCostlyInput(connection: ScheduledConnection): void;
   /** Called if the connection must end, because what waits of it takes memory that is needed. */
   onUnreadInput(connection: ScheduledConnection): void;
 }
@@ -100,7 +100,7 @@
   }
 
   public onEvict(): void {
-    this.dependencies.onDearInput(this);
+    this.dependencies.onCostlyInput(this);
   }
 
   public setWaiting(isWaiting: boolean): void {
--- a/src/core/limits/InputTurn.ts
+++ b/src/core/limits/InputTurn.ts
@@ -6,14 +6,14 @@
 /** Processor time beyond that for its bytes up to which a message is read before all others, in milliseconds. */
 const FRESH_MS = 1;
 
-/** Processor time beyond that for its bytes from which on a message is dear, in milliseconds. */
-const DEAR_MS = 8;
+/** Processor time beyond that for its bytes from which on a message is costly, in milliseconds. */
+const COSTLY_MS = 8;
 
 /** How much processor time a message has taken; the order of the values is the order of reading. */
 export enum Level {
   Fresh = 0,
   Cheap = 1,
-  Dear = 2,
+  Costly = 2,
 }
 
 /** The owner of one connection's input. */
@@ -27,7 +27,7 @@
   readPiece(): number;
   /** Called when the input begins to wait for its turn, and when it no longer does. */
   setWaiting(isWaiting: boolean): void;
-  /** Ends the message that is being read, because it is dear and others are. */
+  /** Ends the message that is being read, because it is costly and others are. */
   onEvict(): void;
 }
 
@@ -78,6 +78,6 @@
 
   public get level(): Level {
     if (this.excessMs < FRESH_MS) return Level.Fresh;
-    return this.excessMs < DEAR_MS ? Level.Cheap : Level.Dear;
+    return this.excessMs < COSTLY_MS ? Level.Cheap : Level.Costly;
   }
 }
--- a/src/core/limits/InputTurns.ts
+++ b/src/core/limits/InputTurns.ts
@@ -1,9 +1,9 @@
 /**
  * Decides whose input is read next, while reading takes more processor time than there is.
  *
- * Answers the load pattern of crowds whose messages are cheap to send and dear to read, such as bodies in chunks of
+ * Answers the load pattern of crowds whose messages are cheap to send and costly to read, such as bodies in chunks of
  * one byte. Messages that have taken little go first, so that ordinary ones do not wait for the crowd, and the event
- * loop comes round between two turns. Dear messages are read a few at a time, oldest first, so that some of them are
+ * loop comes round between two turns. Costly messages are read a few at a time, oldest first, so that some of them are
  * read to their end; those that wait for too long end.
  */
 import type { Clock } from '../../ports/Types.js';
@@ -15,22 +15,22 @@
 /** Fraction of the processor time that reading may take before the event loop comes round for each turn. */
 const UNDEFERRED_SHARE = 0.5;
 
-/** Dear messages that are read at the same time. */
-const DEAR_AT_ONCE = 8;
+/** Costly messages that are read at the same time. */
+const COSTLY_AT_ONCE = 8;
 
-/** Time after which a dear message ends whose input was not read, because that of others was, in milliseconds. */
+/** Time after which a costly message ends whose input was not read, because that of others was, in milliseconds. */
 const MAX_WAIT_MS = 2000;
 
 export class InputTurns {
-  /** Sources that wait, by the level of their messages; of the dear ones, those that wait to be read at all. */
+  /** Sources that wait, by the level of their messages; of the costly ones, those that wait to be read at all. */
   private readonly waiting: Readonly<Record<Level, Set<InputTurn>>> = {
     [Level.Fresh]: new Set(),
     [Level.Cheap]: new Set(),
-    [Level.Dear]: new Set(),
+    [Level.Costly]: new Set(),
   };
 
-  /** Dear messages that are being read. */
-  private readonly dear = new Set<InputTurn>();
+  /** Costly messages that are being read. */
+  private readonly costly = new Set<InputTurn>();
 
   private isDeferred = false;
 
@@ -51,13 +51,16 @@
 
   /** Number of connections whose input waits. */
   public get size(): number {
-    const { waiting, dear } = this;
+    const { waiting, costly } = this;
     return (
-      waiting[Level.Fresh].size + waiting[Level.Cheap].size + waiting[Level.Dear].size + dear.size
+      waiting[Level.Fresh].size +
+      waiting[Level.Cheap].size +
+      waiting[Level.Costly].size +
+      costly.size
     );
   }
 
-  /** Number of messages that ended because they were dear and others were read. */
+  /** Number of messages that ended because they were costly and others were read. */
   public get evictions(): number {
     return this.evictedCount;
   }
@@ -76,7 +79,7 @@
   }
 
   public remove(turn: InputTurn): void {
-    for (const queue of [...Object.values(this.waiting), this.dear]) queue.delete(turn);
+    for (const queue of [...Object.values(this.waiting), this.costly]) queue.delete(turn);
     if (!turn.isWaiting) return;
     turn.isWaiting = false;
     turn.source.setWaiting(false);
@@ -115,25 +118,25 @@
       const [turn] = this.waiting[level];
       if (turn !== undefined) return turn;
     }
-    const [first] = this.waiting[Level.Dear];
-    if (first !== undefined && this.dear.size < DEAR_AT_ONCE) {
-      this.waiting[Level.Dear].delete(first);
-      this.dear.add(first);
+    const [first] = this.waiting[Level.Costly];
+    if (first !== undefined && this.costly.size < COSTLY_AT_ONCE) {
+      this.waiting[Level.Costly].delete(first);
+      this.costly.add(first);
     }
-    const [turn] = this.dear;
+    const [turn] = this.costly;
     return turn;
   }
 
   /** Puts a source that has been read behind the others of its level. */
   private requeue(turn: InputTurn): void {
-    const wasDear = this.dear.delete(turn);
+    const wasCostly = this.costly.delete(turn);
     for (const queue of Object.values(this.waiting)) queue.delete(turn);
     if (!this.canRead(turn)) {
       this.remove(turn);
       return;
     }
     turn.waitsSince = this.clock.now();
-    const queue = wasDear && turn.level === Level.Dear ? this.dear : this.waiting[turn.level];
+    const queue = wasCostly && turn.level === Level.Costly ? this.costly : this.waiting[turn.level];
     queue.add(turn);
   }
 
@@ -155,7 +158,7 @@
 
   private endStarved(): void {
     const now = this.clock.now();
-    for (const turn of this.waiting[Level.Dear]) {
+    for (const turn of this.waiting[Level.Costly]) {
       if (now - turn.waitsSince < MAX_WAIT_MS) return;
       this.remove(turn);
       turn.reset();
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -175,11 +175,11 @@
       kept.dispose();
       if (!response.writableFinished) relay?.cancel();
     };
-    const rejectDear = (): void => {
+    const rejectCostly = (): void => {
       this.rejectBody(request, response, kept, PROCESSOR_EXHAUSTED);
       if (response.socket === null) request.socket.destroy();
     };
-    if (!this.guard.admit(request, response, release, rejectDear)) {
+    if (!this.guard.admit(request, response, release, rejectCostly)) {
       kept.dispose();
       return;
     }
--- a/src/router/RouterInstance.ts
+++ b/src/router/RouterInstance.ts
@@ -632,7 +632,7 @@
     metrics.addGauge('acaciadrum_message_bytes', () => this.memory.used);
     metrics.addGauge('acaciadrum_evictions', () => this.memory.evictions);
     metrics.addGauge('acaciadrum_waiting_inputs', () => this.inputTurns.size);
-    metrics.addGauge('acaciadrum_dear_inputs_ended', () => this.inputTurns.evictions);
+    metrics.addGauge('acaciadrum_costly_inputs_ended', () => this.inputTurns.evictions);
     for (const listener of Object.values(Listener)) {
       const connections = this.connections[listener];
       metrics.addGauge(`acaciadrum_connections{listener="${listener}"}`, () => connections.size);
