Input that waits for its turn has not stalled

Found by reading: what a connection keeps unread counted as stalled after a second in the queue, although its client had sent it, and would have ended before larger messages that stopped by themselves, once all memory for messages was taken. No test shows it; the crowds of client-crowds.feature are played again on this commit.

--- a/src/adapters/http/ScheduledConnection.ts
+++ b/src/adapters/http/ScheduledConnection.ts
@@ -109,9 +109,10 @@
       return;
     }
     const { readableLength } = this.socket;
-    this.unread.add(
-      readableLength < FULL_INPUT_BYTES ? readableLength : readableLength + WINDOW_BYTES,
-    );
+    const isFull = readableLength >= FULL_INPUT_BYTES;
+    this.unread.add(isFull ? readableLength + WINDOW_BYTES : readableLength);
+    // It waits for this process, not for the client.
+    this.unread.settle();
   }
 
   /** Records that a message has been read to its end. */
