--- a/src/adapters/http/HttpClient.ts
+++ b/src/adapters/http/HttpClient.ts
@@ -164,7 +164,10 @@
               body,
             });
           })
-          .catch(fail);
+          .catch((error: Error) => {
+            fail(error);
+            outgoing.destroy();
+          });
       });
       outgoing.end(call.body);
     });
