--- a/features/adapters/sharing-service.feature
+++ b/features/adapters/sharing-service.feature
@@ -21,3 +21,9 @@
       | asks with     | no json |
       | is asked, and replies | null |
       | is asked, and replies | no json |
+
+  # Guards against a peer that is taken for one that never ends its messages, because what it sends adds up.
+  Scenario: A peer that sends more over time than the budget of memory
+    Given a sharing service that answers, with a budget of 1000 kB for messages
+    When a peer sends it 60 digests of 100 kB on one connection
+    Then all are answered, nothing of them is counted, and no connection was closed
--- a/features/adapters/sharing-service.steps.ts
+++ b/features/adapters/sharing-service.steps.ts
@@ -7,6 +7,10 @@
   ServerCredentials,
   type ServerDuplexStream,
 } from '@grpc/grpc-js';
+import type { ConnectionEnd } from '../../src/adapters/http/GuardedConnection.js';
+import { SystemClock } from '../../src/adapters/SystemClock.js';
+import { ConnectionBudget } from '../../src/core/limits/ConnectionBudget.js';
+import { MemoryBudget } from '../../src/core/limits/MemoryBudget.js';
 import { SharingService, type SharingHandler } from '../../src/adapters/grpc/SharingService.js';
 import { WorkScope, type PeerDigest } from '../../src/core/peers/Types.js';
 import { freeAddress, pause } from '../platform/Ports.js';
@@ -17,8 +21,14 @@
   address: string;
   reported: Error[];
   rejected: number;
+  memory: MemoryBudget;
+  closed: ConnectionEnd[];
+  answers: PeerDigest[];
 }
 
+/** Time within which what a connection holds is counted again, in milliseconds. */
+const COUNTED_MS = 100;
+
 const DIGEST: PeerDigest = {
   from: { instance: 'peer', address: '', failureDomain: 'a', incarnation: 1, capacity: 0 },
   leaving: false,
@@ -137,17 +147,58 @@
   },
 };
 
+const ANSWERING: SharingHandler = {
+  receiveDigest: ({ ticket }) => ({ ...DIGEST, ticket }),
+  updateSince: () => undefined,
+  handleFailure: () => undefined,
+};
+
 Given('a sharing service that answers', async function set(this: SharingServiceWorld) {
   this.address = await freeAddress();
-  this.service = new SharingService({
-    receiveDigest: ({ ticket }) => ({ ...DIGEST, ticket }),
-    updateSince: () => undefined,
-    handleFailure: () => undefined,
-  });
+  this.service = new SharingService(ANSWERING);
   await this.service.listen(this.address);
   this.peer = new SharingService(handlerOf([]));
 });
 
+Given(
+  'a sharing service that answers, with a budget of {int} kB for messages',
+  async function set(this: SharingServiceWorld, kb: number) {
+    this.address = await freeAddress();
+    this.memory = new MemoryBudget(new SystemClock(), kb * 1000);
+    this.closed = [];
+    this.service = new SharingService(ANSWERING, {
+      memory: this.memory,
+      connections: new ConnectionBudget(new SystemClock(), 10),
+      onConnectionEnd: (end) => this.closed.push(end),
+    });
+    await this.service.listen(this.address);
+    this.peer = new SharingService(handlerOf([]));
+  },
+);
+
+When(
+  'a peer sends it {int} digests of {int} kB on one connection',
+  async function run(this: SharingServiceWorld, count: number, kb: number) {
+    const from = { ...DIGEST.from, address: 'x'.repeat(kb * 1000) };
+    this.answers = [];
+    for (let ticket = 1; ticket <= count; ticket += 1)
+      this.answers.push(await this.peer.send(this.address, { ...DIGEST, from, ticket }));
+    await pause(COUNTED_MS);
+  },
+);
+
+Then(
+  'all are answered, nothing of them is counted, and no connection was closed',
+  function check(this: SharingServiceWorld) {
+    assert.deepEqual(
+      this.answers.map(({ ticket }) => ticket),
+      this.answers.map((_answer, index) => index + 1),
+    );
+    assert.equal(this.memory.used, 0);
+    assert.deepEqual(this.closed, []);
+  },
+);
+
 When(
   /^a peer (sends|asks with|is asked, and replies) "(.+)"$/,
   async function run(this: SharingServiceWorld, does: string, message: string) {
