A connection that ends during an upload no longer completes an answer

Callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: OpenCall learnt of a reset from an empty write, and gave its result one turn of the event loop (setImmediate). While the upload is pending, the empty write is queued behind it, Node destroys the socket on its 'end' (socketOnEnd), and the writes fail only when the handle has closed, in the closing phase, after the immediates. A trace of the failing calls shows "end" with 4,190,125 bytes still to be written, the answer's end, success, and the error too late.

Change: AnswerCompletion follows a call until it is certain. An answer that its connection ends counts if the system had taken the whole request before that and the empty write succeeded; its result is awaited, not timed. It asks whether Node had completed the answer before the connection ended, so no header decides. While the request is still being written, such an end fails the call: Node closes the connection then, and nothing tells a server that gave up from one that needed no more. A caller gets 502 with the outcome "unknown", which is true of a request that may have run; one that may be repeated is sent once more.

Decided: an end (FIN) that a reset follows once the system has taken the whole request completes the answer, since nothing on the wire tells it from an early, honest answer (RFC 9112, 6.3: the connection's closure delimits it). If the reset has arrived when the end is read, libuv reports both as one end, and it fails. Answers with a length or chunks are whole as before, whatever follows them.

Stand-in and client share one event loop, so that data and reset have both arrived when the client reads, and uploads exceed what the system buffers. Guards that held before: sound servers, and a stream that is reset after an event.

--- /dev/null
+++ b/features/adapters/answer-end.feature
@@ -0,0 +1,25 @@
+# Guards against part of an answer that passes for a whole one, because only its connection delimits it.
+Feature: Answers that their connections end
+
+  Scenario Outline: <reader>: an answer <framing>, then <ending>, to a request that <request>
+    Given a server that sends an answer <framing> as soon as it has a request's head, then <ending>
+    When <reader> sends it a request that <request>
+    Then the answer is <outcome>
+
+    Examples: a server that gives up while it is sent a request
+      | reader                 | framing          | ending                                     | request                     | outcome    |
+      | the server client      | without a length | a reset in the same moment                 | it does not read            | incomplete |
+      | the server client      | without a length | a reset in the next turn                   | it does not read            | incomplete |
+      | the server client      | without a length | a reset 10 ms later                        | it does not read            | incomplete |
+      | the server client      | without a length | its end and a reset in the same moment     | it does not read            | incomplete |
+      | the server client      | without a length | its end and a reset 50 ms later            | it does not read            | incomplete |
+      | the server client      | without a length | its end, and a reset after 1 MB of reading | it reads in part            | incomplete |
+      | the server client      | without a length | a reset in the same moment                 | it could take at once       | incomplete |
+
+    Examples: a sound server
+      | reader                 | framing          | ending                                     | request                     | outcome    |
+      | the server client      | without a length | its end                                    | it could take at once       | whole      |
+      | the server client      | with a length    | its end                                    | it reads to the end         | whole      |
+      | the server client      | with a length    | a reset in the same moment                 | it does not read            | whole      |
+      | the server client      | with a length    | its end and a reset in the same moment     | it does not read            | whole      |
+      | the server client      | with a length    | its end and a reset 50 ms later            | it does not read            | whole      |
--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -20,6 +20,8 @@
   EndsInsideEvent = 'unframed, ending inside an event',
   /** Without a length, and the connection ends before the first event; streams only. */
   EndsBeforeEvents = 'unframed, ending before the first event',
+  /** Without a length, and the connection is reset after an event; streams only. */
+  ResetAfterEvent = 'unframed, reset after an event',
   /** Complete, but with the id of another request. */
   OfAnotherRequest = 'of another request',
   /** Rejected, stating that the request did not run. */
@@ -603,7 +605,16 @@
       request.socket.end(failed(String(headers['x-attempt-id']), last + 1));
       return;
     }
-    const unframed = this.takeUnframedStream(Number(headers['last-event-id'] ?? 0));
+    if (this.style === AnswerStyle.ResetAfterEvent) {
+      const events = eventsAfter(last).slice(0, 4).join('');
+      this.onBreakOff();
+      request.socket.write(
+        `${signedHead(String(headers['x-attempt-id']))}connection: close\r\n\r\n${events}`,
+      );
+      request.socket.resetAndDestroy();
+      return;
+    }
+    const unframed = this.takeUnframedStream(last);
     if (unframed !== undefined) {
       const id = String(headers['x-attempt-id']);
       request.socket.end(`${signedHead(id)}connection: close\r\n\r\n${unframed}`);
--- a/features/platform/router.feature
+++ b/features/platform/router.feature
@@ -40,6 +40,7 @@
       | unframed                                | 1    |
       | unframed, ending inside an event        | 2    |
       | unframed, ending before the first event | 2    |
+      | unframed, reset after an event          | 2    |
 
   # Guards against a stream that arrives as 200, unsigned and without its first event, because its head could not be sent.
   Scenario: The head of a stream is spoilt at one server
--- /dev/null
+++ b/src/adapters/http/AnswerCompletion.ts
@@ -0,0 +1,79 @@
+/** Tells whether an answer whose body has been read is complete. */
+import type { ClientRequest, IncomingMessage } from 'node:http';
+
+/** How the connection has ended an answer. */
+enum ConnectionEnd {
+  /** Not at all: its length or its chunks delimit the answer. */
+  None,
+  /** It has ended, perhaps by a reset. */
+  Unverified,
+  Orderly,
+  Broken,
+}
+
+/**
+ * Follows one call until it is certain whether its answer is complete.
+ *
+ * An answer without a length or chunks ends with its connection, and is not complete if that is reset. Node's parser
+ * completes it either way, and libuv reports a reset that arrives together with data as an end. An empty write tells
+ * them apart: it sends nothing, and fails after a reset.
+ *
+ * While the request is still being written, such an end is never taken for a complete answer: Node then closes the
+ * connection, so that nothing tells any more whether the server had given up. Once the system has taken the whole
+ * request, an end without a reset completes the answer, whatever the connection meets later.
+ */
+export class AnswerCompletion {
+  private end = ConnectionEnd.None;
+
+  private answer: IncomingMessage | undefined;
+
+  private listener: ((isComplete: boolean) => void) | undefined;
+
+  /** @param outgoing - the call, before it has a socket */
+  public constructor(private readonly outgoing: ClientRequest) {
+    outgoing.once('socket', (socket) => {
+      // Comes before Node's own listener, which completes the answer and closes the connection.
+      socket.prependListener('end', this.verifyEnd);
+      outgoing.once('close', () => socket.removeListener('end', this.verifyEnd));
+    });
+    outgoing.once('response', (answer) => {
+      this.answer = answer;
+    });
+    outgoing.on('error', () => {
+      // After an error, Node's parser completes an answer that its connection delimits.
+      if (this.answer?.complete === true) this.settle(ConnectionEnd.Broken);
+      else this.end = ConnectionEnd.Broken;
+    });
+  }
+
+  /** Calls `listener` once it is certain whether the answer, whose body has been read, is complete. */
+  public onceKnown(listener: (isComplete: boolean) => void): void {
+    if (this.end === ConnectionEnd.Unverified) this.listener = listener;
+    else listener(this.isComplete);
+  }
+
+  private get isComplete(): boolean {
+    return this.answer?.complete === true && this.end !== ConnectionEnd.Broken;
+  }
+
+  private readonly verifyEnd = (): void => {
+    const { answer, outgoing } = this;
+    if (answer === undefined || answer.complete) return;
+    if (!outgoing.writableFinished) {
+      this.end = ConnectionEnd.Broken;
+      return;
+    }
+    this.end = ConnectionEnd.Unverified;
+    outgoing.socket?.write('', (error) =>
+      this.settle(error ? ConnectionEnd.Broken : ConnectionEnd.Orderly),
+    );
+  };
+
+  /** Decides about an end that is not verified yet. */
+  private settle(end: ConnectionEnd): void {
+    if (this.end !== ConnectionEnd.Unverified) return;
+    this.end = end;
+    this.listener?.(this.isComplete);
+    this.listener = undefined;
+  }
+}
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -5,6 +5,7 @@
   type IncomingMessage,
 } from 'node:http';
 import type { Socket } from 'node:net';
+import { AnswerCompletion } from '../adapters/http/AnswerCompletion.js';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
 import { startInputTimer } from '../adapters/http/InputTimer.js';
 import {
@@ -110,6 +111,8 @@
 export class OpenCall implements ServerConnection {
   private readonly outgoing: ClientRequest;
 
+  private readonly completion: AnswerCompletion;
+
   private answer: IncomingMessage | undefined;
 
   private isPaused = false;
@@ -138,11 +141,10 @@
     private readonly onFinish: (call: OpenCall) => void,
   ) {
     const { message } = call.request;
-    const options: ClientRequestArgs & { allowHalfOpen: boolean } = {
+    const options: ClientRequestArgs = {
       ...hostAndPort(call.server.address),
       method: message.method,
       path: message.target,
-      allowHalfOpen: true, // checkForReset needs a socket that Node has not closed automatically
       // A kept-alive connection may close while a request is sent on it. The request then cannot be told
       // from one that ran, so only engine calls and GET requests reuse connections.
       agent: call.stages.length > 0 || message.method === 'GET' ? agent : false,
@@ -150,6 +152,7 @@
       headers: headersFor(call),
     };
     this.outgoing = httpRequest(options);
+    this.completion = new AnswerCompletion(this.outgoing);
     this.outgoing.on('socket', (socket) => this.watchSocket(socket));
     this.outgoing.on('response', (answer) => this.readAnswer(answer));
     // No request asks for another protocol; Node tells of such an answer only here.
@@ -190,7 +193,6 @@
     this.isFinished = true;
     this.onFinish(this);
     this.connectTimer?.dispose();
-    this.socket?.removeListener('end', this.checkForReset);
   }
 
   private get connectionFailure(): CallFailure {
@@ -200,7 +202,6 @@
   private watchSocket(socket: Socket): void {
     this.socket = socket;
     this.bytesBefore = socket.bytesRead;
-    socket.prependListener('end', this.checkForReset);
     if (!socket.connecting) {
       this.connected = true;
       this.isReusedConnection = true;
@@ -216,17 +217,6 @@
     });
   }
 
-  /**
-   * Detects a connection reset. libuv reports a reset that arrives together with data as the end of the
-   * stream. An empty write then fails with the reset, and otherwise sends nothing.
-   */
-  private readonly checkForReset = (): void => {
-    if (this.socket?.writable !== true) return;
-    this.socket.write('', (error) => {
-      if (error) this.fail(CallFailure.ConnectionLost);
-    });
-  };
-
   private readAnswer(answer: IncomingMessage): void {
     if (this.isFinished) return;
     const head = toHead(answer);
@@ -241,12 +231,12 @@
       this.bodyBytes += chunk.length;
       if (!this.isFinished) this.listener.onData(chunk);
     });
-    answer.on('end', () => {
-      if (!answer.complete) this.fail(CallFailure.ConnectionLost);
-      else if (head.isDelimited) this.succeed();
-      // Lets the write of checkForReset complete first.
-      else setImmediate(() => this.succeed());
-    });
+    answer.on('end', () =>
+      this.completion.onceKnown((isComplete) => {
+        if (isComplete) this.succeed();
+        else this.fail(CallFailure.ConnectionLost);
+      }),
+    );
     answer.on('error', () => this.fail(CallFailure.ConnectionLost));
     answer.on('close', () => {
       if (!answer.complete) this.fail(CallFailure.ConnectionLost);
