Plain transport: a connection that is reset no longer completes an answer

Callers would see, on our own interface: part of an answer without a length as a complete one, whether the reset came during an upload or not.

Cause: the second reader of answers that relied on Node's parser, which completes an answer without a length whatever ends its connection, an error included. Here nothing looked for a reset at all.

Change: the body is read through AnswerCompletion and ends with a Failure if it is not complete. The handler of plain calls already cuts the caller's connection on that, and a call with a key is answered "unknown". While parts of the body are still to be handed over, the request has not been written, so it fails as well.

--- a/features/adapters/answer-end.feature
+++ b/features/adapters/answer-end.feature
@@ -7,19 +7,43 @@
     Then the answer is <outcome>
 
     Examples: a server that gives up while it is sent a request
-      | reader                 | framing          | ending                                     | request                     | outcome    |
-      | the server client      | without a length | a reset in the same moment                 | it does not read            | incomplete |
-      | the server client      | without a length | a reset in the next turn                   | it does not read            | incomplete |
-      | the server client      | without a length | a reset 10 ms later                        | it does not read            | incomplete |
-      | the server client      | without a length | its end and a reset in the same moment     | it does not read            | incomplete |
-      | the server client      | without a length | its end and a reset 50 ms later            | it does not read            | incomplete |
-      | the server client      | without a length | its end, and a reset after 1 MB of reading | it reads in part            | incomplete |
-      | the server client      | without a length | a reset in the same moment                 | it could take at once       | incomplete |
+      | reader                        | framing          | ending                                     | request               | outcome    |
+      | the server client             | without a length | a reset in the same moment                 | it does not read      | incomplete |
+      | the server client             | without a length | a reset in the next turn                   | it does not read      | incomplete |
+      | the server client             | without a length | a reset 10 ms later                        | it does not read      | incomplete |
+      | the server client             | without a length | its end and a reset in the same moment     | it does not read      | incomplete |
+      | the server client             | without a length | its end and a reset 50 ms later            | it does not read      | incomplete |
+      | the server client             | without a length | its end, and a reset after 1 MB of reading | it reads in part      | incomplete |
+      | the server client             | without a length | a reset in the same moment                 | it could take at once | incomplete |
+      | the plain transport           | without a length | a reset in the same moment                 | it does not read      | incomplete |
+      | the plain transport           | without a length | a reset in the next turn                   | it does not read      | incomplete |
+      | the plain transport           | without a length | a reset 10 ms later                        | it does not read      | incomplete |
+      | the plain transport           | without a length | its end and a reset in the same moment     | it does not read      | incomplete |
+      | the plain transport           | without a length | its end and a reset 50 ms later            | it does not read      | incomplete |
+      | the plain transport           | without a length | its end, and a reset after 1 MB of reading | it reads in part      | incomplete |
+      | the plain transport           | without a length | a reset in the same moment                 | it could take at once | incomplete |
+      | the plain transport, in parts | without a length | a reset in the same moment                 | it does not read      | incomplete |
+      | the plain transport, in parts | without a length | a reset in the next turn                   | it does not read      | incomplete |
+      | the plain transport, in parts | without a length | a reset 10 ms later                        | it does not read      | incomplete |
+      | the plain transport, in parts | without a length | its end and a reset in the same moment     | it does not read      | incomplete |
+      | the plain transport, in parts | without a length | its end and a reset 50 ms later            | it does not read      | incomplete |
+      | the plain transport, in parts | without a length | its end, and a reset after 1 MB of reading | it reads in part      | incomplete |
+      | the plain transport, in parts | without a length | a reset in the same moment                 | it could take at once | incomplete |
 
     Examples: a sound server
-      | reader                 | framing          | ending                                     | request                     | outcome    |
-      | the server client      | without a length | its end                                    | it could take at once       | whole      |
-      | the server client      | with a length    | its end                                    | it reads to the end         | whole      |
-      | the server client      | with a length    | a reset in the same moment                 | it does not read            | whole      |
-      | the server client      | with a length    | its end and a reset in the same moment     | it does not read            | whole      |
-      | the server client      | with a length    | its end and a reset 50 ms later            | it does not read            | whole      |
+      | reader                        | framing          | ending                                     | request               | outcome    |
+      | the server client             | without a length | its end                                    | it could take at once | whole      |
+      | the server client             | with a length    | its end                                    | it reads to the end   | whole      |
+      | the server client             | with a length    | a reset in the same moment                 | it does not read      | whole      |
+      | the server client             | with a length    | its end and a reset in the same moment     | it does not read      | whole      |
+      | the server client             | with a length    | its end and a reset 50 ms later            | it does not read      | whole      |
+      | the plain transport           | without a length | its end                                    | it could take at once | whole      |
+      | the plain transport           | with a length    | its end                                    | it reads to the end   | whole      |
+      | the plain transport           | with a length    | a reset in the same moment                 | it does not read      | whole      |
+      | the plain transport           | with a length    | its end and a reset in the same moment     | it does not read      | whole      |
+      | the plain transport           | with a length    | its end and a reset 50 ms later            | it does not read      | whole      |
+      | the plain transport, in parts | without a length | its end                                    | it could take at once | whole      |
+      | the plain transport, in parts | with a length    | its end                                    | it reads to the end   | whole      |
+      | the plain transport, in parts | with a length    | a reset in the same moment                 | it does not read      | whole      |
+      | the plain transport, in parts | with a length    | its end and a reset in the same moment     | it does not read      | whole      |
+      | the plain transport, in parts | with a length    | its end and a reset 50 ms later            | it does not read      | whole      |
--- a/features/adapters/answer-end.steps.ts
+++ b/features/adapters/answer-end.steps.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import { HttpClient } from '../../src/adapters/http/HttpClient.js';
+import { HttpPlainTransport } from '../../src/adapters/http/HttpPlainTransport.js';
+import type { PlainCall } from '../../src/core/requests/PlainTransport.js';
 import type { ServerCall } from '../../src/core/relay/Types.js';
 import { OpenCall } from '../../src/platform/OpenCall.js';
 import { ServerAgent } from '../../src/platform/ServerAgent.js';
@@ -16,6 +19,8 @@
 
 const SMALL_BYTES = 4;
 
+const PART_BYTES = 64 * 1024;
+
 const NO_NOTICES = { handleNotice: () => undefined, processOf: () => undefined };
 
 const REQUEST_BYTES: Readonly<Record<string, number>> = {
@@ -59,8 +64,44 @@
   });
 }
 
+/** Returns the body in parts, as a caller that is still sending it. */
+async function* parts(bytes: number): AsyncGenerator<Buffer> {
+  for (let left = bytes; left > 0; left -= PART_BYTES)
+    yield Buffer.alloc(Math.min(left, PART_BYTES));
+}
+
+async function sendPlainCall(
+  address: string,
+  body: PlainCall['body'],
+): Promise<string | undefined> {
+  const call = { method: 'POST', path: '/', headers: {}, body, timeoutMs: 1000 };
+  let text = '';
+  try {
+    const response = await new HttpPlainTransport().send(address, call);
+    for await (const part of response.body) text += Buffer.from(part).toString();
+    return text;
+  } catch {
+    return undefined;
+  }
+}
+
+async function callClient(address: string, bytes: number): Promise<string | undefined> {
+  const client = new HttpClient();
+  const call = { address, method: 'POST', path: '/', body: Buffer.alloc(bytes), timeoutMs: 1000 };
+  try {
+    return (await client.call(call)).body.toString();
+  } catch {
+    return undefined;
+  } finally {
+    client.dispose();
+  }
+}
+
 const READERS: Readonly<Record<string, Reader>> = {
   'the server client': callServer,
+  'the plain transport': (address, bytes) => sendPlainCall(address, Buffer.alloc(bytes)),
+  'the plain transport, in parts': (address, bytes) => sendPlainCall(address, parts(bytes)),
+  'the HTTP client': callClient,
 };
 
 Given(
@@ -75,7 +116,7 @@
 );
 
 When(
-  /^(the server client|the plain transport|the client) sends it a request that (it .+)$/,
+  /^(the .+) sends it a request that (it .+)$/,
   async function run(this: AnswerEndWorld, reader: string, request: string) {
     this.readBody = await READERS[reader](this.earlyAddress, REQUEST_BYTES[request]);
   },
--- a/src/adapters/http/AnswerCompletion.ts
+++ b/src/adapters/http/AnswerCompletion.ts
@@ -52,6 +52,13 @@
     else listener(this.isComplete);
   }
 
+  /** Resolves once it is certain whether the answer, whose body has been read, is complete. */
+  public whenKnown(): Promise<boolean> {
+    return new Promise((resolve) => {
+      this.onceKnown(resolve);
+    });
+  }
+
   private get isComplete(): boolean {
     return this.answer?.complete === true && this.end !== ConnectionEnd.Broken;
   }
--- a/src/adapters/http/HttpPlainTransport.ts
+++ b/src/adapters/http/HttpPlainTransport.ts
@@ -1,12 +1,18 @@
 /** Calls plain services over HTTP with streamed bodies. */
 import { once } from 'node:events';
-import { request as httpRequest, type ClientRequest, type IncomingHttpHeaders } from 'node:http';
+import {
+  request as httpRequest,
+  type ClientRequest,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+} from 'node:http';
 import { Failure, FailureKind } from '../../core/Failure.js';
 import type {
   PlainCall,
   PlainResponse,
   PlainTransport,
 } from '../../core/requests/PlainTransport.js';
+import { AnswerCompletion } from './AnswerCompletion.js';
 import { hostAndPort } from './HttpClient.js';
 import { startInputTimer } from './InputTimer.js';
 
@@ -57,6 +63,22 @@
   outgoing.end();
 }
 
+/**
+ * Reads the body of an answer.
+ * @throws Failure of kind `ConnectionLost` if it is not complete
+ */
+async function* readBody(
+  message: IncomingMessage,
+  completion: AnswerCompletion,
+): AsyncGenerator<Uint8Array> {
+  yield* message;
+  if (await completion.whenKnown()) return;
+  throw new Failure(
+    FailureKind.ConnectionLost,
+    'The connection was lost within the answer. Check that the server is running.',
+  );
+}
+
 export class HttpPlainTransport implements PlainTransport {
   public send(address: string, call: PlainCall): Promise<PlainResponse> {
     return new Promise((resolve, reject) => {
@@ -72,6 +94,7 @@
         agent: false,
         headers,
       });
+      const completion = new AnswerCompletion(outgoing);
       let timer = startInputTimer(CONNECT_TIMEOUT_MS, () =>
         outgoing.destroy(new Error('connect timeout')),
       );
@@ -101,7 +124,7 @@
         resolve({
           status: message.statusCode ?? 502,
           headers: endToEndHeaders(message.headers),
-          body: message,
+          body: readBody(message, completion),
           notRun: message.headers[NOT_RUN_HEADER] !== undefined,
         });
       });
