HTTP client: a connection that is reset no longer completes an answer

What would be seen: an answer of the store, of a server to an order, a reroute or a request for its report, or of an engine's stage, that has no length and is reset within its body, taken as whole. Such a part is seldom JSON, but an empty one is: a reset after the head gave a status with no value.

Change: the call resolves only if AnswerCompletion finds its answer complete, and fails as a lost connection otherwise, within the same time limit.

--- a/features/adapters/answer-end.feature
+++ b/features/adapters/answer-end.feature
@@ -29,6 +29,13 @@
       | the plain transport, in parts | without a length | its end and a reset 50 ms later            | it does not read      | incomplete |
       | the plain transport, in parts | without a length | its end, and a reset after 1 MB of reading | it reads in part      | incomplete |
       | the plain transport, in parts | without a length | a reset in the same moment                 | it could take at once | incomplete |
+      | the HTTP client               | without a length | a reset in the same moment                 | it does not read      | incomplete |
+      | the HTTP client               | without a length | a reset in the next turn                   | it does not read      | incomplete |
+      | the HTTP client               | without a length | a reset 10 ms later                        | it does not read      | incomplete |
+      | the HTTP client               | without a length | its end and a reset in the same moment     | it does not read      | incomplete |
+      | the HTTP client               | without a length | its end and a reset 50 ms later            | it does not read      | incomplete |
+      | the HTTP client               | without a length | its end, and a reset after 1 MB of reading | it reads in part      | incomplete |
+      | the HTTP client               | without a length | a reset in the same moment                 | it could take at once | incomplete |
 
     Examples: a sound server
       | reader                        | framing          | ending                                     | request               | outcome    |
@@ -47,3 +54,8 @@
       | the plain transport, in parts | with a length    | a reset in the same moment                 | it does not read      | whole      |
       | the plain transport, in parts | with a length    | its end and a reset in the same moment     | it does not read      | whole      |
       | the plain transport, in parts | with a length    | its end and a reset 50 ms later            | it does not read      | whole      |
+      | the HTTP client               | without a length | its end                                    | it could take at once | whole      |
+      | the HTTP client               | with a length    | its end                                    | it reads to the end   | whole      |
+      | the HTTP client               | with a length    | a reset in the same moment                 | it does not read      | whole      |
+      | the HTTP client               | with a length    | its end and a reset in the same moment     | it does not read      | whole      |
+      | the HTTP client               | with a length    | its end and a reset 50 ms later            | it does not read      | whole      |
--- a/src/adapters/http/HttpClient.ts
+++ b/src/adapters/http/HttpClient.ts
@@ -8,6 +8,7 @@
 import { Failure, FailureKind } from '../../core/Failure.js';
 import type { MemoryBudget } from '../../core/limits/MemoryBudget.js';
 import type { Disposable } from '../../ports/Types.js';
+import { AnswerCompletion } from './AnswerCompletion.js';
 import { readBody } from './BodyReader.js';
 import { startInputTimer } from './InputTimer.js';
 
@@ -110,6 +111,7 @@
           ...(call.body !== undefined && { 'content-length': Buffer.byteLength(call.body) }),
         },
       });
+      const completion = new AnswerCompletion(outgoing);
       const limit = (ms: number): Disposable =>
         startInputTimer(ms, () => outgoing.destroy(new Error(`no response within ${ms} ms`)));
       let timer = limit(call.timeoutMs);
@@ -154,7 +156,9 @@
         call.onHead?.(message.statusCode ?? 0, message.headers);
         message.on('data', restartTimer);
         readBody(message, call.maxAnswerBytes ?? MAX_ANSWER_BYTES, share)
-          .then((body) => {
+          .then(async (body) => {
+            if (!(await completion.whenKnown()))
+              throw new Error('its connection was lost within the answer');
             timer.dispose();
             share?.dispose();
             resolve({
