An answer whose status is beyond 599 is not one in HTTP

Callers saw: an answer with status 600 and a signature, from a server in trouble, as the answer to their request; a stream that may be resumed ended with it.

Cause: isFinalStatus took each status of three digits from 200 on. HTTP has the classes 1xx to 5xx; others are invalid (RFC 9110, 15).

Change: final statuses are 200 to 599. Such an answer is discarded as one with status 000 already was: 502, or another server where the request may run again.

Held before, kept as guards: statuses 000 and 099, and names with a blank, a tab, a control byte, NUL, DEL or CR, to calls, to streams before their first event and to streams that resume, on kept connections, to HEAD and after interim answers.

--- /dev/null
+++ b/features/adapters/spoilt-heads.steps.ts
@@ -0,0 +1,196 @@
+import assert from 'node:assert/strict';
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { HttpPlainTransport } from '../../src/adapters/http/HttpPlainTransport.js';
+import { encodeEnd } from '../../src/adapters/http/TokenFrames.js';
+import type { AnswerHead, ServerCall } from '../../src/core/relay/Types.js';
+import { FinishReason } from '../../src/core/streams/Types.js';
+import { OpenCall } from '../../src/platform/OpenCall.js';
+import { ServerAgent } from '../../src/platform/ServerAgent.js';
+import { pause } from '../platform/Ports.js';
+
+interface SpoiltWorld {
+  spoiltServer: Server;
+  spoiltAddress: string;
+  spoiltSockets: Set<Socket>;
+  connections: number;
+  keptAgent: ServerAgent;
+}
+
+enum Outcome {
+  Taken = 'taken',
+  Discarded = 'discarded',
+  /** The reader has not decided in time. */
+  Open = 'open',
+}
+
+/** Time within which a reader decides about an answer, in milliseconds; servers get half of it. */
+const DECISION_MS = 2000;
+
+const CALL_TIMEOUT_MS = DECISION_MS / 2;
+
+const ID = 'id-1';
+
+/** A complete answer of an engine, which is as good as any for the other readers. */
+const BODY = encodeEnd(FinishReason.Stop, 0);
+
+const SEALED = `x-attempt-id: ${ID}\r\nx-server-seal: seal\r\n`;
+
+const LENGTH = `content-length: ${BODY.length}\r\n`;
+
+const INTERIM = 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n';
+
+function status(code: string): string {
+  return `HTTP/1.1 ${code} Text\r\n${SEALED}${LENGTH}\r\n`;
+}
+
+function lines(text: string): string {
+  return `HTTP/1.1 200 OK\r\n${SEALED}${text}\r\n`;
+}
+
+/** Heads by what is wrong with them. */
+const HEADS: Readonly<Record<string, string>> = {
+  'a sound head': status('200'),
+  'status 000': status('000'),
+  'status 099': status('099'),
+  'status 101': status('101'),
+  'status 600': status('600'),
+  'status 999': status('999'),
+  'a blank within a name': lines(`${LENGTH}x foo: 1\r\n`),
+  'a blank after a name': lines(`${LENGTH}x-foo : 1\r\n`),
+  'a blank within the name of its length': lines(`content length: ${BODY.length}\r\n`),
+  'a blank after the name of its length': lines(`content-length : ${BODY.length}\r\n`),
+  'a tab within a name': lines(`${LENGTH}x\tfoo: 1\r\n`),
+  'a control byte within a name': lines(`${LENGTH}x\u0001foo: 1\r\n`),
+  'a NUL within a name': lines(`${LENGTH}x\u0000foo: 1\r\n`),
+  'a DEL within a name': lines(`${LENGTH}x\u007ffoo: 1\r\n`),
+  'a CR within a name': lines(`${LENGTH}x\rfoo: 1\r\n`),
+  'a blank within a name that Connection lists': lines(
+    `${LENGTH}x foo: 1\r\nconnection: x foo\r\n`,
+  ),
+  'a line without a name': lines(`${LENGTH}: 1\r\n`),
+  'a line without a colon': lines(`${LENGTH}x-foo\r\n`),
+  'a line that begins with a blank': lines(`${LENGTH} x-foo: 1\r\n`),
+  'two lengths': lines(`${LENGTH}content-length: 1\r\n`),
+  'a length beside chunks': lines(`${LENGTH}transfer-encoding: chunked\r\n`),
+  'an interim answer before status 000': `${INTERIM}${status('000')}`,
+  'an interim answer before a spoilt name': `${INTERIM}${lines(`${LENGTH}x foo: 1\r\n`)}`,
+};
+
+function callServer(address: string, method: string, agent: ServerAgent): Promise<Outcome> {
+  const message = { method, target: '/', headers: [], body: Buffer.alloc(0) };
+  const call = {
+    request: { id: ID, message },
+    server: { id: 'plain-0', address },
+    stages: [],
+    deadlineMs: CALL_TIMEOUT_MS,
+  } as unknown as ServerCall;
+  const notices = { handleNotice: () => undefined, processOf: () => undefined };
+  return new Promise((resolve) => {
+    let isSendable = false;
+    const listener = {
+      onHead: ({ sendable }: AnswerHead) => {
+        isSendable = sendable;
+        // The relay closes the call then, before its body.
+        if (!sendable) resolve(Outcome.Discarded);
+      },
+      onData: () => undefined,
+      onEnd: () => resolve(isSendable ? Outcome.Taken : Outcome.Discarded),
+      onFailure: () => resolve(Outcome.Discarded),
+    };
+    const open = new OpenCall(call, listener, agent, notices, () => undefined);
+    setTimeout(() => open.dispose(), CALL_TIMEOUT_MS).unref();
+  });
+}
+
+async function sendPlainCall(address: string): Promise<Outcome> {
+  const call = { method: 'POST', path: '/', headers: {}, body: Buffer.alloc(0) };
+  const response = await new HttpPlainTransport().send(address, {
+    ...call,
+    timeoutMs: CALL_TIMEOUT_MS,
+  });
+  for await (const part of response.body) assert.ok(part.length > 0);
+  return Outcome.Taken;
+}
+
+/** Sends a request and returns what becomes of its answer; an error means that it is discarded. */
+type Reader = (address: string) => Promise<Outcome>;
+
+const READERS: Readonly<Record<string, Reader>> = {
+  'the server client': (address) => callServer(address, 'POST', new ServerAgent()),
+  'the plain transport': sendPlainCall,
+};
+
+function decide(outcome: Promise<Outcome>): Promise<Outcome> {
+  return Promise.race([
+    outcome.catch(() => Outcome.Discarded),
+    pause(DECISION_MS).then(() => Outcome.Open),
+  ]);
+}
+
+/** @param heads - heads of the answers of one connection; the last one is repeated */
+async function listen(world: SpoiltWorld, heads: readonly string[]): Promise<void> {
+  world.connections = 0;
+  world.keptAgent = new ServerAgent();
+  world.spoiltSockets = new Set();
+  world.spoiltServer = createServer((socket) => {
+    world.connections += 1;
+    world.spoiltSockets.add(socket);
+    socket.on('error', () => undefined);
+    let answers = 0;
+    socket.on('data', (request) => {
+      const head = HEADS[heads[Math.min(answers, heads.length - 1)]];
+      answers += 1;
+      const isBodyless = request.toString('latin1').startsWith('HEAD ');
+      socket.write(
+        Buffer.concat([Buffer.from(head, 'latin1'), isBodyless ? Buffer.alloc(0) : BODY]),
+      );
+    });
+  });
+  await new Promise<void>((resolve) => {
+    world.spoiltServer.listen(0, '127.0.0.1', resolve);
+  });
+  world.spoiltAddress = `127.0.0.1:${(world.spoiltServer.address() as AddressInfo).port}`;
+}
+
+Given(
+  /^a server that answers with (a sound head, and then with )?(.+)$/,
+  async function set(this: SpoiltWorld, sound: string | null, head: string) {
+    await listen(this, sound === null ? [head] : ['a sound head', head]);
+  },
+);
+
+When(
+  /^the server client gets a sound answer to a (\w+) request$/,
+  async function run(this: SpoiltWorld, method: string) {
+    const outcome = await decide(callServer(this.spoiltAddress, method, this.keptAgent));
+    assert.equal(outcome, Outcome.Taken);
+  },
+);
+
+Then(
+  /^the server client discards the answer to a (\w+) request$/,
+  async function check(this: SpoiltWorld, method: string) {
+    const outcome = await decide(callServer(this.spoiltAddress, method, this.keptAgent));
+    assert.equal(outcome, Outcome.Discarded);
+  },
+);
+
+Then('it has opened {int} connection', function check(this: SpoiltWorld, connections: number) {
+  assert.equal(this.connections, connections);
+});
+
+Then(
+  /^(the [\w ]+) (takes|discards) the answer$/,
+  { timeout: 2 * DECISION_MS },
+  async function check(this: SpoiltWorld, reader: string, verb: string) {
+    const expected = verb === 'takes' ? Outcome.Taken : Outcome.Discarded;
+    assert.equal(await decide(READERS[reader](this.spoiltAddress)), expected);
+  },
+);
+
+After(function stop(this: SpoiltWorld) {
+  this.keptAgent?.destroy();
+  this.spoiltServer?.close();
+  for (const socket of this.spoiltSockets ?? []) socket.destroy();
+});
--- a/features/platform/FakeBackendServer.ts
+++ b/features/platform/FakeBackendServer.ts
@@ -32,6 +32,12 @@
   InTwoParts = 'in two parts',
   /** Complete, but a header's name has a space, which Node's parser takes in and its writer does not send. */
   SpacedHeaderName = "with a space in a header's name",
+  /** Complete, but a header's name has a control byte. */
+  ControlInHeaderName = "with a control byte in a header's name",
+  /** Complete, but with a status that HTTP does not have. */
+  StatusZero = 'with status 000',
+  StatusBelowHttp = 'with status 099',
+  StatusBeyondHttp = 'with status 600',
   /** With status 101, as if the request had asked for another protocol. */
   SwitchesProtocol = 'with status 101',
   /** With a transfer coding that is not known, so that the marks of its parts are in the body. */
@@ -48,7 +54,11 @@
   RepeatedCutRejection = 'an earlier rejection once more, without its first byte',
   /** The answer to a request that resumes a stream is a failure of the server. */
   FailsToResume = 'a failure when a stream is resumed',
-  /** As before, but without a signature. */
+  /** As before, but with a status that HTTP does not have. */
+  ResumesWithStatusZero = 'status 000 when a stream is resumed',
+  /** The answer to a request that resumes a stream is complete, but a header's name has a space. */
+  ResumesWithSpacedName = "a space in a header's name when a stream is resumed",
+  /** The answer to a request that resumes a stream is an unsigned failure. */
   FailsToResumeUnsigned = 'an unsigned failure when a stream is resumed',
   /** As before, but within a successful answer without a length. */
   FailsWithinResumed = 'the head and text of a failure within a resumed stream',
@@ -87,10 +97,19 @@
 }
 
 /** Returns the status line and the headers that every answer of a server has. */
-function signedHead(id: string): string {
-  return `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\n`;
+function signedHead(id: string, status = '200'): string {
+  return `HTTP/1.1 ${status} OK\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\n`;
 }
 
+/** Heads that Node would refuse to send, by the request's id. */
+const SPOILT_HEADS: Partial<Record<AnswerStyle, (id: string) => string>> = {
+  [AnswerStyle.SpacedHeaderName]: (id) => `${signedHead(id)}content type: text/plain\r\n`,
+  [AnswerStyle.ControlInHeaderName]: (id) => `${signedHead(id)}content\u0001type: text/plain\r\n`,
+  [AnswerStyle.StatusZero]: (id) => signedHead(id, '000'),
+  [AnswerStyle.StatusBelowHttp]: (id) => signedHead(id, '099'),
+  [AnswerStyle.StatusBeyondHttp]: (id) => signedHead(id, '600'),
+};
+
 /** What a server sends in an endless answer: the beginning, and the part that it repeats. */
 const ENDLESS_ANSWERS: Partial<
   Record<AnswerStyle, { begin: (id: string) => string; repeat: string }>
@@ -138,6 +157,10 @@
 const FAILED_RESUMPTIONS: Partial<Record<AnswerStyle, (id: string, next: number) => string>> = {
   [AnswerStyle.FailsToResume]: (id) =>
     `HTTP/1.1 500 Error\r\nx-attempt-id: ${id}\r\nx-server-seal: seal\r\ncontent-length: 9\r\n\r\nno memory`,
+  [AnswerStyle.ResumesWithStatusZero]: (id, next) =>
+    `${signedHead(id, '000')}connection: close\r\n\r\nid: ${next}\ndata: event ${next}\n\n`,
+  [AnswerStyle.ResumesWithSpacedName]: (id, next) =>
+    `${signedHead(id)}x foo: 1\r\nconnection: close\r\n\r\nid: ${next}\ndata: event ${next}\n\n`,
   [AnswerStyle.FailsToResumeUnsigned]: (id) =>
     `HTTP/1.1 502 Error\r\nx-attempt-id: ${id}\r\ncontent-length: 9\r\n\r\nno memory`,
   [AnswerStyle.FailsWithinResumed]: (id, next) =>
@@ -503,8 +526,9 @@
       repeatUntilClosed(request.socket, endless.repeat);
       return;
     }
-    if (this.style === AnswerStyle.SpacedHeaderName) {
-      this.answerWithSpacedName(request);
+    const spoiltHead = SPOILT_HEADS[this.style];
+    if (spoiltHead !== undefined) {
+      this.answerAfterHead(request, spoiltHead(requestId));
       return;
     }
     const largeAnswer = LARGE_ANSWERS[String(headers[LARGE_ANSWER_HEADER])];
@@ -520,17 +544,14 @@
     else this.stream(request, response);
   }
 
-  /** Sends the whole answer with a head that Node would refuse to send. */
-  private answerWithSpacedName({ socket, headers }: IncomingMessage): void {
-    const id = String(headers['x-attempt-id']);
+  /** Sends a head and the whole body of the answer. */
+  private answerAfterHead({ socket, headers }: IncomingMessage, head: string): void {
     const isStream = headers['x-hop-count'] !== undefined;
     const body = isStream
       ? eventsAfter(Number(headers['last-event-id'] ?? 0)).join('')
-      : answerTo(id);
+      : answerTo(String(headers['x-attempt-id']));
     this.onBreakOff();
-    socket.write(
-      `${signedHead(id)}content type: text/plain\r\ncontent-length: ${body.length}\r\n\r\n`,
-    );
+    socket.write(`${head}content-length: ${body.length}\r\n\r\n`);
     // The rest follows in parts, as it would from a server that writes its events one by one.
     socket.write(body.slice(0, 30));
     setTimeout(() => socket.write(body.slice(30)), EVENT_INTERVAL_MS);
--- a/features/platform/router.feature
+++ b/features/platform/router.feature
@@ -24,6 +24,10 @@
       | ending inside its head            | 502 |
       | ending before the end of its head | 502 |
       | with a space in a header's name   | 502 |
+      | with a control byte in a header's name | 502 |
+      | with status 000                   | 502 |
+      | with status 099                   | 502 |
+      | with status 600                   | 502 |
       | with status 101                   | 502 |
       | in an unknown transfer coding     | 502 |
 
@@ -43,18 +47,34 @@
       | unframed, reset after an event          | 2    |
 
   # Guards against a stream that arrives as 200, unsigned and without its first event, because its head could not be sent.
-  Scenario: The head of a stream is spoilt at one server
+  Scenario Outline: The head of a stream is spoilt at one server, <style>
     Given the instance has heard of the layers of all engine servers
-    When the engine servers answer "with a space in a header's name", until one has broken a stream off
+    When the engine servers answer "<style>", until one has broken a stream off
     And a caller requests a stream
     Then the caller receives 12 events and a complete answer with the server's signature
     And 2 servers have run it
 
-  Scenario: The head of a stream is spoilt at all servers
-    When the engine servers answer "with a space in a header's name"
+    Examples:
+      | style                                  |
+      | with a space in a header's name        |
+      | with a control byte in a header's name |
+      | with status 000                        |
+      | with status 099                        |
+      | with status 600                        |
+
+  Scenario Outline: The head of a stream is spoilt at all servers, <style>
+    When the engine servers answer "<style>"
     And a caller requests "/stream/1" with key "key-1"
     Then the caller receives status 502 within 2000 ms, with reason "server-lost"
 
+    Examples:
+      | style                                  |
+      | with a space in a header's name        |
+      | with a control byte in a header's name |
+      | with status 000                        |
+      | with status 099                        |
+      | with status 600                        |
+
   # Guards against "not run" for a request that a server runs, and against running it at a second server.
   Scenario Outline: A server answers <path> with <style>
     When the engine servers reject a stream each, and then answer "<style>"
@@ -82,6 +102,8 @@
       | an unsigned failure when a stream is resumed               |
       | the head and text of a failure within a resumed stream     |
       | an event too few when a stream is resumed                  |
+      | status 000 when a stream is resumed                        |
+      | a space in a header's name when a stream is resumed        |
 
   # Guards against cutting slow streams that are sound, and against stalled ones without end.
   Scenario: A slow stream whose servers are alive is not cut
--- a/src/platform/HeaderText.ts
+++ b/src/platform/HeaderText.ts
@@ -1,9 +1,9 @@
 /** Checks headers that Node's parser takes in against those that it is able to send. */
 import { validateHeaderName, validateHeaderValue } from 'node:http';
 
-/** Final statuses have three digits and do not begin with 1. */
+/** Final statuses are of the classes 2xx to 5xx. */
 const FIRST_FINAL_STATUS = 200;
-const LAST_STATUS = 999;
+const LAST_FINAL_STATUS = 599;
 
 /**
  * Whether headers can be sent. The parser is more lenient than the writer, which throws, for instance, for a
@@ -25,5 +25,5 @@
 
 /** Whether a status can be that of a final answer. */
 export function isFinalStatus(status: number): boolean {
-  return status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
+  return status >= FIRST_FINAL_STATUS && status <= LAST_FINAL_STATUS;
 }
