The head of an answer is checked with the headers that are not passed on

Callers would see: the answer of a server in trouble whose head has a name with a blank, without that line, if its Connection header lists the name.

Cause: OpenCall checked the headers that it passes on. Those that concern only the connection were dropped before, so that a spoilt one among them told nothing.

Change: hasValidHead judges an answer by its status and all of its headers, and moves with HeaderText to the HTTP adapter, where other readers can ask it.

--- a/features/adapters/spoilt-heads.feature
+++ b/features/adapters/spoilt-heads.feature
@@ -21,6 +21,7 @@
       | a NUL within a name                         |
       | a DEL within a name                         |
       | a CR within a name                          |
+      | a blank within a name that Connection lists |
       | a line without a name                       |
       | a line without a colon                      |
       | a line that begins with a blank             |
--- a/src/platform/HeaderText.ts
+++ b/src/adapters/http/HeaderText.ts
@@ -1,5 +1,5 @@
-/** Checks headers that Node's parser takes in against those that it is able to send. */
-import { validateHeaderName, validateHeaderValue } from 'node:http';
+/** Checks what Node's parser takes in against what HTTP allows. */
+import { validateHeaderName, validateHeaderValue, type IncomingMessage } from 'node:http';
 
 /** Final statuses are of the classes 2xx to 5xx. */
 const FIRST_FINAL_STATUS = 200;
@@ -24,6 +24,11 @@
 }
 
 /** Whether a status can be that of a final answer. */
-export function isFinalStatus(status: number): boolean {
+function isFinalStatus(status: number): boolean {
   return status >= FIRST_FINAL_STATUS && status <= LAST_FINAL_STATUS;
 }
+
+/** Whether HTTP allows the head of an answer, all headers included, also those that are not passed on. */
+export function hasValidHead({ statusCode = 0, rawHeaders }: IncomingMessage): boolean {
+  return isFinalStatus(statusCode) && areSendable(rawHeaders);
+}
--- a/src/platform/Ingress.ts
+++ b/src/platform/Ingress.ts
@@ -4,6 +4,7 @@
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import { BrokenConnections } from '../adapters/http/BrokenConnections.js';
 import { ConnectionGuard, type ConnectionEndListener } from '../adapters/http/ConnectionGuard.js';
+import { areSendable } from '../adapters/http/HeaderText.js';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
 import type { ConnectionBudget } from '../core/limits/ConnectionBudget.js';
 import type { InputTurns } from '../core/limits/InputTurns.js';
@@ -24,7 +25,6 @@
   STOPPED_BEFORE_SEND,
   UNEXPECTED_ERROR,
 } from './IngressRefusals.js';
-import { areSendable } from './HeaderText.js';
 import { header, headBytes, readKey, readPrompt, readPromptParts } from './RequestHead.js';
 import { RequestMemory } from './RequestMemory.js';
 import { endToEndHeaders, HEADER } from './WireNames.js';
--- a/src/platform/OpenCall.ts
+++ b/src/platform/OpenCall.ts
@@ -6,6 +6,7 @@
 } from 'node:http';
 import type { Socket } from 'node:net';
 import { AnswerCompletion } from '../adapters/http/AnswerCompletion.js';
+import { hasValidHead } from '../adapters/http/HeaderText.js';
 import { hostAndPort } from '../adapters/http/HttpClient.js';
 import { startInputTimer } from '../adapters/http/InputTimer.js';
 import {
@@ -20,7 +21,6 @@
 import type { Disposable } from '../ports/Types.js';
 import type { ServerAgent } from './ServerAgent.js';
 import { decodeNotice } from './NoticeDecoder.js';
-import { areSendable, isFinalStatus } from './HeaderText.js';
 import { endToEndHeaders, HEADER, MISDIRECTED } from './WireNames.js';
 
 /**
@@ -92,11 +92,10 @@
 function toHead(message: IncomingMessage): AnswerHead {
   const { headers, statusCode = 0 } = message;
   const fault = headers[HEADER.blamedAddress];
-  const forwarded = endToEndHeaders(message.rawHeaders, NO_EXCLUDED_HEADERS);
   return {
     status: statusCode,
-    headers: forwarded,
-    sendable: isFinalStatus(statusCode) && areSendable(forwarded),
+    headers: endToEndHeaders(message.rawHeaders, NO_EXCLUDED_HEADERS),
+    sendable: hasValidHead(message),
     signed: headers[HEADER.signature] !== undefined,
     misdirected: statusCode === MISDIRECTED,
     notExecuted: headers[HEADER.notExecuted] !== undefined || statusCode === MISDIRECTED,
