Plain transport: an answer whose head HTTP does not allow is discarded

Callers of our own interface would see: an answer with status 600 or 999 as the answer to their call; with a key, also one with a blank in a header's name, since only the type and the body are kept. One with status 000 or 099 was stored as the answer to its key, and could never be sent: writing its head threw an exception, and each repetition was refused as an unexpected error.

Cause: only the platform's calls checked the heads of answers.

Change: HttpPlainTransport asks hasValidHead and fails the call as a lost connection otherwise. The caller gets the outcome "unknown", or the answer of another server if the call may be repeated.

--- a/features/adapters/spoilt-heads.feature
+++ b/features/adapters/spoilt-heads.feature
@@ -4,6 +4,7 @@
   Scenario Outline: An answer with <head>
     Given a server that answers with <head>
     Then the server client discards the answer
+    And the plain transport discards the answer
 
     Examples:
       | head                                        |
@@ -54,3 +55,4 @@
   Scenario: A sound answer
     Given a server that answers with a sound head
     Then the server client takes the answer
+    And the plain transport takes the answer
--- a/src/adapters/http/HttpPlainTransport.ts
+++ b/src/adapters/http/HttpPlainTransport.ts
@@ -13,6 +13,7 @@
   PlainTransport,
 } from '../../core/requests/PlainTransport.js';
 import { AnswerCompletion } from './AnswerCompletion.js';
+import { hasValidHead } from './HeaderText.js';
 import { hostAndPort } from './HttpClient.js';
 import { startInputTimer } from './InputTimer.js';
 
@@ -121,8 +122,12 @@
       });
       outgoing.on('response', (message) => {
         timer.dispose();
+        if (!hasValidHead(message)) {
+          outgoing.destroy(new Error('the head of its answer is not valid HTTP'));
+          return;
+        }
         resolve({
-          status: message.statusCode ?? 502,
+          status: message.statusCode as number,
           headers: endToEndHeaders(message.headers),
           body: readBody(message, completion),
           notRun: message.headers[NOT_RUN_HEADER] !== undefined,
