HTTP client: an answer whose head HTTP does not allow is discarded

What would be seen: an answer of the store, or of a server to an order, a reroute or a request for its report, with a status such as 000 or a blank in a header's name, taken as one: a reroute as refused that may have been accepted, an order as rejected that may be carried out, a row of the store from a spoilt head.

Cause: this reader did not check the heads of answers either.

Change: HttpClient asks hasValidHead before it tells anybody of the head, and fails the call as a lost connection, which its users treat as no answer.

--- a/features/adapters/spoilt-heads.feature
+++ b/features/adapters/spoilt-heads.feature
@@ -5,6 +5,7 @@
     Given a server that answers with <head>
     Then the server client discards the answer
     And the plain transport discards the answer
+    And the HTTP client discards the answer
 
     Examples:
       | head                                        |
@@ -56,3 +57,4 @@
     Given a server that answers with a sound head
     Then the server client takes the answer
     And the plain transport takes the answer
+    And the HTTP client takes the answer
--- a/features/adapters/spoilt-heads.steps.ts
+++ b/features/adapters/spoilt-heads.steps.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import { HttpClient } from '../../src/adapters/http/HttpClient.js';
+import { HttpEngine } from '../../src/adapters/http/HttpEngine.js';
 import { HttpPlainTransport } from '../../src/adapters/http/HttpPlainTransport.js';
 import { encodeEnd } from '../../src/adapters/http/TokenFrames.js';
 import type { AnswerHead, ServerCall } from '../../src/core/relay/Types.js';
-import { FinishReason } from '../../src/core/streams/Types.js';
+import { FinishReason, type StreamOpening } from '../../src/core/streams/Types.js';
 import { OpenCall } from '../../src/platform/OpenCall.js';
 import { ServerAgent } from '../../src/platform/ServerAgent.js';
 import { pause } from '../platform/Ports.js';
@@ -113,12 +115,36 @@
   return Outcome.Taken;
 }
 
+async function callClient(address: string): Promise<Outcome> {
+  const client = new HttpClient();
+  try {
+    await client.call({ address, method: 'POST', path: '/', timeoutMs: CALL_TIMEOUT_MS });
+    return Outcome.Taken;
+  } finally {
+    client.dispose();
+  }
+}
+
+function openStream(address: string): Promise<Outcome> {
+  const client = new HttpClient();
+  const opening = { stages: [{ server: 'engine-0', address }] } as unknown as StreamOpening;
+  return new Promise<Outcome>((resolve) => {
+    new HttpEngine(client).open(opening, {
+      onToken: () => undefined,
+      onEnd: () => resolve(Outcome.Taken),
+      onFailure: () => resolve(Outcome.Discarded),
+    });
+  }).finally(() => client.dispose());
+}
+
 /** Sends a request and returns what becomes of its answer; an error means that it is discarded. */
 type Reader = (address: string) => Promise<Outcome>;
 
 const READERS: Readonly<Record<string, Reader>> = {
   'the server client': (address) => callServer(address, 'POST', new ServerAgent()),
   'the plain transport': sendPlainCall,
+  'the HTTP client': callClient,
+  'the engine client': openStream,
 };
 
 function decide(outcome: Promise<Outcome>): Promise<Outcome> {
--- a/src/adapters/http/HttpClient.ts
+++ b/src/adapters/http/HttpClient.ts
@@ -10,6 +10,7 @@
 import type { Disposable } from '../../ports/Types.js';
 import { AnswerCompletion } from './AnswerCompletion.js';
 import { readBody } from './BodyReader.js';
+import { hasValidHead } from './HeaderText.js';
 import { startInputTimer } from './InputTimer.js';
 
 /** A call whose body is in memory. */
@@ -152,6 +153,10 @@
       outgoing.on('error', fail);
       outgoing.on('response', (message) => {
         hasAnswer = true;
+        if (!hasValidHead(message)) {
+          outgoing.destroy(new Error('the head of its answer is not valid HTTP'));
+          return;
+        }
         restartTimer();
         call.onHead?.(message.statusCode ?? 0, message.headers);
         message.on('data', restartTimer);
