Engine client: a stream whose head HTTP does not allow is discarded

Callers would see: tokens of an engine in trouble whose answer has a blank in a header's name, as if they were a sound stream's.

Cause: HttpEngine asked for status 200 only.

Change: it asks hasValidHead first, and fails the stream as a lost connection. The end of the frames, not of the connection, decides whether a stream is whole here, so AnswerCompletion has nothing to add.

Evidence: 6 of the 28 rows failed for this reader on the old code ("taken"); all pass now.

--- a/features/adapters/spoilt-heads.feature
+++ b/features/adapters/spoilt-heads.feature
@@ -6,6 +6,7 @@
     Then the server client discards the answer
     And the plain transport discards the answer
     And the HTTP client discards the answer
+    And the engine client discards the answer
 
     Examples:
       | head                                        |
@@ -58,3 +59,4 @@
     Then the server client takes the answer
     And the plain transport takes the answer
     And the HTTP client takes the answer
+    And the engine client takes the answer
--- a/src/adapters/http/HttpEngine.ts
+++ b/src/adapters/http/HttpEngine.ts
@@ -10,6 +10,7 @@
 } from '../../core/streams/Types.js';
 import { Failure, FailureKind } from '../../core/Failure.js';
 import type { Disposable } from '../../ports/Types.js';
+import { hasValidHead } from './HeaderText.js';
 import { HttpClient, hostAndPort } from './HttpClient.js';
 import { startInputTimer } from './InputTimer.js';
 import { FrameDecoder } from './TokenFrames.js';
@@ -75,6 +76,11 @@
       fail(connected ? EngineFailureKind.ConnectionLost : EngineFailureKind.NotConnected),
     );
     outgoing.on('response', (message) => {
+      if (!hasValidHead(message)) {
+        outgoing.destroy();
+        fail(EngineFailureKind.ConnectionLost);
+        return;
+      }
       if (message.statusCode !== 200) {
         message.resume();
         fail(STATUS_FAILURES[message.statusCode ?? 0] ?? EngineFailureKind.StageFailed);
