An answer that switches to another protocol ends its call

What was seen: a call whose server answers 101 with an upgrade never ended: a read of the store, an order, a stream's opening or a call to a plain service of our own interface waited on after its time limit.

Cause: without a listener for 'upgrade' Node closes the connection and tells the call neither of an answer nor of an error, and its destroy does nothing then.

Change: HttpClient, HttpPlainTransport and HttpEngine have it, too, and fail the call as a lost connection.

--- a/features/adapters/spoilt-heads.feature
+++ b/features/adapters/spoilt-heads.feature
@@ -13,6 +13,7 @@
       | status 000                                  |
       | status 099                                  |
       | status 101                                  |
+      | status 101, for another protocol            |
       | status 600                                  |
       | status 999                                  |
       | a blank within a name                       |
@@ -30,6 +31,7 @@
       | a line that begins with a blank             |
       | two lengths                                 |
       | a length beside chunks                      |
+      | status 101 after an interim answer          |
       | an interim answer before status 000         |
       | an interim answer before a spoilt name      |
 
--- a/features/adapters/spoilt-heads.steps.ts
+++ b/features/adapters/spoilt-heads.steps.ts
@@ -42,6 +42,8 @@
 
 const INTERIM = 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n';
 
+const SWITCH = `HTTP/1.1 101 Switching Protocols\r\n${SEALED}connection: upgrade\r\nupgrade: other\r\n\r\n`;
+
 function status(code: string): string {
   return `HTTP/1.1 ${code} Text\r\n${SEALED}${LENGTH}\r\n`;
 }
@@ -56,6 +58,8 @@
   'status 000': status('000'),
   'status 099': status('099'),
   'status 101': status('101'),
+  'status 101, for another protocol': SWITCH,
+  'status 101 after an interim answer': `${INTERIM}${SWITCH}`,
   'status 600': status('600'),
   'status 999': status('999'),
   'a blank within a name': lines(`${LENGTH}x foo: 1\r\n`),
--- a/src/adapters/http/HttpClient.ts
+++ b/src/adapters/http/HttpClient.ts
@@ -151,6 +151,11 @@
           });
       });
       outgoing.on('error', fail);
+      // No call asks for another protocol; Node tells of such an answer only here.
+      outgoing.on('upgrade', (_message, socket) => {
+        fail(new Error('its answer switches to another protocol'));
+        socket.destroy();
+      });
       outgoing.on('response', (message) => {
         hasAnswer = true;
         if (!hasValidHead(message)) {
--- a/src/adapters/http/HttpEngine.ts
+++ b/src/adapters/http/HttpEngine.ts
@@ -75,6 +75,11 @@
     outgoing.on('error', () =>
       fail(connected ? EngineFailureKind.ConnectionLost : EngineFailureKind.NotConnected),
     );
+    // No call asks for another protocol; Node tells of such an answer only here.
+    outgoing.on('upgrade', (_message, socket) => {
+      fail(EngineFailureKind.ConnectionLost);
+      socket.destroy();
+    });
     outgoing.on('response', (message) => {
       if (!hasValidHead(message)) {
         outgoing.destroy();
--- a/src/adapters/http/HttpPlainTransport.ts
+++ b/src/adapters/http/HttpPlainTransport.ts
@@ -110,6 +110,11 @@
         );
       };
       outgoing.on('error', fail);
+      // No call asks for another protocol; Node tells of such an answer only here.
+      outgoing.on('upgrade', (_message, socket) => {
+        fail(new Error('its answer switches to another protocol'));
+        socket.destroy();
+      });
       outgoing.on('socket', (socket) => {
         socket.once('connect', () => {
           connected = true;
