--- a/features/adapters/EarlyAnswerServer.ts
+++ b/features/adapters/EarlyAnswerServer.ts
@@ -1,4 +1,3 @@
-/** A server that answers as soon as it has the head of a request, whatever follows. */
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { resetConnection } from '../platform/Sockets.js';
 
@@ -54,14 +53,12 @@
   },
 };
 
-const ID = /^x-attempt-id: (.*)\r$/im;
+const ID_HEADER = /^x-attempt-id: (.*)\r$/im;
 
+/** A server that answers as soon as it has the head of a request, whatever follows. */
 export class EarlyAnswerServer {
   private readonly sockets = new Set<Socket>();
 
-  /** Requests whose heads have arrived, by id, in order. */
-  public readonly arrivals: string[] = [];
-
   private readonly server: Server = createServer({ allowHalfOpen: true }, (socket) => {
     this.sockets.add(socket);
     socket.once('close', () => this.sockets.delete(socket));
@@ -93,9 +90,7 @@
         return;
       }
       socket.pause();
-      const id = ID.exec(text)?.[1] ?? '';
-      this.arrivals.push(id);
-      this.answer(socket, id);
+      this.answer(socket, ID_HEADER.exec(text)?.[1] ?? '');
     });
   }
 }
--- a/features/adapters/spoilt-heads.steps.ts
+++ b/features/adapters/spoilt-heads.steps.ts
@@ -5,11 +5,11 @@
 import { HttpEngine } from '../../src/adapters/http/HttpEngine.js';
 import { HttpPlainTransport } from '../../src/adapters/http/HttpPlainTransport.js';
 import { encodeEnd } from '../../src/adapters/http/TokenFrames.js';
-import type { AnswerHead, ServerCall } from '../../src/core/relay/Types.js';
+import type { AnswerHead } from '../../src/core/relay/Types.js';
 import { FinishReason, type StreamOpening } from '../../src/core/streams/Types.js';
-import { OpenCall } from '../../src/platform/OpenCall.js';
 import { ServerAgent } from '../../src/platform/ServerAgent.js';
 import { pause } from '../platform/Ports.js';
+import { CALL_ID, openCall } from './OpenedCall.js';
 
 interface SpoiltWorld {
   spoiltServer: Server;
@@ -26,17 +26,16 @@
   Open = 'open',
 }
 
-/** Time within which a reader decides about an answer, in milliseconds; servers get half of it. */
+/** Time within which a reader decides about an answer, in milliseconds. */
 const DECISION_MS = 2000;
 
+/** Time limit of a call, in milliseconds. */
 const CALL_TIMEOUT_MS = DECISION_MS / 2;
 
-const ID = 'id-1';
-
 /** A complete answer of an engine, which is as good as any for the other readers. */
 const BODY = encodeEnd(FinishReason.Stop, 0);
 
-const SEALED = `x-attempt-id: ${ID}\r\nx-server-seal: seal\r\n`;
+const SEALED = `x-attempt-id: ${CALL_ID}\r\nx-server-seal: seal\r\n`;
 
 const LENGTH = `content-length: ${BODY.length}\r\n`;
 
@@ -83,36 +82,28 @@
   'an interim answer before a spoilt name': `${INTERIM}${lines(`${LENGTH}x foo: 1\r\n`)}`,
 };
 
-function callServer(address: string, method: string, agent: ServerAgent): Promise<Outcome> {
-  const message = { method, target: '/', headers: [], body: Buffer.alloc(0) };
-  const call = {
-    request: { id: ID, message },
-    server: { id: 'plain-0', address },
-    stages: [],
-    deadlineMs: CALL_TIMEOUT_MS,
-  } as unknown as ServerCall;
-  const notices = { handleNotice: () => undefined, processOf: () => undefined };
+function callServer(address: string, method: string, agent?: ServerAgent): Promise<Outcome> {
   return new Promise((resolve) => {
-    let isSendable = false;
     const listener = {
+      // The relay closes the call then, before its body.
       onHead: ({ sendable }: AnswerHead) => {
-        isSendable = sendable;
-        // The relay closes the call then, before its body.
         if (!sendable) resolve(Outcome.Discarded);
       },
       onData: () => undefined,
-      onEnd: () => resolve(isSendable ? Outcome.Taken : Outcome.Discarded),
+      onEnd: () => resolve(Outcome.Taken),
       onFailure: () => resolve(Outcome.Discarded),
     };
-    const open = new OpenCall(call, listener, agent, notices, () => undefined);
+    const open = openCall(address, method, Buffer.alloc(0), listener, agent);
     setTimeout(() => open.dispose(), CALL_TIMEOUT_MS).unref();
   });
 }
 
 async function sendPlainCall(address: string): Promise<Outcome> {
-  const call = { method: 'POST', path: '/', headers: {}, body: Buffer.alloc(0) };
   const response = await new HttpPlainTransport().send(address, {
-    ...call,
+    method: 'POST',
+    path: '/',
+    headers: {},
+    body: Buffer.alloc(0),
     timeoutMs: CALL_TIMEOUT_MS,
   });
   for await (const part of response.body) assert.ok(part.length > 0);
@@ -145,7 +136,7 @@
 type Reader = (address: string) => Promise<Outcome>;
 
 const READERS: Readonly<Record<string, Reader>> = {
-  'the server client': (address) => callServer(address, 'POST', new ServerAgent()),
+  'the server client': (address) => callServer(address, 'POST'),
   'the plain transport': sendPlainCall,
   'the HTTP client': callClient,
   'the engine client': openStream,
