Tests of answers: an answer without a length to an upload that was read is whole

Guards against AnswerCompletion taking a sound answer for part of one: the server reads all of 64 MB before it answers.

--- a/features/adapters/answer-end.feature
+++ b/features/adapters/answer-end.feature
@@ -59,3 +59,16 @@
       | the HTTP client               | with a length    | a reset in the same moment                 | it does not read      | whole      |
       | the HTTP client               | with a length    | its end and a reset in the same moment     | it does not read      | whole      |
       | the HTTP client               | with a length    | its end and a reset 50 ms later            | it does not read      | whole      |
+
+  # Guards against a sound answer that is taken for part of one.
+  Scenario Outline: <reader>: an answer without a length to an upload that its server has read
+    Given a server that reads a whole request, sends an answer without a length and ends its connection
+    When <reader> sends it a request that it reads to the end
+    Then the answer is whole
+
+    Examples:
+      | reader                        |
+      | the server client             |
+      | the plain transport           |
+      | the plain transport, in parts |
+      | the HTTP client               |
--- a/features/adapters/answer-end.steps.ts
+++ b/features/adapters/answer-end.steps.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { HttpClient } from '../../src/adapters/http/HttpClient.js';
 import { HttpPlainTransport } from '../../src/adapters/http/HttpPlainTransport.js';
@@ -8,6 +10,7 @@
 
 interface AnswerEndWorld {
   earlyServer: EarlyAnswerServer;
+  readingServer: Server | undefined;
   earlyAddress: string;
   readBody: string | undefined;
 }
@@ -94,6 +97,24 @@
   },
 );
 
+Given(
+  'a server that reads a whole request, sends an answer without a length and ends its connection',
+  async function set(this: AnswerEndWorld) {
+    this.readingServer = createServer({ requireHostHeader: false }, (request) => {
+      request.resume();
+      request.once('end', () => {
+        sendAnswer(request.socket, String(request.headers['x-attempt-id']), 'without a length');
+        request.socket.end();
+      });
+    });
+    await new Promise<void>((resolve) => {
+      this.readingServer?.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = this.readingServer.address() as AddressInfo;
+    this.earlyAddress = `127.0.0.1:${port}`;
+  },
+);
+
 When(
   /^(the .+) sends it a request that (it .+)$/,
   async function run(this: AnswerEndWorld, reader: string, request: string) {
@@ -107,4 +128,5 @@
 
 After(function stop(this: AnswerEndWorld) {
   this.earlyServer?.close();
+  this.readingServer?.close();
 });
