--- a/features/adapters/answer-end.feature
+++ b/features/adapters/answer-end.feature
@@ -40,11 +40,13 @@
     Examples: a sound server
       | reader                        | framing          | ending                                     | request               | outcome    |
       | the server client             | without a length | its end                                    | it could take at once | whole      |
+      | the server client             | without a length | its end                                    | it reads to the end   | whole      |
       | the server client             | with a length    | its end                                    | it reads to the end   | whole      |
       | the server client             | with a length    | a reset in the same moment                 | it does not read      | whole      |
       | the server client             | with a length    | its end and a reset in the same moment     | it does not read      | whole      |
       | the server client             | with a length    | its end and a reset 50 ms later            | it does not read      | whole      |
       | the plain transport           | without a length | its end                                    | it could take at once | whole      |
+      | the plain transport           | without a length | its end                                    | it reads to the end   | whole      |
       | the plain transport           | with a length    | its end                                    | it reads to the end   | whole      |
       | the plain transport           | with a length    | a reset in the same moment                 | it does not read      | whole      |
       | the plain transport           | with a length    | its end and a reset in the same moment     | it does not read      | whole      |
@@ -55,6 +57,7 @@
       | the plain transport, in parts | with a length    | its end and a reset in the same moment     | it does not read      | whole      |
       | the plain transport, in parts | with a length    | its end and a reset 50 ms later            | it does not read      | whole      |
       | the HTTP client               | without a length | its end                                    | it could take at once | whole      |
+      | the HTTP client               | without a length | its end                                    | it reads to the end   | whole      |
       | the HTTP client               | with a length    | its end                                    | it reads to the end   | whole      |
       | the HTTP client               | with a length    | a reset in the same moment                 | it does not read      | whole      |
       | the HTTP client               | with a length    | its end and a reset in the same moment     | it does not read      | whole      |
