Plain transport: a server that reads no further ends an upload within the time limit

Cause: the time limit of a plain call covers the beginning of its answer only.

Change: it covers the rest of the request after an answer's end, too, which then fails as incomplete.

--- a/features/adapters/EarlyAnswerServer.ts
+++ b/features/adapters/EarlyAnswerServer.ts
@@ -47,6 +47,9 @@
       setTimeout(() => socket.destroy(), 50);
     });
   },
+  'its end, and nothing more': (socket) => {
+    socket.end();
+  },
   'its end': (socket) => {
     socket.end();
     socket.resume();
--- a/features/adapters/answer-end.feature
+++ b/features/adapters/answer-end.feature
@@ -22,6 +22,7 @@
       | the plain transport           | without a length | its end and a reset 50 ms later            | it does not read      | incomplete |
       | the plain transport           | without a length | its end, and a reset after 1 MB of reading | it reads in part      | incomplete |
       | the plain transport           | without a length | a reset in the same moment                 | it could take at once | incomplete |
+      | the plain transport           | without a length | its end, and nothing more                  | it does not read      | incomplete |
       | the plain transport, in parts | without a length | a reset in the same moment                 | it does not read      | incomplete |
       | the plain transport, in parts | without a length | a reset in the next turn                   | it does not read      | incomplete |
       | the plain transport, in parts | without a length | a reset 10 ms later                        | it does not read      | incomplete |
@@ -36,6 +37,7 @@
       | the HTTP client               | without a length | its end and a reset 50 ms later            | it does not read      | incomplete |
       | the HTTP client               | without a length | its end, and a reset after 1 MB of reading | it reads in part      | incomplete |
       | the HTTP client               | without a length | a reset in the same moment                 | it could take at once | incomplete |
+      | the HTTP client               | without a length | its end, and nothing more                  | it does not read      | incomplete |
 
     Examples: a sound server
       | reader                        | framing          | ending                                     | request               | outcome    |
--- a/src/adapters/http/HttpPlainTransport.ts
+++ b/src/adapters/http/HttpPlainTransport.ts
@@ -66,14 +66,22 @@
 
 /**
  * Reads the body of an answer.
- * @throws Failure of kind `ConnectionLost` if it is not complete
+ * @param timeoutMs - time limit for the rest of the request, if the answer ends before it, in milliseconds
+ * @throws Failure of kind `ConnectionLost` if the answer is not complete
  */
 async function* readBody(
   message: IncomingMessage,
+  outgoing: ClientRequest,
   completion: AnswerCompletion,
+  timeoutMs: number,
 ): AsyncGenerator<Uint8Array> {
   yield* message;
-  if (await completion.whenKnown()) return;
+  const timer = startInputTimer(timeoutMs, () =>
+    outgoing.destroy(new Error('the request was not read in time')),
+  );
+  const isComplete = await completion.whenKnown();
+  timer.dispose();
+  if (isComplete) return;
   throw new Failure(
     FailureKind.ConnectionLost,
     'The connection was lost within the answer. Check that the server is running.',
@@ -134,7 +142,7 @@
         resolve({
           status: message.statusCode as number,
           headers: endToEndHeaders(message.headers),
-          body: readBody(message, completion),
+          body: readBody(message, outgoing, completion, call.timeoutMs),
           notRun: message.headers[NOT_RUN_HEADER] !== undefined,
         });
       });
