The head of an answer is checked only if none of its headers is left out

Callers would see: the answer of a server in trouble whose head has a name with a blank, without that line, if some thousand lines come before it.

Cause: Node collects about 1,000 headers of an answer and leaves the others out; the check, like everything else, saw the first ones only. A head of 16 KB has room for some 4,000.

Change: hasValidHead refuses a head with as many headers as Node collects.

--- a/src/adapters/http/HeaderText.ts
+++ b/src/adapters/http/HeaderText.ts
@@ -5,6 +5,9 @@
 const FIRST_FINAL_STATUS = 200;
 const LAST_FINAL_STATUS = 599;
 
+/** Number of headers from which on Node leaves the others out, so that nobody can check them. */
+const MAX_HEADERS = 1000;
+
 /**
  * Whether headers can be sent. The parser is more lenient than the writer, which throws, for instance, for a
  * space within a name.
@@ -30,5 +33,6 @@
 
 /** Whether HTTP allows the head of an answer, all headers included, also those that are not passed on. */
 export function hasValidHead({ statusCode = 0, rawHeaders }: IncomingMessage): boolean {
-  return isFinalStatus(statusCode) && areSendable(rawHeaders);
+  const isListed = rawHeaders.length < 2 * MAX_HEADERS;
+  return isFinalStatus(statusCode) && isListed && areSendable(rawHeaders);
 }
