A head that HTTP does not allow does not state that nothing ran

Callers would see: 503 with the promise that their request has not run and never will, on the word of an answer with status 000 or a spoilt name, which is no answer in the protocol (REFUSED if it ran).

Cause: AnswerGate asked for the statement before it asked whether HTTP allows the head. The row "single-call, 503 not-executed unsendable: not-run" had noted that order; nothing on the users' pages allows it, since only an answer states this.

Change: the head is judged first. The row expects "discard" now, which promises less: 502 "unknown" in place of 503, and three rows for the other policies join it.

--- a/features/core/relay/answer-gate.feature
+++ b/features/core/relay/answer-gate.feature
@@ -19,7 +19,10 @@
       | single-call       | 200                       | forward         |
       | single-call       | 500                       | forward         |
       | single-call       | 503 not-executed          | not-run         |
-      | single-call       | 503 not-executed unsendable | not-run       |
+      | single-call       | 503 not-executed unsendable | discard       |
+      | repeatable-call   | 503 not-executed unsendable | discard       |
+      | single-stream     | 503 not-executed unsendable | discard       |
+      | resumed-stream    | 503 not-executed unsendable | discard       |
       | single-call       | 200 unsendable            | discard         |
       | single-call       | 503                       | discard         |
       | single-call       | 429                       | discard         |
--- a/src/core/relay/AnswerGate.ts
+++ b/src/core/relay/AnswerGate.ts
@@ -75,13 +75,13 @@
 
 /** The rules in order; the first one that applies decides. */
 const RULES: readonly GateRule[] = [
-  { verdict: AnswerVerdict.NotRun, applies: (head) => head.notExecuted },
-  // A head that HTTP does not allow cannot be written to the caller, and its bytes may be spoilt elsewhere, too.
+  // A head that HTTP does not allow is no answer, so that it does not state that nothing ran, either.
   {
     verdict: AnswerVerdict.Discard,
     reason: DiscardReason.Unsendable,
     applies: (head) => !head.sendable,
   },
+  { verdict: AnswerVerdict.NotRun, applies: (head) => head.notExecuted },
   {
     verdict: AnswerVerdict.Discard,
     reason: DiscardReason.Unverified,
